--- /dev/null
+++ b/cmd/linenloom/config.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"linenloom/internal/discovery"
+	"linenloom/internal/proxy"
+	"linenloom/internal/wire"
+)
+
+// acceptMore is how long after the stop signal the front may still send new connections: up to 0.4 s, and
+// some time for those that it has begun.
+const acceptMore = 550 * time.Millisecond
+
+// config is the file that LB_CONFIG names.
+type config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    discovery.List  `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// hostSettings are the settings that concern sockets, and so not the Balancer.
+type hostSettings struct {
+	Areas  []string `json:"areas"`
+	Kinds  []string `json:"kinds"`
+	Limits struct {
+		ConnIdleMS float64 `json:"conn_idle_ms"`
+		Multiplex  int     `json:"multiplex"`
+		MostHeld   int     `json:"most_held"`
+	} `json:"limits"`
+}
+
+// loadConfig reads the configuration. The variables beside LB_CONFIG take precedence over the file.
+func loadConfig(getenv func(string) string) (*config, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return nil, errors.New("LB_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var c config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	c.Name = cmp.Or(getenv("LB_NAME"), c.Name)
+	c.Listen = cmp.Or(getenv("LB_LISTEN"), c.Listen)
+	c.Discovery = cmp.Or(getenv("LB_DISCOVERY"), c.Discovery)
+	return &c, c.check()
+}
+
+func (c *config) check() error {
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return fmt.Errorf("%s address: %w", name, err)
+		}
+	}
+	l := c.Limits
+	switch {
+	case !(l.Cores > 0 && l.Cores <= 1024):
+		return fmt.Errorf("limit of cores %v is out of range", l.Cores)
+	case !(l.MemoryMB >= 32):
+		return fmt.Errorf("memory limit of %v MB is under 32", l.MemoryMB)
+	case l.Sockets < 64:
+		return fmt.Errorf("limit of %d sockets is under 64", l.Sockets)
+	}
+	return nil
+}
+
+// proxy is the configuration in the proxy's terms.
+func (c *config) proxy() (proxy.Config, error) {
+	settings, err := wire.ParseSettings(c.Settings)
+	if err != nil {
+		return proxy.Config{}, err
+	}
+	var host hostSettings
+	if err := json.Unmarshal(c.Settings, &host); err != nil {
+		return proxy.Config{}, fmt.Errorf("settings: %w", err)
+	}
+	if host.Limits.ConnIdleMS <= 0 || host.Limits.Multiplex < 1 || host.Limits.MostHeld < 1 {
+		return proxy.Config{}, errors.New("settings: conn_idle_ms, multiplex and most_held must be positive")
+	}
+	if settings.ConnectTimeout <= 0 {
+		return proxy.Config{}, errors.New("settings: connect_timeout_ms must be positive")
+	}
+	seed, err := strconv.ParseUint(c.Seed, 16, 64)
+	if err != nil {
+		return proxy.Config{}, fmt.Errorf("seed: %w", err)
+	}
+	return proxy.Config{
+		Listen: c.Listen, Discovery: c.Discovery, Seed: seed, Settings: settings,
+		Zones: host.Areas, Kinds: host.Kinds,
+		ConnIdle:  time.Duration(host.Limits.ConnIdleMS * float64(time.Millisecond)),
+		Multiplex: host.Limits.Multiplex, MostHeld: host.Limits.MostHeld,
+		MemoryMB: int(c.Limits.MemoryMB), Sockets: c.Limits.Sockets,
+		Known: c.Known, AcceptMore: acceptMore,
+	}, nil
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,141 @@
+// Package discovery keeps a watch on the list of members.
+//
+// It uses net/http's client: here, unlike on the way to members, nothing rests on when bytes are written,
+// and a resent call is harmless.
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+const (
+	// silence is how long a watch may say nothing before it counts as broken. A heartbeat comes every 2 s,
+	// and what discovery had to tell counts as told after 6 s: a watch that died unseen must be replaced
+	// well before that.
+	silence     = 3 * time.Second
+	dialTimeout = time.Second
+	firstRetry  = 50 * time.Millisecond
+	lastRetry   = time.Second
+	maxLine     = 1 << 20 // of the list: room for some thousands of members
+)
+
+// The phases of a member.
+const (
+	PhaseInService   = "in_service"
+	PhaseTerminating = "terminating"
+	PhaseTerminated  = "terminated"
+)
+
+// Member is an entry of the list.
+type Member struct {
+	ID        string  `json:"id"`
+	HostPort  string  `json:"host_port"`
+	Locality  string  `json:"locality"`
+	Flavor    string  `json:"flavor"`
+	Cell      int     `json:"cell"`
+	Phase     string  `json:"phase"`
+	Size      float64 `json:"size"`
+	UpSinceMS float64 `json:"up_since_ms"`
+}
+
+// List is the whole list, or the entries that changed.
+type List struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+// Watcher follows the list. Take is called with each list, one at a time; Broken, each time a watch ends.
+type Watcher struct {
+	Addr     string
+	Revision int64 // the last one known
+	Take     func(List)
+	Broken   func()
+	Log      *slog.Logger
+}
+
+// Run watches until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
+		DisableKeepAlives: true, // a watch lasts as long as its connection; none is left over to use again
+	}}
+	retry := firstRetry
+	down := false
+	for ctx.Err() == nil {
+		n, err := w.watch(ctx, client)
+		if ctx.Err() != nil {
+			return
+		}
+		if n > 0 {
+			retry, down = firstRetry, false
+		}
+		if !down { // once for each time it goes down, however often it is tried
+			w.Log.Warn("discovery watch broken, list may be stale", "revision", w.Revision, "err", err)
+		}
+		down = true
+		w.Broken()
+		select {
+		case <-ctx.Done():
+		case <-time.After(retry):
+		}
+		retry = min(2*retry, lastRetry)
+	}
+}
+
+// watch follows one watch until it breaks and returns how many lines it brought.
+func (w *Watcher) watch(ctx context.Context, client *http.Client) (lines int, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	alarm := time.AfterFunc(silence, func() { cancel(fmt.Errorf("silent for %v", silence)) })
+	defer alarm.Stop()
+	u := url.URL{Scheme: "http", Host: w.Addr, Path: "/registry/instances", RawQuery: url.Values{
+		"watch": {"1"}, "from": {strconv.FormatInt(w.Revision, 10)}}.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return 0, fmt.Errorf("discovery request: %w", err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("discovery watch: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("discovery watch: status %s", resp.Status)
+	}
+	in := bufio.NewScanner(resp.Body)
+	in.Buffer(nil, maxLine)
+	for in.Scan() {
+		alarm.Reset(silence)
+		lines++
+		if len(in.Bytes()) == 0 {
+			continue
+		}
+		var list List
+		if err := json.Unmarshal(in.Bytes(), &list); err != nil {
+			return lines, fmt.Errorf("discovery line: %w", err)
+		}
+		// Changes that are not newer could call a member back that drains by now.
+		if !list.Complete && list.Revision <= w.Revision {
+			continue
+		}
+		w.Revision = list.Revision
+		w.Take(list)
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return lines, fmt.Errorf("discovery watch: %w", cause)
+	}
+	if err := in.Err(); err != nil {
+		return lines, fmt.Errorf("discovery watch: %w", err)
+	}
+	return lines, fmt.Errorf("discovery watch ended")
+}
--- /dev/null
+++ b/internal/proxy/actions.go
@@ -0,0 +1,99 @@
+package proxy
+
+import (
+	"strconv"
+	"time"
+
+	"linenloom/internal/resp"
+	"linenloom/logic"
+)
+
+// actions carries out what the Balancer decides. Its methods run under the proxy's lock, inside an event:
+// they never wait, and what they cause is told to the Balancer afterwards (see leave).
+type actions struct{ p *Proxy }
+
+var _ logic.Actions = actions{}
+
+// Send starts an attempt.
+func (x actions) Send(id logic.RequestID, to logic.MemberID, timeout time.Duration) {
+	p, r := x.p, x.p.requests[id]
+	if r == nil {
+		return // it would be a fault of the module; there is no one to send for
+	}
+	a := &attempt{req: r, n: len(r.attempts), to: to, sentAt: p.now, end: -1}
+	a.until = r.deadline
+	if timeout > 0 {
+		a.until = min(a.until, p.now+timeout)
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	if r.done || a.until <= p.now {
+		p.end(a, logic.StatusMoot, 0)
+		return
+	}
+	m := p.members[to]
+	if m == nil || m.state != logic.Ready {
+		p.end(a, logic.StatusConnectFailed, 0)
+		return
+	}
+	p.schedule(due{at: a.until, attempt: a})
+	p.dispatch(m, a)
+}
+
+// Refuse is the final answer that a retry is harmless.
+func (x actions) Refuse(id logic.RequestID, retryAfter time.Duration) {
+	text := "BUSY"
+	if ms := retryAfter.Milliseconds(); ms > 0 {
+		text += " " + strconv.FormatInt(ms, 10)
+	}
+	x.p.conclude(id, text)
+}
+
+// Fail is the final answer that promises nothing.
+func (x actions) Fail(id logic.RequestID) { x.p.conclude(id, "ERR failed") }
+
+func (p *Proxy) conclude(id logic.RequestID, text string) {
+	if r := p.requests[id]; r != nil && !r.done {
+		r.done = true
+		r.client.answer(r, resp.AppendError(nil, text))
+		p.settle(r)
+	}
+}
+
+// Cancel stops waiting for an attempt. One that has begun to pass on its value goes on.
+func (x actions) Cancel(id logic.RequestID, attempt int) {
+	r := x.p.requests[id]
+	if r == nil || attempt < 0 || attempt >= len(r.attempts) {
+		return
+	}
+	if a := r.attempts[attempt]; !a.ended && !a.streaming {
+		x.p.abandon(a, logic.StatusCancelled)
+	}
+}
+
+// CloseIdle closes idle connections to a member.
+func (x actions) CloseIdle(id logic.MemberID) {
+	if m := x.p.members[id]; m != nil {
+		x.p.closeIdle(m, 0)
+	}
+}
+
+// SetTimer asks for a Timer event.
+func (x actions) SetTimer(at time.Duration, token uint64) {
+	x.p.schedule(due{at: at, token: token})
+}
+
+// Watch and Fetch ask for the list. Discovery pushes it here, and the watch is always kept up.
+func (x actions) Watch(bool) {}
+
+// Fetch is answered by the watch too.
+func (x actions) Fetch() {}
+
+// Probe and Tell are not used by the Balancer, and this proxy has no means for them.
+func (x actions) Probe(m logic.MemberID) { x.p.log.Error("probes are not supported", "member", m) }
+
+// Tell is likewise not supported.
+func (x actions) Tell(peer int, _ []byte) { x.p.log.Error("messages are not supported", "peer", peer) }
+
+// Log records a line of the Balancer's.
+func (x actions) Log(text string) { x.p.log.Info("balancer", "text", text) }
--- /dev/null
+++ b/internal/proxy/drain.go
@@ -0,0 +1,44 @@
+package proxy
+
+import "time"
+
+const (
+	// backlogTime lets accept take what the kernel holds for it before the listener is closed; closing
+	// resets the rest.
+	backlogTime = 50 * time.Millisecond
+	owedEvery   = 10 * time.Millisecond
+	// lingerTime is how long clients have to hear that their connections end. Closed at once, with
+	// something unread, a connection is reset, and the client can lose its last answer.
+	lingerTime = 100 * time.Millisecond
+)
+
+// drain brings a planned stop to its end: connections go on coming for a while, then those that are idle
+// are ended one by one until nothing is owed.
+func (p *Proxy) drain(accepted <-chan error) {
+	time.Sleep(p.cfg.AcceptMore)
+	p.listen.SetDeadline(time.Now().Add(backlogTime))
+	if err := <-accepted; err != nil {
+		p.log.Error("accept while draining", "err", err)
+	}
+	p.listen.Close()
+	longest := commandTime
+	for _, c := range p.cfg.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	for end := time.Now().Add(longest); time.Now().Before(end) && p.owes(); {
+		time.Sleep(owedEvery)
+	}
+	time.Sleep(lingerTime)
+}
+
+// owes ends the connections that are idle and tells whether others are left.
+func (p *Proxy) owes() (owed bool) {
+	p.enter()
+	defer p.leave()
+	for c := range p.clients {
+		if c.hangUp(false); !c.free() {
+			owed = true
+		}
+	}
+	return owed
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,297 @@
+// Package proxy hosts a Balancer between client connections, members and discovery.
+//
+// The Balancer decides; this package only carries out. One mutex guards the Balancer and every table here:
+// the process has one core, so finer locks would buy nothing, and with a single one the Balancer's view and
+// the sockets' state can't drift apart. Nothing blocks under it: writes are tried without waiting (writer),
+// dials and reads have goroutines of their own.
+//
+// Members are spoken to over connections made here rather than through a pooled Redis client or
+// http.Transport. Those send a request again by themselves, probe with commands of their own, and don't
+// tell whether a request's last byte was written, which is what separates an attempt that never ran from
+// one that may have.
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"linenloom/internal/discovery"
+	"linenloom/logic"
+)
+
+// Config is what a Proxy is told at its start.
+type Config struct {
+	Listen     string
+	Discovery  string
+	Seed       uint64
+	Settings   logic.Settings
+	Zones      []string // by place, as in Settings
+	Kinds      []string
+	ConnIdle   time.Duration // members close a connection that stood idle for this long
+	Multiplex  int           // attempts a connection to a cache carries at once
+	MostHeld   int           // requests in hand
+	MemoryMB   int
+	Sockets    int // file descriptors
+	Known      discovery.List
+	AcceptMore time.Duration // after the stop signal, new connections still come for this long
+}
+
+const (
+	// bufferShare is the part of the memory that bodies and unsent answers may take together. The rest is
+	// for connections, tables, and what the collector has not freed yet.
+	bufferShare = 0.25
+	// spareSockets are kept for the listener, discovery, the runtime and connections in between.
+	spareSockets = 24
+	sweepEvery   = 250 * time.Millisecond
+	readyWithin  = 500 * time.Millisecond // wait this long at most for discovery's first list
+)
+
+// Proxy is one proxy.
+type Proxy struct {
+	cfg    Config
+	log    *slog.Logger
+	listen *net.TCPListener
+
+	mu       sync.Mutex
+	now      time.Duration // when the lock was taken, on the module's clock
+	started  time.Time
+	offset   time.Duration
+	bal      *logic.Balancer
+	outcomes []logic.Outcome // caused by actions; told once the current event is done
+	timers   timers
+	timer    *time.Timer
+	wakeAt   time.Duration
+
+	members  map[logic.MemberID]*member
+	requests map[logic.RequestID]*request
+	clients  map[*client]struct{}
+	nextID   logic.RequestID
+
+	upstreams   int // connections to members, those being dialled included
+	dialling    int
+	dialQueue   []*member // they wait for others' dials to end
+	held        int       // bytes of bodies and unsent answers
+	heldMax     int
+	scratch     []byte
+	buffers     sync.Pool
+	shortOfFDs  bool
+	shortOfRoom bool
+}
+
+// New makes a Proxy and binds its address; clients that connect from then on wait for Run.
+func New(cfg Config, log *slog.Logger) (*Proxy, error) {
+	p := &Proxy{
+		cfg: cfg, log: log, started: time.Now(),
+		members: map[logic.MemberID]*member{}, requests: map[logic.RequestID]*request{},
+		clients: map[*client]struct{}{},
+		heldMax: int(float64(cfg.MemoryMB) * (1 << 20) * bufferShare),
+	}
+	// The module's clock is monotonic and begins at the wall's time, so that start times, which members
+	// tell by the wall, are positive on it.
+	p.offset = time.Duration(p.started.UnixNano())
+	p.now = p.offset
+	p.buffers.New = func() any { return new([]byte) }
+	bal, err := logic.New(cfg.Settings, cfg.Seed, actions{p})
+	if err != nil {
+		return nil, fmt.Errorf("balancer: %w", err)
+	}
+	p.bal = bal
+	// Keep-alive probes don't notice a peer that has vanished here, and each costs system calls.
+	lc := net.ListenConfig{KeepAlive: -1}
+	l, err := lc.Listen(context.Background(), "tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	p.listen = l.(*net.TCPListener)
+	return p, nil
+}
+
+// Addr is the address that clients connect to.
+func (p *Proxy) Addr() net.Addr { return p.listen.Addr() }
+
+// Run serves until the context ends and everything taken until then is answered.
+func (p *Proxy) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	p.enter()
+	p.timer = time.AfterFunc(time.Hour, p.ring)
+	p.wakeAt = p.now + time.Hour
+	p.bal.Start(p.now)
+	p.apply(logic.ListCached, p.cfg.Known)
+	p.leave()
+
+	var g sync.WaitGroup
+	first := make(chan struct{})
+	var once sync.Once
+	watcher := discovery.Watcher{
+		Addr: p.cfg.Discovery, Revision: p.cfg.Known.Revision, Log: p.log,
+		Take: func(l discovery.List) {
+			kind := logic.ListDelta
+			if l.Complete {
+				kind = logic.ListFull
+			}
+			p.enter()
+			p.apply(kind, l)
+			p.leave()
+			once.Do(func() { close(first) })
+		},
+		Broken: func() {
+			p.enter()
+			p.bal.SetMembers(p.now, logic.ListFailed, nil)
+			p.leave()
+		},
+	}
+	g.Go(func() { watcher.Run(background) })
+	g.Go(func() { p.sweep(background) })
+
+	// Clients come once PING is answered: with a list too old, the first requests would go astray.
+	select {
+	case <-first:
+	case <-time.After(readyWithin):
+	case <-ctx.Done():
+	}
+	p.log.Info("ready", "listen", p.Addr().String(), "members", len(p.cfg.Known.Members))
+	accepted := make(chan error, 1)
+	go func() { accepted <- p.accept() }()
+
+	var err error
+	select {
+	case <-ctx.Done():
+		p.log.Info("draining")
+		p.drain(accepted)
+	case err = <-accepted:
+	}
+	stop()
+	p.enter()
+	p.closeAll()
+	p.mu.Unlock()
+	g.Wait()
+	return err
+}
+
+// closeAll ends what is still open; nothing is owed on it any more.
+func (p *Proxy) closeAll() {
+	p.timer.Stop()
+	p.listen.Close()
+	for c := range p.clients {
+		c.close()
+	}
+	for _, m := range p.members {
+		for _, u := range slices.Clone(m.conns) {
+			u.conn.Close()
+		}
+	}
+}
+
+// enter takes the lock and the time.
+func (p *Proxy) enter() {
+	p.mu.Lock()
+	p.now = p.offset + time.Since(p.started)
+}
+
+// leave tells the Balancer of the outcomes that its own actions have caused, and gives the lock back. Told
+// from inside an action, they would reach it in the middle of its work.
+func (p *Proxy) leave() {
+	for i := 0; i < len(p.outcomes); i++ {
+		p.bal.Outcome(p.now, p.outcomes[i])
+	}
+	p.outcomes = p.outcomes[:0]
+	p.arm()
+	p.mu.Unlock()
+}
+
+// apply takes a list: first here, then by the Balancer, so that both see the same members.
+func (p *Proxy) apply(kind logic.ListKind, l discovery.List) {
+	members := make([]logic.Member, 0, len(l.Members))
+	listed := make(map[logic.MemberID]bool, len(l.Members))
+	for _, e := range l.Members {
+		m := p.member(e)
+		members = append(members, m)
+		listed[m.ID] = true
+		p.update(m, e.HostPort)
+	}
+	if kind != logic.ListDelta {
+		for id, m := range p.members {
+			if !listed[id] && m.state != logic.Gone {
+				m.state = logic.Gone
+				p.retire(m)
+			}
+		}
+	}
+	p.bal.SetMembers(p.now, kind, members)
+}
+
+// member is a list entry in the module's terms.
+func (p *Proxy) member(e discovery.Member) logic.Member {
+	m := logic.Member{
+		ID: logic.MemberID(hash(e.ID)), Zone: slices.Index(p.cfg.Zones, e.Locality), Cell: e.Cell,
+		Kind: slices.Index(p.cfg.Kinds, e.Flavor), State: logic.Gone, Weight: e.Size,
+		StartedAt: time.Duration(e.UpSinceMS * float64(time.Millisecond)),
+	}
+	switch e.Phase {
+	case discovery.PhaseInService:
+		m.State = logic.Ready
+	case discovery.PhaseTerminating:
+		m.State = logic.Draining
+	}
+	return m
+}
+
+// hash makes a number of an id or key; every proxy must come to the same one.
+func hash[T []byte | string](s T) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return h.Sum64()
+}
+
+// keyOf is the module's number for a key: its value if it is hexadecimal, else its hash. 0 means none there.
+func keyOf(text []byte) uint64 {
+	if k, err := strconv.ParseUint(string(text), 16, 64); err == nil && k != 0 {
+		return k
+	}
+	return max(1, hash(text))
+}
+
+// sweep closes what has stood idle for too long.
+func (p *Proxy) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		p.enter()
+		for id, m := range p.members {
+			p.closeIdle(m, p.cfg.ConnIdle*idleShare/100)
+			if m.state == logic.Gone && len(m.conns) == 0 && m.dials == 0 && len(m.waiting) == 0 {
+				delete(p.members, id)
+			}
+		}
+		p.shortOfFDs = p.note(p.shortOfFDs, p.sockets() >= p.cfg.Sockets-spareSockets, "short of descriptors")
+		p.shortOfRoom = p.note(p.shortOfRoom, p.held >= p.heldMax, "short of memory for bodies")
+		p.leave()
+	}
+}
+
+// note logs when a shortage begins and ends, not each time it is met.
+func (p *Proxy) note(was, is bool, what string) bool {
+	switch {
+	case is && !was:
+		p.log.Warn(what, "sockets", p.sockets(), "held_bytes", p.held, "requests", len(p.requests))
+	case was && !is:
+		p.log.Info("no longer " + what)
+	}
+	return is
+}
+
+// sockets counts the descriptors in use on both sides.
+func (p *Proxy) sockets() int { return len(p.clients) + p.upstreams }
--- /dev/null
+++ b/internal/proxy/writer.go
@@ -0,0 +1,124 @@
+package proxy
+
+import (
+	"net"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// stallLimit is how long the other side may take nothing of what is written to it.
+const stallLimit = 10 * time.Second
+
+// writer is the sending side of a connection. It writes at once, under the proxy's lock, what the kernel
+// takes without waiting, and leaves the rest to a goroutine: most messages are small and need no hand-off,
+// and a peer that reads slowly holds up nobody else.
+type writer struct {
+	p      *Proxy
+	conn   *net.TCPConn
+	raw    syscall.RawConn
+	idle   func() // called under the lock when a backlog is gone
+	busy   bool   // a goroutine has the sending side
+	failed bool
+	queue  net.Buffers
+	taken  int64 // bytes given to send
+	sent   int64 // bytes the kernel has
+
+	// The arguments and results of step; a closure for each write would be garbage.
+	buf  []byte
+	n    int
+	err  error
+	step func(fd uintptr) bool
+}
+
+func newWriter(p *Proxy, conn *net.TCPConn) (*writer, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	w := &writer{p: p, conn: conn, raw: raw}
+	w.step = func(fd uintptr) bool {
+		for {
+			w.n, w.err = syscall.Write(int(fd), w.buf)
+			if w.err != syscall.EINTR {
+				return true
+			}
+		}
+	}
+	return w, nil
+}
+
+// send writes b, or queues what does not go out at once. The caller holds the lock and may use b again,
+// unless keep says that it never changes, which saves the queue a copy.
+func (w *writer) send(b []byte, keep bool) {
+	w.taken += int64(len(b))
+	if w.failed {
+		return
+	}
+	if !w.busy {
+		w.buf, w.n, w.err = b, 0, nil
+		err := w.raw.Write(w.step)
+		w.buf = nil
+		if err == nil && w.err != syscall.EAGAIN {
+			err = w.err
+		}
+		if err != nil {
+			w.fail()
+			return
+		}
+		n := max(0, w.n)
+		w.sent += int64(n)
+		if b = b[n:]; len(b) == 0 {
+			return
+		}
+		w.busy = true
+		defer func() { go w.drain() }()
+	}
+	if !keep {
+		b = slices.Clone(b)
+	}
+	w.queue = append(w.queue, b)
+	w.p.held += len(b)
+}
+
+// fail ends the connection; its reader finds out and cleans up.
+func (w *writer) fail() {
+	w.failed = true
+	w.conn.Close()
+}
+
+// drain writes the backlog.
+func (w *writer) drain() {
+	for {
+		w.p.enter()
+		queue := w.queue
+		w.queue = nil
+		if len(queue) == 0 {
+			w.busy = false
+			w.conn.SetWriteDeadline(time.Time{})
+			if w.idle != nil {
+				w.idle()
+			}
+			w.p.leave()
+			return
+		}
+		w.p.leave()
+		size := 0
+		for _, b := range queue {
+			size += len(b)
+		}
+		w.conn.SetWriteDeadline(time.Now().Add(stallLimit))
+		n, err := queue.WriteTo(w.conn)
+		w.p.enter()
+		w.p.held -= size
+		w.sent += n
+		if err != nil {
+			w.fail()
+			for _, b := range w.queue {
+				w.p.held -= len(b)
+			}
+			w.queue = nil
+		}
+		w.p.leave()
+	}
+}
--- /dev/null
+++ b/internal/resp/resp.go
@@ -0,0 +1,172 @@
+// Package resp reads and writes the part of RESP2 that clients and cache nodes speak, within fixed bounds.
+//
+// It is a layer over bufio, not a Redis client: the proxy must know when the last byte of a command was
+// written and must decide by itself whether a value is held or streamed, which pooled clients hide. Every
+// length is checked before anything is allocated for it, since lengths come from the other side.
+package resp
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+// MaxValue is the longest value that either side may send.
+const MaxValue = 4 << 20
+
+// maxElements is the most elements of an array; commands and answers here have at most five.
+const maxElements = 64
+
+// ErrProtocol is wrapped by every error about bytes that are not RESP2, or go over a bound.
+var ErrProtocol = errors.New("not RESP2")
+
+// Reader reads RESP2 elements.
+type Reader struct {
+	br *bufio.Reader
+}
+
+// NewReader makes a Reader with a buffer of the given size, which also bounds the length of a line.
+func NewReader(r io.Reader, size int) *Reader {
+	return &Reader{br: bufio.NewReaderSize(r, size)}
+}
+
+// Wait blocks until there is something to read.
+func (r *Reader) Wait() error {
+	_, err := r.br.Peek(1)
+	return err
+}
+
+// Buffered is the number of bytes that can be read without waiting.
+func (r *Reader) Buffered() int { return r.br.Buffered() }
+
+// Read reads raw bytes, for the inside of a value.
+func (r *Reader) Read(p []byte) (int, error) { return r.br.Read(p) }
+
+// Head is the first line of an element.
+type Head struct {
+	Kind byte   // one of + - : $ *
+	N    int    // the length of a $ or *; -1 is null
+	Text []byte // the line after the kind, valid until the next read
+}
+
+// Head reads the first line of the next element.
+func (r *Reader) Head() (Head, error) {
+	line, err := r.br.ReadSlice('\n')
+	if err != nil {
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return Head{}, fmt.Errorf("line too long: %w", ErrProtocol)
+		}
+		return Head{}, unexpected(err, len(line))
+	}
+	if len(line) < 3 || line[len(line)-2] != '\r' {
+		return Head{}, fmt.Errorf("bad line end: %w", ErrProtocol)
+	}
+	h := Head{Kind: line[0], Text: line[1 : len(line)-2]}
+	switch h.Kind {
+	case '+', '-', ':':
+		return h, nil
+	case '$':
+		h.N, err = length(h.Text, MaxValue)
+	case '*':
+		h.N, err = length(h.Text, maxElements)
+	default:
+		err = fmt.Errorf("unknown type %q: %w", h.Kind, ErrProtocol)
+	}
+	return h, err
+}
+
+// unexpected makes an end of input inside an element distinct from one between elements.
+func unexpected(err error, read int) error {
+	if errors.Is(err, io.EOF) && read > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// length reads the digits of a length. -1 stands for null.
+func length(text []byte, most int) (int, error) {
+	if string(text) == "-1" {
+		return -1, nil
+	}
+	n := 0
+	for _, c := range text {
+		if c < '0' || c > '9' {
+			return 0, fmt.Errorf("bad length: %w", ErrProtocol)
+		}
+		if n = n*10 + int(c-'0'); n > most {
+			return 0, fmt.Errorf("length over %d: %w", most, ErrProtocol)
+		}
+	}
+	if len(text) == 0 {
+		return 0, fmt.Errorf("empty length: %w", ErrProtocol)
+	}
+	return n, nil
+}
+
+// Bulk appends the n bytes of a bulk string to dst and reads its line end.
+func (r *Reader) Bulk(dst []byte, n int) ([]byte, error) {
+	at := len(dst)
+	for len(dst) < at+n {
+		if len(dst) == cap(dst) {
+			dst = append(dst, 0)[:len(dst)]
+		}
+		m, err := r.br.Read(dst[len(dst):min(cap(dst), at+n)])
+		dst = dst[:len(dst)+m]
+		if err != nil {
+			return dst, unexpected(err, 1)
+		}
+	}
+	return dst, r.End()
+}
+
+// End reads the line end after the bytes of a bulk string.
+func (r *Reader) End() error {
+	a, err := r.br.ReadByte()
+	if err != nil {
+		return unexpected(err, 1)
+	}
+	b, err := r.br.ReadByte()
+	if err != nil {
+		return unexpected(err, 1)
+	}
+	if a != '\r' || b != '\n' {
+		return fmt.Errorf("bulk string without line end: %w", ErrProtocol)
+	}
+	return nil
+}
+
+// Skip reads over the n bytes of a bulk string and its line end.
+func (r *Reader) Skip(n int) error {
+	if _, err := r.br.Discard(n); err != nil {
+		return unexpected(err, 1)
+	}
+	return r.End()
+}
+
+// AppendArray appends the head of an array of n elements.
+func AppendArray(b []byte, n int) []byte { return appendHead(b, '*', n) }
+
+// AppendBulkHead appends the head of a bulk string of n bytes.
+func AppendBulkHead(b []byte, n int) []byte { return appendHead(b, '$', n) }
+
+// AppendBulk appends a bulk string.
+func AppendBulk[T []byte | string](b []byte, s T) []byte {
+	b = appendHead(b, '$', len(s))
+	b = append(b, s...)
+	return append(b, "\r\n"...)
+}
+
+// AppendError appends an error line; text begins with its code.
+func AppendError(b []byte, text string) []byte {
+	b = append(b, '-')
+	b = append(b, text...)
+	return append(b, "\r\n"...)
+}
+
+func appendHead(b []byte, kind byte, n int) []byte {
+	b = append(b, kind)
+	b = strconv.AppendInt(b, int64(n), 10)
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,447 @@
+// Package wire reads and writes the bench's binary frames and its settings. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"linenloom/logic"
+)
+
+// The codes of events.
+const (
+	EvDetach        = 256
+	EvInit          = 257
+	EvDiscovery     = 258
+	EvAsk           = 259
+	EvUnderWay      = 260
+	EvMessage       = 261
+	EvExpired       = 262
+	EvRing          = 263
+	EvProbeDone     = 264
+	EvClosedAttempt = 265
+)
+
+// The codes of actions.
+const (
+	acAbort        = 256
+	acTrace        = 257
+	acAskLoad      = 258
+	acBroadcastTo  = 259
+	acKeepInformed = 260
+	acRemind       = 261
+	acShed         = 262
+	acLetGo        = 263
+	acBug          = 264
+	acRefresh      = 265
+	acHandOff      = 266
+	acDropAttempt  = 267
+)
+
+const (
+	batchHeader = 16
+	replyHeader = 8
+	recHeader   = 6
+	entrySize   = 24
+	maxFrame    = 1 << 30
+	maxText     = math.MaxUint16
+	maxPeerData = 256
+	allPeers    = math.MaxUint32
+)
+
+// ErrFrame is wrapped by every error about a malformed frame.
+var ErrFrame = errors.New("malformed frame")
+
+// Event is one decoded event; Code says which fields hold.
+type Event struct {
+	Code     uint16
+	Instance uint32
+	Seed     uint64
+	Params   []byte
+	List     logic.ListKind
+	Version  uint32
+	Members  []logic.Member
+	Request  logic.Request // also its ID where an event names only that
+	Outcome  logic.Outcome // also the member, status, elapsed time and load of a probe or stream
+	Token    uint64
+	Peer     int
+	Data     []byte
+}
+
+// ReadBatch reads one frame. At a clean end of input it returns io.EOF; a frame cut short or of an
+// impossible length is an error that wraps ErrFrame. The buffer is reused if it is large enough.
+func ReadBatch(r *bufio.Reader, buf []byte) ([]byte, error) {
+	var head [batchHeader]byte
+	if n, err := io.ReadFull(r, head[:]); err != nil {
+		if n == 0 && errors.Is(err, io.EOF) {
+			return buf, io.EOF
+		}
+		return buf, fmt.Errorf("%w: header cut short after %d bytes: %v", ErrFrame, n, err)
+	}
+	size := binary.LittleEndian.Uint32(head[8:])
+	if size < batchHeader || size > maxFrame {
+		return buf, fmt.Errorf("%w: impossible length %d", ErrFrame, size)
+	}
+	buf = append(buf[:0], head[:]...)
+	// Grown as bytes arrive, so a false length costs no memory.
+	for len(buf) < int(size) {
+		n := min(int(size)-len(buf), 1<<20)
+		at := len(buf)
+		buf = append(buf, make([]byte, n)...)
+		if _, err := io.ReadFull(r, buf[at:]); err != nil {
+			return buf, fmt.Errorf("%w: body cut short: %v", ErrFrame, err)
+		}
+	}
+	return buf, nil
+}
+
+// Decode calls handle for each known event of a frame, in order, with the frame's clock. Events of
+// unknown codes are skipped. The Event is reused between calls; slices of bytes point into the frame.
+func Decode(frame []byte, handle func(now time.Duration, e *Event)) error {
+	if len(frame) < batchHeader || int64(binary.LittleEndian.Uint32(frame[8:])) != int64(len(frame)) {
+		return fmt.Errorf("%w: length field does not match", ErrFrame)
+	}
+	now := millis(math.Float64frombits(binary.LittleEndian.Uint64(frame)))
+	count := binary.LittleEndian.Uint32(frame[12:])
+	rest := frame[batchHeader:]
+	var e Event
+	for i := uint32(0); i < count; i++ {
+		if len(rest) < recHeader {
+			return fmt.Errorf("%w: record %d of %d cut short", ErrFrame, i, count)
+		}
+		code := binary.LittleEndian.Uint16(rest)
+		size := binary.LittleEndian.Uint32(rest[2:])
+		if uint64(size) > uint64(len(rest)-recHeader) {
+			return fmt.Errorf("%w: record %d is longer than the frame", ErrFrame, i)
+		}
+		c := cursor{b: rest[recHeader : recHeader+int(size)]}
+		rest = rest[recHeader+int(size):]
+		known := decodeEvent(&e, code, &c)
+		if !known {
+			continue
+		}
+		if c.short {
+			return fmt.Errorf("%w: fields of event %d cut short", ErrFrame, code)
+		}
+		handle(now, &e)
+	}
+	if len(rest) != 0 {
+		return fmt.Errorf("%w: %d bytes after the last record", ErrFrame, len(rest))
+	}
+	return nil
+}
+
+func decodeEvent(e *Event, code uint16, c *cursor) bool {
+	if code < EvDetach || code > EvClosedAttempt {
+		return false
+	}
+	*e = Event{Code: code, Instance: c.u32(), Members: e.Members[:0]}
+	switch code {
+	case EvInit:
+		e.Seed = c.u64()
+		e.Params = c.bytes(int64(c.u32()))
+	case EvDiscovery:
+		e.decodeMembers(c)
+	case EvAsk:
+		e.decodeAsk(c)
+	case EvRing:
+		e.Token = c.u64()
+	case EvExpired:
+		e.Request.ID = logic.RequestID(c.u32())
+	case EvProbeDone:
+		e.Outcome.Member = c.node()
+		e.Outcome.Status = status(c.u16())
+		e.Outcome.Elapsed = millis(c.f64())
+		e.Outcome.Load = c.load()
+	case EvClosedAttempt:
+		o := &e.Outcome
+		o.Request = logic.RequestID(c.u32())
+		o.Elapsed = millis(c.f64())
+		o.Note = int(c.u8())
+		o.Attempt = int(c.u8())
+		o.Final = c.u8() != 0
+		o.Member = c.node()
+		o.Status = status(c.u16())
+		o.Load = c.load()
+	case EvMessage:
+		e.Peer = int(c.u16())
+		e.Data = c.bytes(int64(c.u16()))
+	case EvUnderWay:
+		o := &e.Outcome
+		o.Request = logic.RequestID(c.u32())
+		o.Attempt = int(c.u8())
+		o.Member = c.node()
+		o.Elapsed = millis(c.f64())
+	}
+	return true
+}
+
+func (e *Event) decodeMembers(c *cursor) {
+	e.List = listKind(c.u8())
+	e.Version = c.u32()
+	n := c.u32()
+	b := c.bytes(int64(n) * entrySize)
+	for ; len(b) >= entrySize; b = b[entrySize:] {
+		m := cursor{b: b[:entrySize]}
+		e.Members = append(e.Members, logic.Member{
+			Zone:      int(m.u8()),
+			State:     state(m.u8()),
+			StartedAt: millis(m.f64()),
+			Cell:      int(m.u16()),
+			Weight:    float64(m.f32()),
+			Kind:      int(m.u16()),
+			ID:        m.node(),
+		})
+	}
+}
+
+func (e *Event) decodeAsk(c *cursor) {
+	q := &e.Request
+	q.ID = logic.RequestID(c.u32())
+	q.Cost = millis(c.f64())
+	bits := c.u8()
+	q.Known, q.Retry, q.Write = bits&1 != 0, bits&2 != 0, bits&4 != 0
+	q.Class = int(c.u16())
+	q.Size = float64(c.f32())
+	q.Deadline = millis(c.f64())
+	q.Tenant = int(c.u32())
+	q.Key = c.u64()
+}
+
+func listKind(b byte) logic.ListKind {
+	switch b {
+	case 0:
+		return logic.ListDelta
+	case 1:
+		return logic.ListFull
+	case 2:
+		return logic.ListCached
+	}
+	return logic.ListFailed
+}
+
+func state(b byte) logic.State {
+	switch b {
+	case 0:
+		return logic.Ready
+	case 2:
+		return logic.Draining
+	}
+	return logic.Gone
+}
+
+func status(code uint16) logic.Status {
+	switch code {
+	case 200:
+		return logic.StatusOK
+	case 502:
+		return logic.StatusError
+	case 429:
+		return logic.StatusFull
+	case 408:
+		return logic.StatusTimeout
+	case 521:
+		return logic.StatusConnectFailed
+	case 520:
+		return logic.StatusReset
+	case 444:
+		return logic.StatusCancelled
+	case 409:
+		return logic.StatusMoot
+	case 204:
+		return logic.StatusMiss
+	}
+	return logic.StatusUnknown
+}
+
+// cursor reads fields; past the end it returns zeros and remembers it.
+type cursor struct {
+	b     []byte
+	short bool
+}
+
+func (c *cursor) bytes(n int64) []byte {
+	if n > int64(len(c.b)) {
+		c.short, c.b = true, nil
+		return nil
+	}
+	v := c.b[:n:n]
+	c.b = c.b[n:]
+	return v
+}
+
+func (c *cursor) fixed(n int64) []byte {
+	if v := c.bytes(n); v != nil {
+		return v
+	}
+	return make([]byte, n)
+}
+
+func (c *cursor) u8() byte     { return c.fixed(1)[0] }
+func (c *cursor) u16() uint16  { return binary.LittleEndian.Uint16(c.fixed(2)) }
+func (c *cursor) u32() uint32  { return binary.LittleEndian.Uint32(c.fixed(4)) }
+func (c *cursor) u64() uint64  { return binary.LittleEndian.Uint64(c.fixed(8)) }
+func (c *cursor) f32() float32 { return math.Float32frombits(c.u32()) }
+func (c *cursor) f64() float64 { return math.Float64frombits(c.u64()) }
+func (c *cursor) load() []float32 {
+	n := int(c.u8())
+	if n == 0 {
+		return nil
+	}
+	b := c.bytes(int64(n) * 4)
+	v := make([]float32, 0, n)
+	for ; len(b) >= 4; b = b[4:] {
+		v = append(v, math.Float32frombits(binary.LittleEndian.Uint32(b)))
+	}
+	return v
+}
+
+// node packs the four address bytes, first byte first, and the port into one id.
+func (c *cursor) node() logic.MemberID {
+	b := c.fixed(6)
+	return logic.MemberID(uint64(binary.BigEndian.Uint32(b))<<16 | uint64(binary.LittleEndian.Uint16(b[4:])))
+}
+
+func millis(v float64) time.Duration {
+	const limit = 1e12 // some 30 years: past it no time is meant
+	if math.IsNaN(v) {
+		return 0
+	}
+	return time.Duration(math.Round(max(-limit, min(limit, v)) * float64(time.Millisecond)))
+}
+
+// Reply builds one reply frame. Its zero value is not ready: call Reset first.
+type Reply struct {
+	buf   []byte
+	count uint32
+}
+
+// Reset starts a new frame.
+func (r *Reply) Reset() {
+	r.buf = append(r.buf[:0], make([]byte, replyHeader)...)
+	r.count = 0
+}
+
+// Bytes completes the frame.
+func (r *Reply) Bytes() []byte {
+	binary.LittleEndian.PutUint32(r.buf, uint32(len(r.buf)))
+	binary.LittleEndian.PutUint32(r.buf[4:], r.count)
+	return r.buf
+}
+
+func (r *Reply) record(code uint16, instance uint32, size int) {
+	r.count++
+	r.buf = binary.LittleEndian.AppendUint16(r.buf, code)
+	r.buf = binary.LittleEndian.AppendUint32(r.buf, uint32(size+4))
+	r.buf = binary.LittleEndian.AppendUint32(r.buf, instance)
+}
+
+func (r *Reply) u32(v uint32)       { r.buf = binary.LittleEndian.AppendUint32(r.buf, v) }
+func (r *Reply) u64(v uint64)       { r.buf = binary.LittleEndian.AppendUint64(r.buf, v) }
+func (r *Reply) ms(d time.Duration) { r.u64(math.Float64bits(float64(d) / float64(time.Millisecond))) }
+func (r *Reply) node(m logic.MemberID) {
+	r.buf = binary.BigEndian.AppendUint32(r.buf, uint32(m>>16))
+	r.buf = binary.LittleEndian.AppendUint16(r.buf, uint16(m))
+}
+
+func (r *Reply) data(b []byte) {
+	r.buf = binary.LittleEndian.AppendUint16(r.buf, uint16(len(b)))
+	r.buf = append(r.buf, b...)
+}
+
+// Bug tells the bench that the module of an instance can't go on.
+func (r *Reply) Bug(instance uint32, text string) { r.text(acBug, instance, text) }
+
+func (r *Reply) text(code uint16, instance uint32, text string) {
+	b := []byte(text)
+	b = b[:min(len(b), maxText)]
+	r.record(code, instance, 2+len(b))
+	r.data(b)
+}
+
+// Actions is the logic.Actions of one instance, written to a shared Reply.
+type Actions struct {
+	Reply    *Reply
+	Instance uint32
+}
+
+var _ logic.Actions = Actions{}
+
+// Send implements logic.Actions.
+func (a Actions) Send(id logic.RequestID, to logic.MemberID, timeout time.Duration) {
+	a.Reply.record(acHandOff, a.Instance, 18)
+	a.Reply.u32(uint32(id))
+	a.Reply.node(to)
+	a.Reply.ms(timeout)
+}
+
+// Refuse implements logic.Actions.
+func (a Actions) Refuse(id logic.RequestID, retryAfter time.Duration) {
+	a.Reply.record(acShed, a.Instance, 12)
+	a.Reply.u32(uint32(id))
+	a.Reply.ms(retryAfter)
+}
+
+// Fail implements logic.Actions.
+func (a Actions) Fail(id logic.RequestID) {
+	a.Reply.record(acAbort, a.Instance, 4)
+	a.Reply.u32(uint32(id))
+}
+
+// Cancel implements logic.Actions.
+func (a Actions) Cancel(id logic.RequestID, attempt int) {
+	a.Reply.record(acDropAttempt, a.Instance, 5)
+	a.Reply.u32(uint32(id))
+	a.Reply.buf = append(a.Reply.buf, byte(attempt))
+}
+
+// Probe implements logic.Actions.
+func (a Actions) Probe(m logic.MemberID) { a.member(acAskLoad, m) }
+
+// CloseIdle implements logic.Actions.
+func (a Actions) CloseIdle(m logic.MemberID) { a.member(acLetGo, m) }
+
+func (a Actions) member(code uint16, m logic.MemberID) {
+	a.Reply.record(code, a.Instance, 6)
+	a.Reply.node(m)
+}
+
+// SetTimer implements logic.Actions.
+func (a Actions) SetTimer(at time.Duration, token uint64) {
+	a.Reply.record(acRemind, a.Instance, 16)
+	a.Reply.ms(at)
+	a.Reply.u64(token)
+}
+
+// Watch implements logic.Actions.
+func (a Actions) Watch(on bool) {
+	a.Reply.record(acKeepInformed, a.Instance, 1)
+	b := byte(0)
+	if on {
+		b = 1
+	}
+	a.Reply.buf = append(a.Reply.buf, b)
+}
+
+// Fetch implements logic.Actions.
+func (a Actions) Fetch() { a.Reply.record(acRefresh, a.Instance, 0) }
+
+// Tell implements logic.Actions.
+func (a Actions) Tell(peer int, data []byte) {
+	data = data[:min(len(data), maxPeerData)]
+	a.Reply.record(acBroadcastTo, a.Instance, 6+len(data))
+	if peer == logic.AllPeers {
+		a.Reply.u32(allPeers)
+	} else {
+		a.Reply.u32(uint32(peer))
+	}
+	a.Reply.data(data)
+}
+
+// Log implements logic.Actions.
+func (a Actions) Log(text string) { a.Reply.text(acTrace, a.Instance, text) }
--- /dev/null
+++ b/logic/api.go
@@ -0,0 +1,271 @@
+// Package logic makes the routing decisions of a proxy in front of a fleet of cache servers.
+//
+// A host (a proxy) owns one Balancer. It reports what happens by calling the Balancer's event
+// methods: SetMembers, Request, Outcome, StreamStarted, Expired, Timer, Probed and PeerMessage. The
+// Balancer answers by calling the host's Actions from inside those calls. It keeps no clock, starts no
+// goroutine and reads nothing else: every event carries the host's time, as a time.Duration on any clock
+// that only advances, and all randomness derives from the seed given to New. A Balancer is not safe for
+// concurrent use; the host serialises its events.
+//
+// Every request gets exactly one final answer: the first attempt that ends StatusOK answers it, or the
+// Balancer calls Refuse (retrying is harmless) or Fail (nothing is promised). The decisions themselves
+// are in logic.go.
+package logic
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// MemberID names a member; it is opaque and stable over the restarts of a process.
+type MemberID uint64
+
+// RequestID names a request; the host never uses one twice.
+type RequestID uint32
+
+// State is the life cycle of a member as discovery tells it.
+type State uint8
+
+// The states of a member. An unknown state is treated as gone.
+const (
+	Ready State = iota
+	Gone
+	Draining
+)
+
+// Member is one entry of the discovery list.
+type Member struct {
+	ID        MemberID
+	Zone      int
+	Cell      int // a group of members that drop each other's repeats
+	Kind      int // kind of machine; members of Settings.OriginKind are origins
+	State     State
+	StartedAt time.Duration // 0: long ago
+	Weight    float64       // relative size; its meaning is Settings.Weights
+}
+
+// ListKind says how a list of members is to be read.
+type ListKind uint8
+
+// The kinds of list.
+const (
+	ListDelta  ListKind = iota // changed entries only
+	ListFull                   // the whole list
+	ListCached                 // the whole list as last held, possibly outdated
+	ListFailed                 // a Watch or Fetch failed or the watch broke; no entries
+)
+
+// Effect says whether a request may run more than once.
+type Effect uint8
+
+// The effects of a class.
+const (
+	Repeatable Effect = iota // safe to repeat
+	ByKey                    // repeats are dropped inside a group for a time
+	Once                     // must never run twice
+)
+
+// Scope is the group of members that drop the repeats of a ByKey request.
+type Scope uint8
+
+// The scopes of a ByKey class.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class describes one class of requests.
+type Class struct {
+	Name       string
+	Aim        time.Duration // an answer within this is worth all
+	AimStretch float64       // the aim grows by this multiple of the request's own work
+	Deadline   time.Duration
+	Worth      float64
+	LateWorth  float64 // share of the worth of an answer between aim and deadline
+	Effect     Effect
+	Scope      Scope
+	Window     time.Duration // how long a ByKey repeat is dropped
+	Stream     bool
+}
+
+// Tenant has a share of the service.
+type Tenant struct {
+	Name  string
+	Share float64
+	Quota float64 // requests a second over all proxies
+}
+
+// Weights says what Member.Weight means.
+type Weights uint8
+
+// The meanings of a weight.
+const (
+	WeightsOff Weights = iota
+	WeightsNominal
+	WeightsRough
+	WeightsLive // nominal size over 1 + requests held a core, late
+)
+
+// Mode says who asks the origin for what a cache lacks.
+type Mode uint8
+
+// The modes of a fleet.
+const (
+	Through Mode = iota // the cache fetches it and forwards writes
+	Aside               // the cache answers StatusMiss; the Balancer asks the origin
+)
+
+// Settings are fixed for the life of a Balancer.
+type Settings struct {
+	Classes   []Class
+	Tenants   []Tenant
+	Self      int // number of this instance
+	Instances int
+	Zone      int
+	Zones     int
+	Mode      Mode
+	// OriginKind is the Member.Kind of origins in Aside mode; negative: none.
+	OriginKind         int
+	Weights            Weights
+	Subscribe          bool          // lists come only after Watch or Fetch
+	MustAskIn          time.Duration // without a watch, ask at least this often
+	Tick               time.Duration // events are late by up to this
+	TryLimit           int           // attempts a request may have
+	SecondCopies       bool          // two attempts of a request may be out at once
+	CanCancel          bool
+	CanProbe           bool
+	CanTell            bool
+	CanRetryAfter      bool
+	MaxRetryAfter      time.Duration
+	ConnectTimeout     time.Duration
+	AnswerGrace        time.Duration // an answer this long after the deadline still counts
+	ColdFrom           float64       // a member starts at this share of its capacity
+	ColdFor            time.Duration // and is warm after this
+	FallMultiple       float64       // sent more than this multiple of its capacity
+	FallAfter          time.Duration // for this long, a cold member falls over
+	OriginFallMultiple float64       // the same for the origin; 0: no such limit
+	OriginFallAfter    time.Duration
+	CrossZonePrice     float64  // what a request that crosses zones costs, in worth
+	OverShareWorth     float64  // worth of a request over its tenant's share
+	ReportColumns      []string // the names of Outcome.Load's values, see Column constants
+}
+
+// check tells what makes settings unusable.
+func (s *Settings) check() error {
+	if len(s.Classes) == 0 {
+		return errors.New("logic: settings name no class")
+	}
+	if s.TryLimit < 1 {
+		return fmt.Errorf("logic: try limit %d leaves no attempt", s.TryLimit)
+	}
+	if !(s.ColdFrom >= 0 && s.ColdFrom <= 1) || !(s.FallMultiple >= 0) || s.ColdFor < 0 || s.FallAfter < 0 {
+		return errors.New("logic: cold-start settings out of range")
+	}
+	for _, c := range s.Classes {
+		if c.Aim <= 0 || c.Deadline <= 0 {
+			return fmt.Errorf("logic: class %q has no aim or deadline", c.Name)
+		}
+	}
+	return nil
+}
+
+// The names of load report values that the Balancer reads; others are skipped.
+const (
+	ColumnInflight = "inflight"   // requests in hand
+	ColumnLatency  = "latency_ms" // recent service time without waiting
+)
+
+// Request is what a client asks.
+type Request struct {
+	ID       RequestID
+	Key      uint64 // 0: none
+	Class    int
+	Tenant   int
+	Cost     time.Duration // expected work, if CostKnown
+	Known    bool          // Cost is known
+	Retry    bool          // the client marked it as a repeat
+	Write    bool
+	Size     float64
+	Deadline time.Duration // when the client gives up
+}
+
+// Status tells how an attempt or probe ended.
+type Status uint8
+
+// The statuses. StatusUnknown stands for any the host can't name; it may have run.
+const (
+	StatusUnknown Status = iota
+	StatusOK
+	StatusError
+	StatusFull          // rejected unseen
+	StatusTimeout       // no answer in time
+	StatusConnectFailed // never sent
+	StatusReset         // the connection broke
+	StatusCancelled
+	StatusMoot // never sent: the request was over, or out of attempts
+	StatusMiss // the member holds no value for the key
+)
+
+// NeverRan tells whether the status proves that the attempt had no effect.
+func (s Status) NeverRan() bool {
+	return s == StatusFull || s == StatusConnectFailed || s == StatusMoot || s == StatusMiss
+}
+
+// The notes on an outcome.
+const (
+	NoteHit     = 1
+	NoteMiss    = 2
+	NoteFetched = 3 // a miss while the member has told another request to fetch
+)
+
+// Outcome tells how one attempt ended.
+type Outcome struct {
+	Request RequestID
+	Attempt int
+	Member  MemberID
+	Status  Status
+	Elapsed time.Duration
+	Note    int
+	Final   bool      // the request is over
+	Load    []float32 // in the order of Settings.ReportColumns; may be empty
+}
+
+// AllPeers addresses every other instance in Actions.Tell.
+const AllPeers = -1
+
+// Actions is what a host does for a Balancer. Calls come from inside the event methods, in order.
+type Actions interface {
+	// Send starts the request's next attempt; attempts are numbered from 0. A timeout of 0 lasts
+	// until the client gives up.
+	Send(id RequestID, to MemberID, timeout time.Duration)
+	// Refuse is the final answer that tells the client a retry is harmless.
+	Refuse(id RequestID, retryAfter time.Duration)
+	// Fail is the final answer that promises nothing.
+	Fail(id RequestID)
+	// Cancel stops waiting for one attempt; its Outcome follows.
+	Cancel(id RequestID, attempt int)
+	// Probe checks a member; a Probed event follows.
+	Probe(m MemberID)
+	// CloseIdle closes the idle connections to a member.
+	CloseIdle(m MemberID)
+	// SetTimer asks for a Timer event at or after the time. Timers can't be withdrawn.
+	SetTimer(at time.Duration, token uint64)
+	// Watch subscribes to changes of the list; SetMembers answers, with ListFailed if it failed.
+	Watch(on bool)
+	// Fetch asks for the whole list once.
+	Fetch()
+	// Tell sends up to 256 bytes to a peer, or to AllPeers.
+	Tell(peer int, data []byte)
+	// Log records a line for the operators.
+	Log(text string)
+}
+
+// Probed takes the result of a probe. No decision rests on probes yet.
+func (b *Balancer) Probed(now time.Duration, id MemberID, s Status, elapsed time.Duration, load []float32) {
+	b.advance(now)
+}
+
+// PeerMessage takes a message of another instance. No decision rests on messages.
+func (b *Balancer) PeerMessage(now time.Duration, from int, data []byte) { b.advance(now) }
--- /dev/null
+++ b/logic/example_test.go
@@ -0,0 +1,56 @@
+package logic_test
+
+import (
+	"fmt"
+	"time"
+
+	"linenloom/logic"
+)
+
+// printer is a host that only prints what it is asked to do.
+type printer struct{}
+
+func (printer) Send(id logic.RequestID, to logic.MemberID, _ time.Duration) {
+	fmt.Printf("send request %d to member %d\n", id, to)
+}
+func (printer) Refuse(id logic.RequestID, _ time.Duration) { fmt.Printf("refuse request %d\n", id) }
+func (printer) Fail(id logic.RequestID)                    { fmt.Printf("fail request %d\n", id) }
+func (printer) Cancel(logic.RequestID, int)                {}
+func (printer) Probe(logic.MemberID)                       {}
+func (printer) CloseIdle(logic.MemberID)                   {}
+func (printer) SetTimer(time.Duration, uint64)             {}
+func (printer) Watch(bool)                                 {}
+func (printer) Fetch()                                     {}
+func (printer) Tell(int, []byte)                           {}
+func (printer) Log(string)                                 {}
+
+// A hit, a miss fetched from the origin, and a refusal.
+func Example() {
+	settings := logic.Settings{
+		Classes:  []logic.Class{{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}},
+		TryLimit: 4, Mode: logic.Aside, OriginKind: 1,
+	}
+	b, err := logic.New(settings, 1, printer{})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	now := time.Duration(0)
+	b.Start(now)
+	b.SetMembers(now, logic.ListFull, []logic.Member{{ID: 10, Weight: 1}, {ID: 99, Kind: 1, Weight: 1}})
+
+	b.Request(now, logic.Request{ID: 1, Key: 7, Deadline: now + 3*time.Second})
+	b.Outcome(now, logic.Outcome{Request: 1, Member: 10, Status: logic.StatusOK, Final: true})
+
+	b.Request(now, logic.Request{ID: 2, Key: 8, Deadline: now + 3*time.Second})
+	b.Outcome(now, logic.Outcome{Request: 2, Member: 10, Status: logic.StatusMiss})
+	b.Outcome(now, logic.Outcome{Request: 2, Attempt: 1, Member: 99, Status: logic.StatusOK, Final: true})
+
+	b.SetMembers(now, logic.ListFull, nil) // everything is gone
+	b.Request(now, logic.Request{ID: 3, Key: 7, Deadline: now + 3*time.Second})
+	// Output:
+	// send request 1 to member 10
+	// send request 2 to member 10
+	// send request 2 to member 99
+	// refuse request 3
+}
--- /dev/null
+++ b/logic/hash.go
@@ -0,0 +1,18 @@
+package logic
+
+import "time"
+
+// mix spreads the bits of x, alike at every proxy.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// unit maps x to a number between 0 and 1.
+func unit(x uint64) float64 { return (float64(x>>11) + 0.5) / (1 << 53) }
+
+// seconds is a duration of s seconds.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,886 @@
+// The interface of this module is in api.go; this file holds every decision.
+
+package logic
+
+import (
+	"cmp"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	slotCount     = 4096            // many more than members, so that shares come out even
+	orderDepth    = 16              // candidates kept for a slot
+	counterSize   = 1024            // keys the counter follows, several times the hot set
+	maxHot        = 200             // the cap of the hot set (MIP-200 of the paper)
+	keyWeight     = 3.33            // k of the paper: what a key costs beside its requests
+	window        = 4 * time.Second // counts are halved and hot keys placed anew this often
+	enoughCounts  = 400             // requests that rank the hot keys well enough
+	splitAt       = 0.5             // a key that asks for more of a cache's mean load than this is split
+	keepMargin    = 0.1             // a hot key moves only if that lowers the objective by this share
+	retryRatio    = 0.15            // further attempts after failures, as a share of requests
+	retryBurst    = 10
+	startLimit    = 8               // attempts out at a member that has told nothing yet
+	throttleSpan  = 3 * time.Second // over which asked and answered are compared
+	throttleAt    = 2               // a read may be refused when the caches answer less than one in this many
+	throttleSlack = 8               // fewer asked than this tell nothing
+	coldShare     = 0.5             // of the fall multiple: the rest is left for what this proxy can't see
+)
+
+// purposes of a timer, in the low bits of its token.
+const (
+	tickClose  = iota // the window closes
+	tickWatch         // ask for the list again
+	tickPump          // look at the origin's queue again
+	tickAim           // a request's aim passes
+	tickEnd           // a request must be answered
+	tickResume        // a request stops waiting for another's fetch
+)
+
+// New makes a Balancer. The seed sets all its random choices.
+func New(s Settings, seed uint64, do Actions) (*Balancer, error) {
+	if do == nil {
+		return nil, errors.New("logic: no actions")
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	s.Instances = max(1, s.Instances)
+	s.TryLimit = min(s.TryLimit, 64)
+	b := &Balancer{
+		s: s, do: do, rng: rand.New(rand.NewPCG(seed, uint64(s.Self))),
+		nodes: map[MemberID]*node{}, slots: make([][]ranked, slotCount), kindSize: map[int]float64{},
+		counts: counter{at: map[uint64]int{}, size: counterSize}, hot: map[uint64]*placed{},
+		tenants: make([]float64, len(s.Tenants)), flights: map[RequestID]*flight{},
+		fetching: map[uint64][]*flight{}, retries: retryBurst,
+	}
+	b.target = math.Inf(1)
+	for _, c := range s.Classes {
+		b.target = min(b.target, c.Aim.Seconds()/2)
+	}
+	// Where crossing zones costs more than the copies it saves, each zone has a table of its own.
+	b.local = s.Zones > 1 && s.CrossZonePrice*(1-1/float64(s.Zones)) > 0.03
+	return b, nil
+}
+
+// Start begins at the host's time; windows are phased by instance so that rebuilds don't coincide.
+func (b *Balancer) Start(now time.Duration) {
+	b.now, b.closeAt = now, now
+	b.period = window / 8
+	phase := time.Duration(b.s.Self%b.s.Instances) * window / time.Duration(b.s.Instances)
+	b.do.SetTimer(now+b.period+phase/4, tickClose)
+	if b.s.Subscribe {
+		b.do.SetTimer(now+b.jitter(time.Second), tickWatch)
+	}
+}
+
+func (b *Balancer) advance(now time.Duration) { b.now = max(b.now, now) }
+
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return seconds(b.rng.Float64() * d.Seconds())
+}
+
+// SetMembers applies a list. A member that drains or is gone leaves the tables at once.
+func (b *Balancer) SetMembers(now time.Duration, kind ListKind, list []Member) {
+	b.advance(now)
+	if kind == ListFailed {
+		// Every proxy loses the list at the same moment; jitter keeps their calls apart.
+		if b.s.Subscribe {
+			b.watches = min(b.watches+1, 4)
+			d := 500 * time.Millisecond << b.watches
+			b.do.SetTimer(b.now+d/2+b.jitter(d), tickWatch)
+		}
+		return
+	}
+	b.watches = 0
+	listed := make(map[MemberID]bool, len(list))
+	for _, m := range list {
+		listed[m.ID] = true
+		b.update(m)
+	}
+	if kind != ListDelta {
+		for _, group := range [][]*node{slices.Clone(b.caches), slices.Clone(b.origins)} {
+			for _, n := range group {
+				if !listed[n.m.ID] {
+					n.m.State = Gone
+					b.update(n.m)
+				}
+			}
+		}
+	}
+	b.peak = max(b.peak, b.size())
+	b.pump()
+}
+
+func (b *Balancer) size() (weight float64) {
+	for _, n := range b.caches {
+		if !b.local || n.m.Zone == b.s.Zone {
+			weight += n.weight
+		}
+	}
+	return weight
+}
+
+func (b *Balancer) update(m Member) {
+	n := b.nodes[m.ID]
+	if n == nil {
+		n = &node{hash: mix(uint64(m.ID) + 0x9e3779b97f4a7c15), weight: b.slotWeight(m)}
+		n.limit, n.sentAt = startLimit, b.now
+		b.nodes[m.ID] = n
+		n.m.State = Gone
+	}
+	if m.StartedAt != n.m.StartedAt && m.State == Ready { // a new process: what was known of the old is void
+		*n = node{m: n.m, hash: n.hash, weight: n.weight, limiter: limiter{limit: startLimit, sentAt: b.now}}
+		n.tokensAt, n.tokens = b.now, b.rng.Float64()
+	}
+	n.m = m
+	group := &b.caches
+	if b.isOrigin(m) {
+		group = &b.origins
+	}
+	byID := func(a *node, id MemberID) int { return cmp.Compare(a.m.ID, id) }
+	at, found := slices.BinarySearchFunc(*group, m.ID, byID)
+	if found && m.State != Ready {
+		*group = slices.Delete(*group, at, at+1)
+		b.leave(n)
+	}
+	if !found && m.State == Ready {
+		*group = slices.Insert(*group, at, n)
+		b.resize(m)
+		if !b.isOrigin(m) {
+			b.join(n)
+		}
+	}
+}
+
+func (b *Balancer) isOrigin(m Member) bool {
+	return b.s.Mode == Aside && b.s.OriginKind >= 0 && m.Kind == b.s.OriginKind
+}
+
+// slotWeight must come out alike at every proxy and must not follow load. Live weights fall with load, so
+// the largest seen of a kind, in coarse steps, stands for the kind's size.
+func (b *Balancer) slotWeight(m Member) float64 {
+	w := m.Weight
+	if !(w > 0) || math.IsInf(w, 0) || b.s.Weights == WeightsOff {
+		return 1
+	}
+	if b.s.Weights != WeightsLive {
+		return w
+	}
+	return max(b.kindSize[m.Kind], math.Exp2(math.Round(2*math.Log2(w))/2))
+}
+
+func (b *Balancer) resize(m Member) {
+	w := b.slotWeight(m)
+	if b.s.Weights != WeightsLive || w == b.kindSize[m.Kind] {
+		return
+	}
+	b.kindSize[m.Kind] = w
+	for _, n := range b.caches {
+		if n.m.Kind == m.Kind {
+			n.weight = w
+		}
+	}
+	clear(b.slots)
+}
+
+// score ranks a member for a slot by weighted rendezvous hashing: alike at all proxies, and a change of the
+// list moves only the share of the member that changed.
+func (b *Balancer) score(slot int, n *node) float64 {
+	s := math.Log(unit(mix(n.hash^mix(uint64(slot)+1)))) / n.weight
+	if b.local && n.m.Zone != b.s.Zone {
+		return s - 1e9
+	}
+	return s
+}
+
+// order is the slot's candidates, best first. It is worked out when first asked for and then kept current,
+// so that a request costs nothing that grows with the fleet.
+func (b *Balancer) order(slot int) []ranked {
+	if b.slots[slot] == nil {
+		for _, n := range b.caches {
+			b.insert(slot, n)
+		}
+	}
+	return b.slots[slot]
+}
+
+func (b *Balancer) insert(slot int, n *node) {
+	o, s := b.slots[slot], b.score(slot, n)
+	if len(o) == orderDepth {
+		if o[orderDepth-1].score >= s {
+			return
+		}
+		o = o[:orderDepth-1]
+	}
+	i := len(o)
+	for i > 0 && o[i-1].score < s {
+		i--
+	}
+	b.slots[slot] = slices.Insert(o, i, ranked{n, s})
+}
+
+func (b *Balancer) join(n *node) {
+	for slot, o := range b.slots {
+		if o != nil {
+			b.insert(slot, n)
+		}
+	}
+}
+
+func (b *Balancer) leave(n *node) {
+	for slot, o := range b.slots {
+		if slices.ContainsFunc(o, func(r ranked) bool { return r.n == n }) {
+			b.slots[slot] = nil
+		}
+	}
+}
+
+// ramp is the share of its capacity that a member surely has.
+func (b *Balancer) ramp(n *node) float64 {
+	age := b.now - n.m.StartedAt
+	if n.m.StartedAt == 0 || age >= b.s.ColdFor {
+		return 1
+	}
+	return b.s.ColdFrom + (1-b.s.ColdFrom)*max(0, age.Seconds())/b.s.ColdFor.Seconds()
+}
+
+// owns tells whether a cold member already has this slot: its slots come to it as it warms, in an order
+// alike at every proxy.
+func (b *Balancer) owns(n *node, slot int) bool {
+	return unit(mix(n.hash+uint64(slot)*0x9e3779b97f4a7c15)) < b.ramp(n)
+}
+
+// capacity is the estimate that S and T are divided by: the weight, less where the member is cold, ejected or
+// answers slower than the fleet.
+func (b *Balancer) capacity(n *node) float64 {
+	c := n.weight * b.ramp(n)
+	if n.outUntil > b.now {
+		return c / 100
+	}
+	if n.seen >= 5 && b.latency > 0 {
+		c *= max(0.25, min(1, 1.5*b.latency/n.latency))
+	}
+	return c
+}
+
+// place assigns the hot keys, greedily: in falling count, each on the candidate that least raises
+// max S + k·max T. A key that asks for more than a cache's mean load is split over several.
+func (b *Balancer) place() {
+	old := b.hot
+	b.hot = make(map[uint64]*placed, len(old))
+	for _, n := range b.caches {
+		n.hotLoad, n.hotKeys = 0, 0
+	}
+	size := b.size()
+	if size == 0 {
+		return
+	}
+	maxS, maxT := 0.0, 0.0
+	for _, it := range b.counts.hottest(2, maxHot) {
+		slot := slotOf(it.key)
+		order := b.order(slot)
+		// What chance may have added to a thin count must not make copies.
+		sure := max(0, it.count-it.err-math.Sqrt(it.count))
+		copies := int(sure / b.counts.total * size / order[0].n.weight / splitAt)
+		copies = max(1, min(copies, len(order)))
+		parts := max(1, min(copies, copies*2/b.s.Instances))
+		p := &placed{}
+		for range parts {
+			near := order[:min(len(order), copies+1)]
+			n := b.leastRaise(near, p, slot, it, float64(parts), maxS, maxT, old[it.key])
+			if n == nil { // all cold: the key goes by slot
+				break
+			}
+			c := b.capacity(n)
+			n.hotLoad += it.count / float64(parts)
+			n.hotKeys++
+			maxS, maxT = max(maxS, n.hotLoad/c), max(maxT, n.hotKeys/c)
+			p.nodes = append(p.nodes, n)
+		}
+		if len(p.nodes) > 0 {
+			b.hot[it.key] = p
+		}
+	}
+}
+
+func (b *Balancer) leastRaise(order []ranked, p *placed, slot int, it counted, parts, maxS, maxT float64,
+	old *placed) *node {
+	var best *node
+	least := math.Inf(1)
+	turn := 0
+	if len(order) > 2 { // several caches share the key: proxies begin at different ones
+		turn = int(mix(it.key^uint64(b.s.Self)*0x9e3779b97f4a7c15) % uint64(len(order)))
+	}
+	for i := range order {
+		n := order[(i+turn)%len(order)].n
+		if slices.Contains(p.nodes, n) || !b.owns(n, slot) {
+			continue
+		}
+		c := b.capacity(n)
+		m := max(maxS, (n.hotLoad+it.count/parts)/c) + keyWeight*max(maxT, (n.hotKeys+1)/c)
+		// A key that was not placed before has gone by its slot: that is its old place. Else keys at the hot
+		// set's edge change caches each time they enter or leave it.
+		if old != nil && slices.Contains(old.nodes, n) || old == nil && n == order[0].n {
+			m *= 1 - min(0.9, keepMargin+1/math.Sqrt(it.count)) // and by more than chance in its count
+		}
+		if m < least {
+			best, least = n, m
+		}
+	}
+	return best
+}
+
+func slotOf(key uint64) int { return int(mix(key^0xa0761d6478bd642f) % slotCount) }
+
+func (b *Balancer) closeWindow() {
+	b.span += (b.now - b.closeAt).Seconds()
+	b.closeAt = b.now
+	b.place()
+	// Halved, but less at a quiet proxy, whose counts would be too thin to tell a hot key from chance.
+	b.counts.age(max(0.5, min(0.9, 1-(b.counts.total-b.kept)/enoughCounts)))
+	b.kept = b.counts.total
+	b.arrivals, b.carried, b.span = b.arrivals/2, b.carried/2, b.span/2
+	for i := range b.tenants {
+		b.tenants[i] /= 2
+	}
+	b.period = min(window, 2*b.period) // short at first: until the first close all keys go by slot
+	b.do.SetTimer(b.now+b.period, tickClose)
+}
+
+// rate is what the caches do for this proxy a second. Not what it asks of them: under overload, with clients
+// trying again, that could be several times what they can do, and no guide to what a cold one can.
+func (b *Balancer) rate() float64 {
+	return b.carried / max(1, b.span+(b.now-b.closeAt).Seconds())
+}
+
+// Request takes a client's request.
+func (b *Balancer) Request(now time.Duration, r Request) {
+	b.advance(now)
+	if b.flights[r.ID] != nil {
+		return
+	}
+	f := &flight{Request: r, class: b.classOf(r.Class)}
+	aim := f.class.Aim
+	if r.Known && r.Cost > 0 {
+		aim = min(f.class.Deadline, aim+time.Duration(f.class.AimStretch*float64(r.Cost)))
+	}
+	f.aim = min(b.now+aim, r.Deadline)
+	if f.class.LateWorth > 0 {
+		f.aim = r.Deadline
+	}
+	f.value = f.class.Worth / max(1e-9, f.class.Aim.Seconds())
+	b.flights[r.ID] = f
+	b.arrivals++
+	b.retries = min(retryBurst, b.retries+retryRatio)
+	if b.overShare(r.Tenant) {
+		f.value *= b.s.OverShareWorth
+	}
+	if r.Key != 0 {
+		// A fetch also serves those who will ask for the key again; keys wanted once must not crowd them out.
+		f.value *= 1 + b.counts.sure(r.Key)
+		b.counts.add(r.Key)
+		f.slot = slotOf(r.Key)
+	} else {
+		f.slot = b.rng.IntN(slotCount)
+	}
+	slack := 2*b.s.Tick + time.Millisecond
+	if f.aim < r.Deadline {
+		b.timer(f, max(b.now, f.aim-slack), tickAim)
+	}
+	b.timer(f, max(b.now, r.Deadline-slack), tickEnd)
+	b.route(f)
+}
+
+func (b *Balancer) timer(f *flight, at time.Duration, purpose uint64) {
+	b.do.SetTimer(at, uint64(f.ID)<<3|purpose)
+}
+
+// classOf takes an unknown class for the strictest kind, so that it is never lost or run twice.
+func (b *Balancer) classOf(i int) *Class {
+	if i >= 0 && i < len(b.s.Classes) {
+		return &b.s.Classes[i]
+	}
+	c := b.s.Classes[0]
+	c.Effect = Once
+	return &c
+}
+
+// overShare draws whether a request is of the part of its tenant's traffic beyond the tenant's share.
+func (b *Balancer) overShare(t int) bool {
+	if t < 0 || t >= len(b.tenants) {
+		return false
+	}
+	b.tenants[t]++
+	due := b.s.Tenants[t].Share * b.arrivals
+	return b.tenants[t] > due+2*math.Sqrt(due)+1 && b.rng.Float64()*b.tenants[t] > due
+}
+
+// route takes the ordinary path: writes beside the caches go to the origin, everything else to the cache
+// that the tables name.
+func (b *Balancer) route(f *flight) {
+	if b.s.Mode == Aside && f.Write {
+		b.enqueue(f)
+		return
+	}
+	if w, out := b.fetching[f.Key]; out && f.Key != 0 && !f.joined {
+		b.fetching[f.Key] = append(w, f)
+		f.waiting, f.joined = true, true
+		b.timer(f, b.now+(f.aim-b.now)/2, tickResume)
+		return
+	}
+	n := b.choose(f)
+	if n == nil || b.throttled() {
+		b.conclude(f)
+		return
+	}
+	b.send(f, n, b.patience(f))
+}
+
+// patience is an attempt's time-out: part of what is left while there is another attempt to make.
+func (b *Balancer) patience(f *flight) time.Duration {
+	// Where caches fetch by themselves a slow answer is most often a miss: giving it up wastes the fetch, and
+	// the next candidate would only fetch once more.
+	if f.attempts+1 >= b.s.TryLimit || f.class.Effect == Once || b.s.Mode == Through {
+		return 0
+	}
+	left := f.aim - b.now
+	d := left * 6 / 10
+	if f.Known {
+		d = max(d, min(left, 3*f.Cost))
+	}
+	return max(d, time.Millisecond)
+}
+
+// choose names the cache for a request: the hot table's, else the slot's, else the next candidate that may be
+// sent to.
+func (b *Balancer) choose(f *flight) *node {
+	if f.missAt != nil && b.usable(f, f.missAt) && b.room(f.missAt) {
+		return f.missAt
+	}
+	if p := b.hot[f.Key]; p != nil && f.Key != 0 {
+		for range p.nodes {
+			p.next = (p.next + 1) % len(p.nodes)
+			if n := p.nodes[p.next]; b.usable(f, n) && b.room(n) {
+				return n
+			}
+		}
+	}
+	busy := 0
+	for _, r := range b.order(f.slot) {
+		if !b.owns(r.n, f.slot) || !b.usable(f, r.n) {
+			continue
+		}
+		// A busy member spills to the next only while a fetch is cheap: spilling turns hits into misses,
+		// which else jam the origin and, with it, all members.
+		if b.room(r.n) {
+			return r.n
+		}
+		if busy++; busy == 2 || !b.originIdle(f) {
+			return nil
+		}
+	}
+	// All candidates are cold, ejected or tried: any that takes work, from a place that spreads; and
+	// rather an ejected one than none.
+	var last *node
+	for i := range b.caches {
+		n := b.caches[(i+f.slot)%len(b.caches)]
+		if b.usable(f, n) {
+			return n
+		}
+		if last == nil && b.maySend(f, n) && b.coldRoom(n) {
+			last = n
+		}
+	}
+	return last
+}
+
+func (b *Balancer) usable(f *flight, n *node) bool {
+	return n.outUntil <= b.now && !slices.Contains(f.tried, n) && b.maySend(f, n) && b.coldRoom(n)
+}
+
+// maySend is the one guard of every send: drains, the attempts allowed, and effects that must not double.
+func (b *Balancer) maySend(f *flight, n *node) bool {
+	if f.done || f.stream || n.m.State != Ready || f.attempts >= b.s.TryLimit || b.now >= f.Deadline {
+		return false
+	}
+	if f.out != 0 && !b.s.SecondCopies {
+		return false
+	}
+	if f.ran == 0 || f.class.Effect == Repeatable {
+		return true
+	}
+	if f.class.Effect == Once || b.now+2*b.s.Tick >= f.ranAt+f.class.Window {
+		return false
+	}
+	return f.class.Scope == ScopeAll || f.class.Scope == ScopeZone && n.m.Zone == f.ranOn.m.Zone ||
+		f.class.Scope == ScopeCell && n.m.Cell == f.ranOn.m.Cell
+}
+
+// mayRefuse tells whether the client may be told that a retry is harmless.
+func (b *Balancer) mayRefuse(f *flight) bool {
+	return f.ran == 0 || f.class.Effect == Repeatable ||
+		f.class.Effect == ByKey && f.class.Scope == ScopeAll
+}
+
+// coldRoom keeps this proxy's part of the cold budget: its share of the fleet's requests for the member's
+// size and warmth, times a part of the fall multiple. The first token is drawn at random, so that the
+// many proxies whose share is under one request don't all spend one at once.
+func (b *Balancer) coldRoom(n *node) bool {
+	r := b.ramp(n)
+	if r >= 1 || b.s.FallMultiple == 0 {
+		return true
+	}
+	rate := b.rate() * n.weight / max(b.warmWeight(), n.weight) * r * b.s.FallMultiple * coldShare
+	n.tokens += rate * (b.now - n.tokensAt).Seconds()
+	n.tokens = min(n.tokens, max(1, rate*b.s.FallAfter.Seconds()/2))
+	n.tokensAt = b.now
+	return n.tokens >= 1
+}
+
+// warmWeight is the weight that does the answering: cold members count by their warmth. At least half of the
+// most that the list has held counts, since answers from before a loss would promise too much.
+func (b *Balancer) warmWeight() float64 {
+	if b.now-b.warmAt >= 500*time.Millisecond { // not at every request: it grows with the fleet
+		b.warm, b.warmAt = 0, b.now
+		for _, n := range b.caches {
+			if !b.local || n.m.Zone == b.s.Zone {
+				b.warm += n.weight * b.ramp(n)
+			}
+		}
+	}
+	return max(b.warm, b.peak/2)
+}
+
+func (b *Balancer) send(f *flight, n *node, timeout time.Duration) {
+	if b.ramp(n) < 1 {
+		n.tokens--
+	}
+	bit := uint64(1) << f.attempts
+	f.attempts, f.out = f.attempts+1, f.out|bit
+	if f.ran == 0 {
+		f.ranOn, f.ranAt = n, b.now
+	}
+	f.ran |= bit
+	f.waiting = false
+	gap := (b.now - n.sentAt).Seconds()
+	if n.gap == 0 {
+		n.gap = gap // since the member was first heard of
+	}
+	n.gap += (gap - n.gap) * 0.3
+	n.out, n.sentAt = n.out+1, b.now
+	if b.isOrigin(n.m) {
+		f.fetch |= bit
+	} else {
+		f.tried = append(f.tried, n)
+	}
+	b.do.Send(f.ID, n.m.ID, timeout)
+}
+
+// conclude is the one place of the balancer's own final answers.
+func (b *Balancer) conclude(f *flight) {
+	switch {
+	case f.done:
+		return
+	case b.mayRefuse(f):
+		b.do.Refuse(f.ID, 0)
+	default:
+		b.do.Fail(f.ID)
+	}
+	b.retire(f)
+}
+
+// retire ends a request; attempts still out are called off, but for fetches, whose value will be stored.
+func (b *Balancer) retire(f *flight) {
+	f.done, f.waiting = true, false
+	for i := 0; f.out>>i != 0; i++ {
+		if b.s.CanCancel && (f.out&^f.fetch)>>i&1 != 0 {
+			b.do.Cancel(f.ID, i)
+		}
+	}
+	if f.owner && f.out&f.fetch == 0 {
+		b.landed(f, false) // else those who wait would wait in vain
+	}
+	if f.out == 0 {
+		delete(b.flights, f.ID)
+	}
+}
+
+// Expired ends a request whose client left.
+func (b *Balancer) Expired(now time.Duration, id RequestID) {
+	b.advance(now)
+	if f := b.flights[id]; f != nil && !f.done {
+		b.retire(f)
+		b.pump()
+	}
+}
+
+// StreamStarted binds a request to the attempt that has begun to answer.
+func (b *Balancer) StreamStarted(now time.Duration, id RequestID, attempt int) {
+	b.advance(now)
+	if f := b.flights[id]; f != nil {
+		f.stream = true
+	}
+}
+
+// Timer delivers a timer set before.
+func (b *Balancer) Timer(now time.Duration, token uint64) {
+	b.advance(now)
+	f := b.flights[RequestID(token>>3)]
+	idle := f != nil && f.out == 0 && !f.stream && !f.done
+	switch token & 7 {
+	case tickClose:
+		b.closeWindow()
+	case tickWatch:
+		b.do.Watch(true)
+	case tickPump:
+		b.pumpAt = 0
+		b.pump()
+	case tickAim: // nothing out: no answer can come in time
+		if idle {
+			b.conclude(f)
+		}
+	case tickEnd:
+		if f != nil && !f.stream {
+			b.conclude(f)
+		}
+	case tickResume:
+		if idle && f.waiting && !slices.Contains(b.queue, f) {
+			f.waiting, f.joined = false, true
+			b.route(f)
+		}
+	}
+}
+
+// Outcome tells how an attempt ended.
+func (b *Balancer) Outcome(now time.Duration, o Outcome) {
+	b.advance(now)
+	f := b.flights[o.Request]
+	if f == nil || o.Attempt < 0 || o.Attempt > 63 || f.out>>o.Attempt&1 == 0 {
+		return // unknown, or told before
+	}
+	bit := uint64(1) << o.Attempt
+	f.out &^= bit
+	n, fetched := b.nodes[o.Member], f.fetch&bit != 0
+	if n != nil {
+		b.learn(n, o, fetched)
+	}
+	if o.Status.NeverRan() {
+		f.ran &^= bit
+	}
+	f.done = f.done || o.Final
+	if fetched && f.owner {
+		b.landed(f, o.Status == StatusOK)
+	}
+	switch {
+	case f.done || o.Status == StatusOK:
+		b.retire(f)
+	case f.out != 0 || f.waiting:
+	case o.Status == StatusMiss && b.s.Mode == Aside:
+		b.missed(f, n, o.Note)
+	default:
+		b.again(f, fetched)
+	}
+	b.pump()
+}
+
+// missed sends a read on to the origin, unless the key is being fetched already.
+func (b *Balancer) missed(f *flight, n *node, note int) {
+	if n != nil && f.missAt == nil {
+		f.missAt = n
+	}
+	w, out := b.fetching[f.Key]
+	if f.leased || f.Key == 0 || f.attempts+2 > b.s.TryLimit || !out && note != NoteFetched {
+		b.enqueue(f)
+		return
+	}
+	f.leased, f.joined, f.waiting, f.tried = true, true, true, nil
+	wait := (f.aim - b.now) / 2
+	if out {
+		b.fetching[f.Key] = append(w, f)
+	} else if at := b.originFor(f); at != nil { // another proxy fetches it
+		wait = min(wait, seconds(max(at.latency, 0.02)))
+	}
+	b.timer(f, b.now+wait, tickResume)
+}
+
+// landed lets those who waited for a fetch read the cache, or makes the first of them fetch itself.
+func (b *Balancer) landed(f *flight, ok bool) {
+	waiters := b.fetching[f.Key]
+	delete(b.fetching, f.Key)
+	f.owner = false
+	for _, w := range waiters {
+		if w.done || !w.waiting || w.out != 0 {
+			continue
+		}
+		w.waiting, w.joined = false, false
+		if ok && f.missAt != nil {
+			w.missAt = f.missAt
+		}
+		b.route(w)
+	}
+}
+
+// again makes a further attempt after a failure, if the rules, the time and the retry budget allow one.
+func (b *Balancer) again(f *flight, fetched bool) {
+	if b.retries < 1 || b.now >= f.aim || f.attempts >= b.s.TryLimit {
+		b.conclude(f)
+		return
+	}
+	b.retries--
+	if fetched {
+		b.enqueue(f)
+		return
+	}
+	f.missAt = nil
+	b.route(f)
+}
+
+// learn takes in how an attempt ended.
+func (b *Balancer) learn(n *node, o Outcome, fetched bool) {
+	n.out = max(0, n.out-1)
+	bad := 1.0
+	switch o.Status {
+	case StatusCancelled, StatusMoot:
+		return
+	case StatusFull:
+		if fetched {
+			b.cut(n, 0.7)
+		} else { // not from what is out: a proxy that sends seldom is not what fills it
+			n.limit = max(min(1, n.limit), 0.7*n.limit)
+		}
+		return
+	case StatusOK, StatusMiss:
+		bad, n.streak = 0, 0
+		b.adapt(n, o.Elapsed.Seconds())
+		if !fetched {
+			b.latency += (o.Elapsed.Seconds() - b.latency) * 0.01
+			b.answered++
+			b.carried += 0.5
+			if o.Status == StatusOK {
+				b.carried += 0.5
+			}
+		}
+	case StatusTimeout:
+		b.adapt(n, max(o.Elapsed.Seconds(), 2*b.target))
+		n.streak++
+	default:
+		n.streak++
+	}
+	n.fails += (bad - n.fails) * 0.3
+	b.fails += (bad - b.fails) * 0.05
+	hard := o.Status == StatusConnectFailed || o.Status == StatusReset
+	// Relative to the fleet: when everything fails alike, ejecting helps nobody.
+	if bad > 0 && !fetched && (hard || n.streak >= 2) && n.fails > 2*b.fails {
+		d := 250 * time.Millisecond << min(n.streak, 5)
+		n.outUntil = b.now + d/2 + b.jitter(d)
+	}
+}
+
+// adapt moves a member's limit so that answers come within the target: members with deep queues else hold
+// work that nobody waits for any more, and stay jammed long after a burst has passed.
+func (b *Balancer) adapt(n *node, s float64) {
+	n.seen++
+	n.latency += (s - n.latency) * max(0.1, 1/float64(n.seen))
+	switch {
+	case n.latency > b.target && s > b.target: // an answer in time never cuts, however slow those before it
+		b.cut(n, 0.8)
+	case float64(n.out+1) < n.limit-1: // not what holds it back
+	case n.cutAt == 0:
+		n.limit++
+	default:
+		n.limit += min(1/n.limit, n.limit/2)
+	}
+}
+
+// cut lowers a limit, from what is really out: a proxy that sends seldom has a part of one attempt out on
+// average, and a limit above that would hold nothing back.
+func (b *Balancer) cut(n *node, by float64) {
+	if b.now-n.cutAt >= seconds(max(0.05, n.latency)) { // once a round trip
+		used := float64(n.out) + min(1, n.latency/max(0.001, n.gap))
+		if used < 1 { // it will hear of this member only seldom
+			by *= by
+		}
+		n.cutAt, n.limit = b.now, max(0.01, min(n.limit, used)*by)
+	}
+}
+
+// throttled draws whether to refuse a read at once: adaptive throttling, so that what is asked of the caches
+// stays under a multiple of what they answer. It ends a jam that no single member's limit sees at a proxy
+// that sends to each but now and then.
+func (b *Balancer) throttled() bool {
+	keep := math.Exp(-(b.now - b.askedAt).Seconds() / throttleSpan.Seconds())
+	b.asked, b.answered, b.askedAt = b.asked*keep+1, b.answered*keep, b.now
+	return b.rng.Float64()*(b.asked+throttleSlack) < b.asked-throttleAt*b.answered-throttleSlack
+}
+
+// room tells whether a member's limit lets another attempt out. A limit under one is kept by spacing: many
+// proxies, each with a single attempt out, could else be too much together.
+func (b *Balancer) room(n *node) bool {
+	if n.limit >= 1 {
+		return n.out < int(n.limit)
+	}
+	return n.out == 0 && b.now-n.sentAt >= seconds(n.latency*(1/n.limit-1))
+}
+
+// enqueue puts a request in line for the origin: writes first, then by worth.
+func (b *Balancer) enqueue(f *flight) {
+	f.waiting = true
+	if !f.Write && f.Key != 0 {
+		if _, out := b.fetching[f.Key]; !out {
+			b.fetching[f.Key] = nil
+			f.owner = true
+		}
+	}
+	at := slices.IndexFunc(b.queue, func(g *flight) bool {
+		return f.Write && !g.Write || f.Write == g.Write && f.value > g.value
+	})
+	if at < 0 {
+		at = len(b.queue)
+	}
+	b.queue = slices.Insert(b.queue, at, f)
+	b.pump()
+}
+
+// pump sends what the origin has room for, and refuses what can't make its aim any more.
+func (b *Balancer) pump() {
+	kept := b.queue[:0:0]
+	var dropped []*flight
+	for _, f := range b.queue {
+		n := b.originFor(f)
+		switch {
+		case f.done || !f.waiting:
+		case n == nil || b.now+seconds(min(n.latency, b.target)/2) >= f.aim:
+			dropped = append(dropped, f)
+		case (f.Write || b.room(n)) && b.maySend(f, n):
+			b.send(f, n, 0)
+		default:
+			kept = append(kept, f)
+		}
+	}
+	b.queue = kept
+	for _, f := range dropped {
+		f.waiting = false
+		b.conclude(f)
+	}
+	if len(b.queue) > 0 && b.pumpAt == 0 {
+		b.pumpAt = b.now + 20*time.Millisecond
+		b.do.SetTimer(b.pumpAt, tickPump)
+	}
+}
+
+// originIdle tells whether another fetch would be taken at once, and in good time.
+func (b *Balancer) originIdle(f *flight) bool {
+	n := b.originFor(f)
+	return n != nil && len(b.queue) == 0 && b.room(n) && n.latency < b.target/2
+}
+
+func (b *Balancer) originFor(f *flight) *node {
+	if len(b.origins) == 0 {
+		return nil
+	}
+	return b.origins[f.slot%len(b.origins)]
+}
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,641 @@
+package logic
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestMissGoesToTheOriginAndTheNextReadWaits(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(6)...)
+	a := h.ask(Request{ID: 1, Key: 77})
+	cache := a.sent[0].to
+	h.run(10 * ms)
+	h.end(1, 0, StatusMiss)
+	if len(a.sent) != 2 || a.sent[1].to != originID {
+		t.Fatalf("after a miss: sent %+v, want the origin second", a.sent)
+	}
+	// Single flight: a second read of the key waits for the fetch, then reads the cache.
+	b := h.ask(Request{ID: 2, Key: 77})
+	if len(b.sent) != 0 {
+		t.Fatalf("a read of a key being fetched was sent at once: %+v", b.sent)
+	}
+	h.run(50 * ms)
+	h.end(1, 1, StatusOK)
+	if len(b.sent) != 1 || b.sent[0].to != cache {
+		t.Fatalf("after the fetch: sent %+v, want cache %d", b.sent, cache)
+	}
+	h.end(2, 0, StatusOK)
+	h.run(5 * time.Second)
+	h.check()
+	if len(h.b.flights) != 0 || len(h.b.fetching) != 0 {
+		t.Errorf("left behind: %d requests, %d fetches", len(h.b.flights), len(h.b.fetching))
+	}
+}
+
+// A fetch whose client left in the queue must not leave the others waiting for it.
+func TestExpiredOwnerPassesTheFetchOn(t *testing.T) {
+	s := testSettings()
+	h := newHost(t, s, 1)
+	h.members(ListCached, withOrigin(3)...)
+	o := h.b.origins[0]
+	o.limit, o.latency, o.sentAt = 0.25, 0.2, h.now
+	h.ask(Request{ID: 1, Key: 5})
+	h.end(1, 0, StatusMiss) // queued: no room
+	b := h.ask(Request{ID: 2, Key: 5})
+	h.open[1].answered = 1
+	h.b.Expired(h.now, 1)
+	if len(b.sent) == 0 {
+		t.Fatal("the waiting read was not sent on when the fetch's owner left")
+	}
+	h.check()
+}
+
+// A slow spell once left the latency estimate above every aim, and no fetch was sent that could lower it.
+func TestSlowOriginIsStillTried(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(3)...)
+	h.b.origins[0].latency = 30
+	a := h.ask(Request{ID: 1, Key: 5})
+	h.end(1, 0, StatusMiss)
+	if len(a.sent) != 2 {
+		t.Fatalf("sent %+v, want a fetch", a.sent)
+	}
+	h.check()
+}
+
+func TestOnceIsNotRepeatedAfterATimeout(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(3)...)
+	a := h.ask(Request{ID: 1, Key: 5, Class: 1, Write: true})
+	h.end(1, 0, StatusFull) // never ran: may be sent again
+	h.run(50 * ms)
+	if len(a.sent) != 2 {
+		t.Fatalf("a rejected write was not sent again: %+v", a.sent)
+	}
+	h.end(1, 1, StatusReset)
+	h.run(10 * time.Second)
+	if len(a.sent) != 2 || a.answered != 1 {
+		t.Errorf("sent %d times, answered %d times; want 2 and 1", len(a.sent), a.answered)
+	}
+	if !slices.ContainsFunc(h.log, func(s string) bool { return s[len(s)-6:] == "fail 1" }) {
+		t.Error("a write that may have run was not failed")
+	}
+	h.check()
+}
+
+func TestDrainActsAtOnce(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(2)...)
+	first := h.ask(Request{ID: 1, Key: 9}).sent[0].to
+	h.end(1, 0, StatusOK)
+	h.members(ListDelta, Member{ID: first, State: Draining, Weight: 1})
+	if to := h.ask(Request{ID: 2, Key: 9}).sent[0].to; to == first {
+		t.Errorf("sent to member %d, which drains", to)
+	}
+	h.check()
+}
+
+// A key that one cache can't carry is split; one proxy of few then uses several caches.
+func TestHotKeyIsSplit(t *testing.T) {
+	s := testSettings()
+	s.Instances = 1
+	h := newHost(t, s, 1)
+	h.members(ListCached, withOrigin(10)...)
+	id := RequestID(0)
+	used := map[MemberID]int{}
+	for i := range 4000 {
+		id++
+		key := uint64(1)
+		if i%2 == 0 {
+			key = uint64(100 + i)
+		}
+		r := h.ask(Request{ID: id, Key: key})
+		if key == 1 && i > 3000 {
+			used[r.sent[0].to]++
+		}
+		h.end(id, 0, StatusOK)
+		h.run(5 * ms)
+	}
+	if len(used) < 4 {
+		t.Errorf("a key with half of all requests uses %d of 10 caches, want 4 or more", len(used))
+	}
+	h.check()
+}
+
+// A member that fails quickly attracts no work: it is ejected, and others serve its keys.
+func TestFastFailingMemberIsEjected(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(5)...)
+	bad := MemberID(1)
+	sent := 0
+	for id := RequestID(1); id <= 2000; id++ {
+		r := h.ask(Request{ID: id, Key: uint64(id)})
+		for i := 0; i < len(r.sent); i++ {
+			if r.sent[i].to == bad {
+				sent++
+				h.end(id, i, StatusConnectFailed)
+			} else if !r.sent[i].ended {
+				h.end(id, i, StatusOK)
+			}
+		}
+		h.run(5 * ms)
+	}
+	if sent > 40 {
+		t.Errorf("the failing member got %d of 2000 requests, want at most 40", sent)
+	}
+	h.check()
+}
+
+// When everything fails alike nobody is ejected.
+func TestGeneralFailureEjectsNobody(t *testing.T) {
+	s := testSettings()
+	h := newHost(t, s, 1)
+	h.members(ListCached, withOrigin(5)...)
+	for id := RequestID(1); id <= 1000; id++ { // the first failures may still look like outliers
+		r := h.ask(Request{ID: id, Key: uint64(id)})
+		for i := 0; i < len(r.sent); i++ {
+			h.end(id, i, StatusError)
+		}
+		h.run(20 * ms)
+	}
+	for _, n := range h.b.caches {
+		if n.outUntil > h.now {
+			t.Errorf("member %d is ejected though all fail alike", n.m.ID)
+		}
+	}
+	h.check()
+}
+
+func TestWatchIsAskedForAgain(t *testing.T) {
+	s := testSettings()
+	s.Subscribe = true
+	h := newHost(t, s, 1)
+	h.members(ListCached, withOrigin(2)...)
+	h.run(2 * time.Second)
+	if h.watch != 1 {
+		t.Fatalf("asked %d times at the start, want once", h.watch)
+	}
+	for i := range 5 {
+		h.members(ListFailed)
+		h.run(13 * time.Second)
+		if h.watch != i+2 {
+			t.Fatalf("asked %d times after %d failures", h.watch, i+1)
+		}
+	}
+	if len(h.b.caches) != 2 {
+		t.Error("the last list was not kept while discovery was dark")
+	}
+}
+
+func TestUnusableSettings(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"no class":     func(s *Settings) { s.Classes = nil },
+		"no attempt":   func(s *Settings) { s.TryLimit = 0 },
+		"no aim":       func(s *Settings) { s.Classes[0].Aim = 0 },
+		"cold share":   func(s *Settings) { s.ColdFrom = 2 },
+		"not a number": func(s *Settings) { s.FallMultiple = math.NaN() },
+	} {
+		s := testSettings()
+		change(&s)
+		if _, err := New(s, 1, &fakeHost{}); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+	if _, err := New(testSettings(), 1, nil); err == nil {
+		t.Error("no actions: no error")
+	}
+}
+
+func TestOddEventsLoseNothing(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	odd := []Request{
+		{ID: 1}, {ID: 2, Class: 99, Tenant: 99, Key: 3}, {ID: 3, Class: -1, Tenant: -5},
+		{ID: 4, Key: 1, Known: true, Cost: -time.Second}, {ID: 5, Class: 99, Write: true},
+	}
+	for _, r := range odd { // with no member at all
+		h.ask(r)
+	}
+	h.members(ListFull)
+	h.members(ListCached, Member{ID: 1, Zone: 200, Weight: math.NaN(), State: State(77)}, Member{ID: 2, Weight: -1})
+	for _, r := range odd {
+		r.ID += 10
+		h.ask(r)
+	}
+	h.b.Outcome(h.now, Outcome{Request: 999})
+	h.b.Outcome(h.now, Outcome{Request: 11, Attempt: 900})
+	h.b.Outcome(h.now, Outcome{Request: 11, Attempt: -1})
+	h.b.Expired(h.now, 999)
+	h.b.StreamStarted(h.now, 999, 0)
+	h.b.Timer(h.now, math.MaxUint64)
+	h.b.Probed(h.now, 7, StatusOK, 0, nil)
+	h.b.PeerMessage(h.now, -1, nil)
+	h.run(10 * time.Second)
+	for id, r := range h.open {
+		if r.answered != 1 {
+			t.Errorf("request %d answered %d times", id, r.answered)
+		}
+	}
+	h.check()
+}
+
+// A burst once left members with deep queues jammed for good: every attempt timed out, and clients tried again.
+func TestJammedMemberIsSentLess(t *testing.T) {
+	s := testSettings()
+	h := newHost(t, s, 1)
+	h.members(ListCached, withOrigin(4)...)
+	sent := 0
+	for id := RequestID(1); id <= 1000; id++ {
+		h.ask(Request{ID: id, Key: uint64(id)})
+		h.run(10 * ms)
+		for old, r := range h.open {
+			for i, a := range r.sent {
+				if !a.ended && h.now-a.at >= 300*ms {
+					sent++
+					h.end(old, i, StatusTimeout)
+				}
+			}
+		}
+	}
+	if sent > 500 {
+		t.Errorf("%d attempts in 10 s at 4 members that answer nothing in time, want at most 500", sent)
+	}
+	h.check()
+}
+
+// Once jammed, members that had recovered stood idle: each good answer cut their limits further while the mean
+// of earlier ones was still over the target.
+func TestLimitsRecoverAfterAJam(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(4)...)
+	asked, sent := 0, 0
+	for id := RequestID(1); id <= 2400; id++ { // 100 a second: 4 s of time-outs, then 20 s of fast answers
+		jam := id <= 400
+		r := h.ask(Request{ID: id, Key: uint64(id)})
+		if id > 1900 {
+			asked++
+			sent += min(1, len(r.sent))
+		}
+		h.run(10 * ms)
+		for old := max(1, id-100); old <= id; old++ {
+			for i, a := range h.open[old].sent {
+				switch {
+				case a.ended:
+				case jam && h.now-a.at >= 300*ms:
+					h.end(old, i, StatusTimeout)
+				case !jam:
+					h.end(old, i, StatusOK)
+				}
+			}
+		}
+	}
+	if sent < asked*8/10 {
+		t.Errorf("%d of %d requests sent 15 s after a jam ended, want most", sent, asked)
+	}
+	h.check()
+}
+
+// Spilling from busy members scattered keys: hits became misses that jammed the origin.
+func TestBusyMemberDoesNotScatterItsKeys(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(8)...)
+	home := h.ask(Request{ID: 1, Key: 7}).sent[0].to
+	h.end(1, 0, StatusOK)
+	n := h.b.nodes[home]
+	n.limit, n.out = 1, 1 // busy
+	if r := h.ask(Request{ID: 9, Key: 7}); len(r.sent) != 1 || r.sent[0].to == home {
+		t.Errorf("sent to %v while the key's member is busy and the origin idle, want the next candidate", r.sent)
+	}
+	h.b.nodes[originID].latency = h.b.target // a fetch is dear
+	if r := h.ask(Request{ID: 2, Key: 7}); len(r.sent) != 0 || r.answered == 0 {
+		t.Errorf("sent to %v while the key's member is busy, want a refusal", r.sent)
+	}
+	n.outUntil = h.now + time.Second // ejected: then the next candidate does
+	if r := h.ask(Request{ID: 3, Key: 7}); len(r.sent) != 1 || r.sent[0].to == home {
+		t.Errorf("sent to %v while the key's member is ejected, want the next candidate", r.sent)
+	}
+	h.check()
+}
+
+// Where caches fetch by themselves, giving up slow answers and asking the next cache doubled the fetches.
+func TestThroughModeWaitsForAFetch(t *testing.T) {
+	s := testSettings()
+	s.Mode, s.OriginKind = Through, -1
+	h := newHost(t, s, 1)
+	h.members(ListCached, caches(4)...)
+	r := h.ask(Request{ID: 1, Key: 7})
+	if len(r.sent) != 1 || r.sent[0].timeout != 0 {
+		t.Errorf("attempts %+v, want one that is not given up", r.sent)
+	}
+	h.check()
+}
+
+// A full member was left out for a while, which scattered all its keys; cutting its limit from what is out held
+// back proxies that send to it seldom. Now its limit falls to one at least.
+func TestFullMemberKeepsItsKeys(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(8)...)
+	home := h.ask(Request{ID: 1, Key: 7}).sent[0].to
+	n := h.b.nodes[home]
+	h.end(1, 0, StatusFull)
+	if n.limit >= startLimit {
+		t.Errorf("limit %v after a full answer, want less than %d", n.limit, startLimit)
+	}
+	if r := h.ask(Request{ID: 2, Key: 7}); len(r.sent) != 1 || r.sent[0].to != home {
+		t.Errorf("the next request goes to %+v, want member %d", r.sent, home)
+	}
+	for range 20 {
+		h.b.learn(n, Outcome{Status: StatusFull}, false)
+	}
+	if n.limit < 1 {
+		t.Errorf("limit %v after many full answers, want 1", n.limit)
+	}
+	h.check()
+}
+
+// While most of the fleet was cold its budgets shrank with the little that the few warm members answered: they go by
+// the weight that answers, and never by less than half of the fleet.
+func TestColdBudgetGoesByTheWeightThatAnswers(t *testing.T) {
+	for _, c := range []struct {
+		cold      int
+		low, high float64
+	}{{0, 10, 10}, {4, 7, 8}, {9, 5, 5}} {
+		h := newHost(t, testSettings(), 1)
+		list := withOrigin(10)
+		for i := range c.cold {
+			list[i].StartedAt = h.now - 2*time.Second // warm to 0.36
+		}
+		h.members(ListCached, list...)
+		if w := h.b.warmWeight(); w < c.low || w > c.high {
+			t.Errorf("%d of 10 members cold: weight %.2f, want %v to %v", c.cold, w, c.low, c.high)
+		}
+	}
+}
+
+// Keys at the hot set's edge changed caches each time they entered or left it: a key newly placed stays with its
+// slot's member unless the objective gains enough by moving it.
+func TestNewlyHotKeyStaysWithItsSlot(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, caches(8)...)
+	for range 50 { // one key sets the level, the others are at the edge
+		h.b.counts.add(1)
+	}
+	for key := uint64(2); key < 60; key++ {
+		h.b.counts.add(key)
+		h.b.counts.add(key)
+	}
+	h.b.place()
+	moved, placed := 0, 0
+	for key := uint64(2); key < 60; key++ {
+		if p := h.b.hot[key]; p != nil {
+			placed++
+			if p.nodes[0] != h.b.order(slotOf(key))[0].n {
+				moved++
+			}
+		}
+	}
+	if placed < 50 || moved > placed/4 {
+		t.Errorf("%d of %d keys newly placed left their slot's member, want a quarter at most", moved, placed)
+	}
+}
+
+// Keys wanted only once took the origin's room from those that many ask for: a known key goes first.
+func TestKnownKeysAreFetchedFirst(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(4)...)
+	for id := RequestID(1); id <= 20; id++ {
+		r := h.ask(Request{ID: id, Key: 7})
+		h.end(id, len(r.sent)-1, StatusOK)
+	}
+	h.b.nodes[originID].limit = 1
+	h.b.nodes[originID].out = 1 // its room is taken
+	for i, key := range []uint64{100, 101, 7} {
+		id := RequestID(100 + i)
+		h.ask(Request{ID: id, Key: key})
+		h.end(id, 0, StatusMiss)
+	}
+	h.b.nodes[originID].out = 0
+	h.run(25 * ms)
+	for i, want := range []int{1, 1, 2} {
+		if got := len(h.open[RequestID(100+i)].sent); got != want {
+			t.Errorf("request %d: %d attempts, want %d", 100+i, got, want)
+		}
+	}
+	h.check()
+}
+
+// Clients that try again under overload once inflated the cold budget: it must follow what caches answer.
+func TestColdBudgetFollowsWhatCachesAnswer(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(4)...)
+	answered := 0
+	for id := RequestID(1); id <= 4000; id++ { // 500 a second, of which caches answer two in three
+		r := h.ask(Request{ID: id, Key: uint64(id)})
+		for i := 0; i < len(r.sent); i++ {
+			if id%3 == 0 {
+				h.end(id, i, StatusFull)
+			} else {
+				h.end(id, i, StatusOK)
+				answered++
+			}
+		}
+		h.run(2 * ms)
+	}
+	if most := float64(answered) / 8 * 1.1; h.b.rate() > most || h.b.rate() < most/2 {
+		t.Errorf("the budget goes by %.0f a second while caches answer %.0f", h.b.rate(), most/1.1)
+	}
+	h.check()
+}
+
+// Many members, each sent to seldom: no member's limit sees the jam, the throttle must.
+func TestThrottleEndsAJamOfSeldomUsedMembers(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(400)...)
+	sent, asked := 0, 0
+	for id := RequestID(1); id <= 1500; id++ {
+		r := h.ask(Request{ID: id, Key: uint64(id)})
+		if h.now > time.Hour+5*time.Second {
+			asked++
+			sent += len(r.sent)
+		}
+		for i := range r.sent {
+			h.end(id, i, StatusError)
+			break
+		}
+		h.run(10 * ms)
+	}
+	if asked == 0 || sent > asked/2 {
+		t.Errorf("%d attempts for %d requests though no cache answers, want at most half", sent, asked)
+	}
+	h.check()
+}
+
+// The time before a member was first sent to counts from when it was heard of, not from the clock's zero.
+func TestFirstGapIsNotTheClock(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(1)...)
+	h.run(10 * ms)
+	h.ask(Request{ID: 1, Key: 1})
+	if n := h.b.caches[0]; n.gap > 1 {
+		t.Errorf("gap %v s after 10 ms", n.gap)
+	}
+}
+
+// ---- the mechanism
+
+func TestCounterKeepsItsErrorBound(t *testing.T) {
+	const size, total = 64, 20000
+	c := counter{at: map[uint64]int{}, size: size}
+	rng := rand.New(rand.NewPCG(1, 2))
+	zipf := rand.NewZipf(rng, 1.2, 2, 5000)
+	exact := map[uint64]float64{}
+	for range total {
+		k := zipf.Uint64()
+		exact[k]++
+		c.add(k)
+	}
+	for _, it := range c.items {
+		if over := it.count - exact[it.key]; over < 0 || over > it.err || it.err > total/size {
+			t.Errorf("key %d: counted %v with error %v, exactly %v; bound %d", it.key, it.count, it.err,
+				exact[it.key], total/size)
+		}
+	}
+	for k, n := range exact { // whatever is above the bound is kept
+		if _, ok := c.at[k]; !ok && n > total/size {
+			t.Errorf("key %d with %v requests was dropped", k, n)
+		}
+	}
+}
+
+// The greedy stays within 4/3 of the best objective, the bound of longest-first scheduling, plus one
+// key's cost for the second term.
+func TestGreedyAgainstBruteForce(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	for round := range 40 {
+		s := testSettings()
+		s.Instances = 100
+		h := newHost(t, s, uint64(round))
+		h.members(ListCached, withOrigin(3)...)
+		h.b.hot = map[uint64]*placed{}
+		counts := make([]float64, 5+rng.IntN(3))
+		for i := range counts {
+			counts[i] = float64(2 + rng.IntN(30))
+			for range int(counts[i]) {
+				h.b.counts.add(uint64(i + 1))
+			}
+		}
+		h.b.counts.total *= 1000 // a wide tail: no key is hot enough to be split
+		got := h.greedyAll(counts)
+		best := bruteForce(counts, 3)
+		if got > best*4/3+keyWeight {
+			t.Errorf("round %d: greedy %v, best %v, counts %v", round, got, best, counts)
+		}
+	}
+}
+
+// greedyAll places the keys with all caches as candidates and returns the objective.
+func (h *fakeHost) greedyAll(counts []float64) float64 {
+	maxS, maxT := 0.0, 0.0
+	for _, it := range h.b.counts.hottest(2, maxHot) {
+		var order []ranked
+		for _, n := range h.b.caches {
+			order = append(order, ranked{n: n})
+		}
+		// An old place on no cache here: the bound is the greedy's own, without the margin for old places.
+		n := h.b.leastRaise(order, &placed{}, 0, it, 1, maxS, maxT, &placed{})
+		n.hotLoad += it.count
+		n.hotKeys++
+		maxS, maxT = max(maxS, n.hotLoad), max(maxT, n.hotKeys)
+	}
+	return maxS + keyWeight*maxT
+}
+
+func bruteForce(counts []float64, servers int) float64 {
+	best := math.Inf(1)
+	load, keys := make([]float64, servers), make([]float64, servers)
+	var try func(i int)
+	try = func(i int) {
+		if i == len(counts) {
+			best = min(best, slices.Max(load)+keyWeight*slices.Max(keys))
+			return
+		}
+		for j := range servers {
+			load[j] += counts[i]
+			keys[j]++
+			try(i + 1)
+			load[j] -= counts[i]
+			keys[j]--
+		}
+	}
+	try(0)
+	return best
+}
+
+func firsts(b *Balancer) []MemberID {
+	out := make([]MemberID, slotCount)
+	for i := range out {
+		out[i] = b.order(i)[0].n.m.ID
+	}
+	return out
+}
+
+func TestSlotTableIsSharedBalancedAndStable(t *testing.T) {
+	list := withOrigin(12)
+	for i := range list {
+		list[i].Weight = float64(1 + i%3)
+	}
+	a, b := newHost(t, testSettings(), 1), newHost(t, testSettings(), 99)
+	a.members(ListCached, list...)
+	back := slices.Clone(list)
+	slices.Reverse(back)
+	b.members(ListCached, back...)
+	was := firsts(a.b)
+	if !slices.Equal(was, firsts(b.b)) {
+		t.Fatal("the table depends on the list's order or the seed")
+	}
+	share, weight := map[MemberID]float64{}, 0.0
+	for _, id := range was {
+		share[id]++
+	}
+	for _, m := range list[:12] {
+		weight += m.Weight
+	}
+	for _, m := range list[:12] { // tolerance: a quarter of the due share
+		due := slotCount * m.Weight / weight
+		if math.Abs(share[m.ID]-due) > due/4 {
+			t.Errorf("member %d has %v slots, due %v", m.ID, share[m.ID], due)
+		}
+	}
+	gone := list[4]
+	gone.State = Gone
+	a.members(ListDelta, gone)
+	for i, id := range firsts(a.b) {
+		if was[i] != gone.ID && id != was[i] {
+			t.Fatalf("slot %d moved from %d to %d though neither left", i, was[i], id)
+		}
+	}
+	a.members(ListDelta, list[4])
+	if !slices.Equal(was, firsts(a.b)) {
+		t.Error("the table differs after a member left and came back")
+	}
+}
+
+// Live weights follow load; slots must not.
+func TestLiveWeightsMoveNoSlots(t *testing.T) {
+	s := testSettings()
+	s.Weights = WeightsLive
+	h := newHost(t, s, 1)
+	list := withOrigin(8)
+	h.members(ListCached, list...)
+	was := firsts(h.b)
+	for i := range list {
+		list[i].Weight /= float64(1 + i)
+	}
+	h.members(ListDelta, list...)
+	if !slices.Equal(was, firsts(h.b)) {
+		t.Error("slots moved with the load")
+	}
+}
--- /dev/null
+++ b/logic/random_test.go
@@ -0,0 +1,160 @@
+package logic
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestRandomEvents drives long random sequences and holds the rules as invariants.
+func TestRandomEvents(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"aside":   func(s *Settings) {},
+		"through": func(s *Settings) { s.Mode = Through },
+		"zones":   func(s *Settings) { s.Zones, s.CrossZonePrice = 2, 0.1 },
+		"copies":  func(s *Settings) { s.SecondCopies, s.TryLimit = true, 3 },
+		"live":    func(s *Settings) { s.Weights, s.Subscribe = WeightsLive, true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(6) {
+				s := testSettings()
+				change(&s)
+				s.Tenants = []Tenant{{Share: 0.7}, {Share: 0.3}}
+				driveRandom(t, s, seed).check()
+			}
+		})
+	}
+}
+
+func TestSameSeedSameActions(t *testing.T) {
+	a, b := driveRandom(t, testSettings(), 5), driveRandom(t, testSettings(), 5)
+	if !slices.Equal(a.log, b.log) {
+		t.Error("the same seed and events gave other actions")
+	}
+	if c := driveRandom(t, testSettings(), 6); slices.Equal(a.log, c.log) {
+		t.Error("another seed gave the same actions: the comparison sees nothing")
+	}
+}
+
+func driveRandom(t *testing.T, s Settings, seed uint64) *fakeHost {
+	t.Helper()
+	h := newHost(t, s, seed)
+	rng := rand.New(rand.NewPCG(seed, 42))
+	list := withOrigin(12)
+	h.members(ListCached, list...)
+	next := RequestID(0)
+	for range 6000 {
+		switch p := rng.IntN(100); {
+		case p < 45:
+			next++
+			class := rng.IntN(len(s.Classes) + 1)
+			h.ask(Request{ID: next, Key: uint64(rng.IntN(60) * rng.IntN(2)), Class: class, Tenant: rng.IntN(3),
+				Write: class != 0, Known: p < 20, Cost: time.Duration(rng.IntN(80)) * ms,
+				Deadline: h.now + time.Duration(rng.IntN(1500))*ms})
+		case p < 80:
+			h.endSome(rng)
+		case p < 84:
+			h.changeMember(rng, list)
+		case p < 85:
+			h.members([]ListKind{ListFull, ListFailed}[rng.IntN(2)], list...)
+		case p < 87:
+			h.leaveSome(rng)
+		}
+		h.run(time.Duration(rng.IntN(12)) * ms)
+		h.checkDeadlines()
+	}
+	h.run(20 * time.Second)
+	for id := RequestID(1); id <= next; id++ {
+		if h.open[id].answered != 1 {
+			h.breach("request %d answered %d times", id, h.open[id].answered)
+		}
+	}
+	h.checkCold()
+	return h
+}
+
+var statuses = []Status{StatusOK, StatusOK, StatusOK, StatusMiss, StatusMiss, StatusFull, StatusError,
+	StatusTimeout, StatusConnectFailed, StatusReset, StatusCancelled, StatusMoot, StatusUnknown}
+
+func (h *fakeHost) endSome(rng *rand.Rand) {
+	ids := make([]RequestID, 0, len(h.open))
+	for id, r := range h.open {
+		if slices.ContainsFunc(r.sent, func(a sentTo) bool { return !a.ended }) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return
+	}
+	slices.Sort(ids)
+	id := ids[rng.IntN(len(ids))]
+	for i, a := range h.open[id].sent {
+		if !a.ended {
+			h.end(id, i, statuses[rng.IntN(len(statuses))])
+			if rng.IntN(10) == 0 { // told twice
+				h.b.Outcome(h.now, Outcome{Request: id, Attempt: i, Member: a.to, Status: StatusTimeout})
+			}
+			return
+		}
+	}
+}
+
+func (h *fakeHost) changeMember(rng *rand.Rand, list []Member) {
+	m := &list[rng.IntN(len(list))]
+	switch rng.IntN(4) {
+	case 0:
+		m.State = Draining
+	case 1:
+		m.State = Gone
+	default:
+		m.State = Ready
+		if m.ID != originID {
+			m.StartedAt = h.now
+			delete(h.cold, m.ID)
+		}
+	}
+	h.members(ListDelta, *m)
+}
+
+func (h *fakeHost) leaveSome(rng *rand.Rand) {
+	for id, n := RequestID(1), RequestID(len(h.open)); id <= n; id++ {
+		if r := h.open[id]; r.answered == 0 && rng.IntN(5) == 0 {
+			r.answered = 1
+			h.b.Expired(h.now, id)
+			return
+		}
+	}
+}
+
+func (h *fakeHost) checkDeadlines() {
+	for id, r := range h.open {
+		if r.answered == 0 && h.now > r.Deadline+20*ms {
+			h.breach("request %d unanswered %v after its deadline", id, h.now-r.Deadline)
+			r.answered = 1
+		}
+	}
+}
+
+// checkCold holds sends to a cold member under the whole fleet's budget: even one proxy that carried
+// everything must stay below it. A member's capacity is taken as its even share of the requests.
+func (h *fakeHost) checkCold() {
+	rate := float64(len(h.open)) / (h.now - time.Hour).Seconds()
+	for id, at := range h.cold {
+		for i := range at {
+			in := 0
+			for _, x := range at[i:] {
+				if x-at[i] < h.s.FallAfter {
+					in++
+				}
+			}
+			age := min(1, (at[i]+h.s.FallAfter-h.list[id].StartedAt).Seconds()/h.s.ColdFor.Seconds())
+			ramp := h.s.ColdFrom + (1-h.s.ColdFrom)*age
+			most := 2 + h.s.FallMultiple*ramp*2*rate/12*h.s.FallAfter.Seconds()
+			if float64(in) > most {
+				h.breach("cold member %d got %d sends in %v, at most %.1f", id, in, h.s.FallAfter, most)
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/logic/types.go
@@ -0,0 +1,94 @@
+package logic
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// limiter is the adaptive concurrency of a member, from this proxy.
+type limiter struct {
+	limit, latency float64 // latency: seconds an answer takes lately
+	gap            float64 // seconds between sends, lately
+	seen, out      int
+	cutAt, sentAt  time.Duration
+}
+
+// node is what the balancer knows of a member.
+type node struct {
+	limiter
+	m                Member
+	hash             uint64
+	weight           float64       // its share of slots: alike at every proxy, untouched by load
+	streak           int           // failures in a row
+	fails            float64       // share of attempts that failed, lately
+	outUntil         time.Duration // ejected, or full, until then
+	tokens           float64       // the cold budget
+	tokensAt         time.Duration
+	hotLoad, hotKeys float64 // S and T of the paper
+}
+
+type ranked struct {
+	n     *node
+	score float64
+}
+
+// flight is a request in hand.
+type flight struct {
+	Request
+	class          *Class
+	aim            time.Duration // answers after this are worth little or nothing
+	value          float64
+	slot, attempts int
+	out            uint64 // attempts outstanding, a bit each
+	fetch          uint64 // attempts that went to the origin
+	ran            uint64 // attempts that may have run, or may yet
+	ranAt          time.Duration
+	ranOn          *node // the first of those went there
+	missAt         *node // where the value will be stored
+	tried          []*node
+	waiting        bool // for another request's fetch, or in the origin's queue
+	joined         bool // it has waited for another's fetch before asking a cache
+	leased         bool // it has waited for another's fetch after a miss
+	owner          bool // others may wait for its fetch
+	stream         bool
+	done           bool // answered; kept until its attempts have ended
+}
+
+// Balancer makes the decisions of one proxy. Make it with New, then call Start.
+type Balancer struct {
+	s               Settings
+	do              Actions
+	rng             *rand.Rand
+	now, closeAt    time.Duration
+	nodes           map[MemberID]*node
+	caches, origins []*node // ready, by id
+	slots           [][]ranked
+	kindSize        map[int]float64
+	warm            float64 // weight of the caches, cold ones by their warmth
+	warmAt          time.Duration
+	peak            float64 // the most weight the list has held
+	local           bool    // each zone has a slot table of its own
+	counts          counter
+	kept            float64 // of the count, from earlier windows
+	hot             map[uint64]*placed
+	arrivals, span  float64       // requests, and the seconds they were counted
+	carried         float64       // what the caches did of them, in answers; a miss is half of one
+	period          time.Duration // of the window
+	tenants         []float64
+	flights         map[RequestID]*flight
+	fetching        map[uint64][]*flight // by key: who waits for the fetch that is out
+	queue           []*flight            // for the origin
+	pumpAt          time.Duration
+	target          float64 // seconds a fetch may take
+	latency, fails  float64 // the caches' mean
+	retries         float64 // the retry budget
+	asked, answered float64 // attempts at caches, lately
+	askedAt         time.Duration
+	watches         int
+}
+
+// placed are the caches of a hot key; more than one only if the key is split.
+type placed struct {
+	nodes []*node
+	next  int
+}
