--- a/cmd/linenloom/config.go
+++ b/cmd/linenloom/config.go
@@ -47,6 +47,14 @@
 
 // loadConfig reads the configuration. The variables beside LB_CONFIG take precedence over the file.
 func loadConfig(getenv func(string) string) (*config, error) {
+	return readConfig(getenv, getenv("LB_DISCOVERY"))
+}
+
+// reloadConfig reads the configuration again. Now the file's discovery holds: the environment is as old as
+// the process, and the file has been replaced since.
+func reloadConfig(getenv func(string) string) (*config, error) { return readConfig(getenv, "") }
+
+func readConfig(getenv func(string) string, discovery string) (*config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
 		return nil, errors.New("LB_CONFIG is not set")
@@ -61,7 +69,7 @@
 	}
 	c.Name = cmp.Or(getenv("LB_NAME"), c.Name)
 	c.Listen = cmp.Or(getenv("LB_LISTEN"), c.Listen)
-	c.Discovery = cmp.Or(getenv("LB_DISCOVERY"), c.Discovery)
+	c.Discovery = cmp.Or(discovery, c.Discovery)
 	return &c, c.check()
 }
 
--- a/cmd/linenloom/main.go
+++ b/cmd/linenloom/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -31,6 +32,11 @@
 }
 
 func run() error {
+	// From the start, so that none of these ends the process by its default. A log that nobody reads any more
+	// must not do so either.
+	signal.Ignore(syscall.SIGPIPE)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	cfg, err := loadConfig(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -50,9 +56,32 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range hangup {
+			reload(p, cfg, log)
+		}
+	}()
 	if err := p.Run(ctx); err != nil {
 		return err
 	}
 	log.Info("stopped")
 	return nil
 }
+
+// reload takes over what the configuration file says now, as far as a running proxy can. A file that can't be
+// used changes nothing.
+func reload(p *proxy.Proxy, old *config, log *slog.Logger) {
+	cfg, err := reloadConfig(os.Getenv)
+	if err == nil {
+		_, err = cfg.proxy()
+	}
+	if err != nil {
+		log.Error("reload failed, the old configuration stays in force", "err", err)
+		return
+	}
+	if cfg.Listen != old.Listen || cfg.Limits != old.Limits || !bytes.Equal(cfg.Settings, old.Settings) {
+		log.Warn("reload: changes of listen, limits and settings need a restart")
+	}
+	log.Info("reload", "discovery", cfg.Discovery)
+	p.Follow(cfg.Discovery)
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,7 +8,9 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -26,6 +28,9 @@
 	firstRetry  = 50 * time.Millisecond
 	lastRetry   = time.Second
 	maxLine     = 1 << 20 // of the list: room for some thousands of members
+	// catchUp is how long a discovery that is asked for the first time may lag behind the one before it.
+	catchUp      = 1500 * time.Millisecond
+	fetchTimeout = time.Second
 )
 
 // The phases of a member.
@@ -58,9 +63,12 @@
 type Watcher struct {
 	Addr     string
 	Revision int64 // the last one known
-	Take     func(List)
-	Broken   func()
-	Log      *slog.Logger
+	// Whole asks for the whole list first, for a discovery that need not have counted its revisions like the
+	// one before it.
+	Whole  bool
+	Take   func(List)
+	Broken func()
+	Log    *slog.Logger
 }
 
 // Run watches until the context ends.
@@ -71,8 +79,18 @@
 	}}
 	retry := firstRetry
 	down := false
+	begun := time.Now()
 	for ctx.Err() == nil {
-		n, err := w.watch(ctx, client)
+		var n int
+		var err error
+		if w.Whole {
+			// A list older than what is known would call members back that drain by now. Discovery catches up
+			// soon; if it does not, it counts anew, and its list holds.
+			err = w.fetch(ctx, client, time.Since(begun) > catchUp)
+		}
+		if !w.Whole {
+			n, err = w.watch(ctx, client)
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -92,6 +110,39 @@
 	}
 }
 
+// errBehind tells that discovery does not know yet what it, or another, has told before.
+var errBehind = errors.New("discovery list is older than the one known")
+
+// fetch takes the whole list once, and one older than what is known only if told so.
+func (w *Watcher) fetch(ctx context.Context, client *http.Client, older bool) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	u := url.URL{Scheme: "http", Host: w.Addr, Path: "/registry/instances"}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return fmt.Errorf("discovery request: %w", err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fmt.Errorf("discovery list: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("discovery list: status %s", resp.Status)
+	}
+	var list List
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLine)).Decode(&list); err != nil {
+		return fmt.Errorf("discovery list: %w", err)
+	}
+	if list.Revision < w.Revision && !older {
+		return errBehind
+	}
+	list.Complete = true
+	w.Whole, w.Revision = false, list.Revision
+	w.Take(list)
+	return nil
+}
+
 // watch follows one watch until it breaks and returns how many lines it brought.
 func (w *Watcher) watch(ctx context.Context, client *http.Client) (lines int, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -60,13 +60,13 @@
 	}
 }
 
-// Cancel stops waiting for an attempt. One that has begun to pass on its value goes on.
+// Cancel stops waiting for an attempt.
 func (x actions) Cancel(id logic.RequestID, attempt int) {
 	r := x.p.requests[id]
 	if r == nil || attempt < 0 || attempt >= len(r.attempts) {
 		return
 	}
-	if a := r.attempts[attempt]; !a.ended && !a.streaming {
+	if a := r.attempts[attempt]; !a.ended {
 		x.p.abandon(a, logic.StatusCancelled)
 	}
 }
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -19,9 +19,28 @@
 	maxText      = 2 << 10 // key, id and list together
 	// maxPipeline is how many commands of a connection are read ahead of their answers.
 	maxPipeline = 32
-	// commandTime is how long a command may take to arrive. Clients may take 2 s; one that takes longer has
-	// stopped in the middle and would hold its part of the memory for good.
-	commandTime = 4 * time.Second
+	// maxUnsent is how much a client may leave unread before nothing more is read from it.
+	maxUnsent = 2 * resp.MaxValue
+	// commandTime is how long a command may take to arrive, and a new connection's first from when it was
+	// accepted. Whatever the reason for which a client stops short (half a command, silence, a peer that
+	// vanished), it would hold a descriptor and memory for good. It harms a client that pauses for longer
+	// inside a command, and one that connects long before it asks: that one has to connect again.
+	commandTime = 2500 * time.Millisecond
+	// clientIdle is how long a connection may stand idle; crowdedIdle, once half of the room for clients is
+	// taken. Clients that come once and stay are closed that way, whoever they are. A client whose next
+	// command crosses the close sends it again on a new connection.
+	clientIdle  = 10 * time.Second
+	crowdedIdle = 2200 * time.Millisecond
+	// youngFor is how long a connection that has not asked yet is spared when room is needed: a client's
+	// first command may be on its way.
+	youngFor = 100 * time.Millisecond
+	// maxFaults is how many commands that can't be carried out a client may send before its connection is
+	// ended. Each has its error line; without an end, a faulty client could keep the proxy busy for ever.
+	maxFaults = 16
+	// lingerBytes and lingerFor bound what is read after the last answer of a faulty client, so that closing
+	// does not reset the connection before that answer is read. It may have megabytes more to send.
+	lingerBytes = 256 << 10
+	lingerFor   = 500 * time.Millisecond
 )
 
 // command is what a client asks.
@@ -43,9 +62,13 @@
 	pending []*request // in the order of their commands
 	mid     bool       // a command has been read in part
 	resume  chan struct{}
-	active  time.Duration // when it last had something pending
+	active  time.Duration // when it connected, or last had something pending
+	asked   bool          // a command has been read whole
+	faults  int           // commands that could not be carried out
 	ended   bool          // nothing further is read or answered
-	limited bool          // a deadline is set for the rest of a command
+	hung    bool          // the sending side is ended
+	closed  bool
+	limited bool // a deadline is set for the rest of a command
 }
 
 // Read reads for the parser. In the middle of a command it limits how long the rest may take.
@@ -85,7 +108,7 @@
 		p.enter()
 		c, err := p.newClient(conn)
 		p.leave()
-		if err != nil {
+		if err != nil || c == nil {
 			conn.Close()
 			continue
 		}
@@ -93,31 +116,38 @@
 	}
 }
 
+// newClient takes a connection in; nil, if there is no room for it.
 func (p *Proxy) newClient(conn *net.TCPConn) (*client, error) {
 	w, err := newWriter(p, conn)
 	if err != nil {
 		return nil, err
 	}
-	for p.sockets() >= p.cfg.Sockets-spareSockets && p.makeRoom() {
+	for len(p.clients) >= p.maxClients() {
+		if !p.dropClient() {
+			return nil, nil
+		}
+	}
+	for p.sockets() >= p.cfg.Sockets-spareSockets {
+		if !p.makeRoom() {
+			return nil, nil
+		}
 	}
-	c := &client{p: p, conn: conn, w: w, active: p.now}
+	c := &client{p: p, conn: conn, w: w, active: p.now, limited: true}
 	c.in = resp.NewReader(c, clientBuffer)
 	w.idle = c.flush
+	conn.SetReadDeadline(time.Now().Add(commandTime)) // for the first command, whether it begins or not
 	p.clients[c] = struct{}{}
 	return c, nil
 }
 
-// makeRoom closes the connection that has been idle longest: a client may open another at any time, and
-// loses nothing by it.
+// maxClients keeps descriptors for the members: without connections to them, no client can be served.
+func (p *Proxy) maxClients() int {
+	return (p.cfg.Sockets - spareSockets) * clientShare / 100
+}
+
+// makeRoom closes a connection that nothing is lost with.
 func (p *Proxy) makeRoom() bool {
-	var oldest *client
-	for c := range p.clients {
-		if c.free() && (oldest == nil || c.active < oldest.active) {
-			oldest = c
-		}
-	}
-	if oldest != nil {
-		oldest.close()
+	if p.dropClient() {
 		return true
 	}
 	for _, m := range p.members {
@@ -128,18 +158,67 @@
 	return false
 }
 
+// dropClient closes the idle client that is missed least: first those that have connected and asked nothing,
+// then those idle for long, and of each the oldest. A crowd that only connects pushes out its own like, not
+// the clients that are being served; clients that come with a first question of theirs in such a crowd may
+// have to connect again.
+func (p *Proxy) dropClient() bool {
+	var victim *client
+	least := 0
+	for c := range p.clients {
+		if !c.free() {
+			continue
+		}
+		age := p.now - c.active
+		rank := 3
+		switch {
+		case !c.asked && age >= youngFor:
+			rank = 0
+		case c.asked && age >= crowdedIdle:
+			rank = 1
+		case !c.asked:
+			rank = 2
+		}
+		if victim == nil || rank < least || rank == least && c.active < victim.active {
+			victim, least = c, rank
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	victim.close()
+	return true
+}
+
+// closeIdleClients closes the connections that have stood idle for too long.
+func (p *Proxy) closeIdleClients() {
+	age := clientIdle
+	if len(p.clients) > p.maxClients()/2 {
+		age = crowdedIdle
+	}
+	for c := range p.clients {
+		if c.asked && p.now-c.active >= age && c.free() {
+			c.close()
+		}
+	}
+}
+
 // free tells whether the connection can be closed without losing anything.
 func (c *client) free() bool {
 	return len(c.pending) == 0 && !c.w.busy && !c.mid
 }
 
+// errFaulty ends a connection on which too many commands could not be carried out.
+var errFaulty = errors.New("too many faulty commands")
+
 // serve reads commands until the connection ends.
 func (c *client) serve() {
 	err := c.read()
 	c.p.enter()
-	if err != nil && !c.ended && (errors.Is(err, resp.ErrProtocol) || errors.Is(err, os.ErrDeadlineExceeded)) {
+	late := c.mid && errors.Is(err, os.ErrDeadlineExceeded) // one that said nothing is closed without a word
+	if err != nil && !c.ended && (errors.Is(err, resp.ErrProtocol) || late || errors.Is(err, errFaulty)) {
 		text := "ERR Protocol error: " + err.Error()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
+		if late {
 			text = "ERR the command was not finished in time"
 		}
 		c.error(text)
@@ -155,16 +234,23 @@
 
 // linger reads and drops what still comes, so that the client can take in what it has been sent.
 func (c *client) linger() {
-	c.conn.SetReadDeadline(time.Now().Add(stallLimit))
-	io.Copy(io.Discard, c.conn)
+	c.conn.SetReadDeadline(time.Now().Add(lingerFor))
+	io.CopyN(io.Discard, c.conn, lingerBytes)
+	c.p.enter()
+	owed := len(c.pending) > 0
+	c.p.leave()
+	if owed { // answers before the error are still out: the deadline of the requests bounds the wait
+		c.awaitAnswers()
+	}
 }
 
 // hangUp ends the sending side once everything pending is answered. The client sees the end and closes.
 func (c *client) hangUp(final bool) {
 	c.ended = c.ended || final
-	if c.free() && !c.w.failed {
-		c.ended = true
+	if c.free() && !c.w.failed && !c.hung {
+		c.ended, c.hung = true, true
 		c.conn.CloseWrite()
+		c.wake()
 	}
 }
 
@@ -187,6 +273,7 @@
 			p.leave()
 			return io.EOF
 		}
+		c.asked, c.active = true, p.now
 		switch {
 		case cmd.refused:
 			c.error("BUSY")
@@ -195,14 +282,19 @@
 		case cmd.name == "PING":
 			c.say("+PONG\r\n")
 		default:
+			c.faults++
 			c.error("ERR unknown command")
 		}
+		faulty := c.faults >= maxFaults
 		var wait chan struct{}
-		if len(c.pending) >= maxPipeline || c.w.busy && p.held > p.heldMax {
+		if !faulty && c.crowded() {
 			wait = make(chan struct{})
 			c.resume = wait
 		}
 		p.leave()
+		if faulty {
+			return errFaulty
+		}
 		if c.limited {
 			c.limited = false
 			c.conn.SetReadDeadline(time.Time{})
@@ -213,6 +305,26 @@
 	}
 }
 
+// crowded tells whether the client has to take in answers before more is read from it.
+func (c *client) crowded() bool {
+	return len(c.pending) >= maxPipeline || c.w.backlog > maxUnsent || c.w.busy && c.p.held > c.p.heldMax
+}
+
+// awaitAnswers waits until everything pending is answered or the connection has ended.
+func (c *client) awaitAnswers() {
+	for {
+		c.p.enter()
+		if c.closed || c.w.failed || c.free() {
+			c.p.leave()
+			return
+		}
+		wait := make(chan struct{})
+		c.resume = wait
+		c.p.leave()
+		<-wait
+	}
+}
+
 // begin notes that a command has begun to arrive.
 func (c *client) begin(mid bool) {
 	c.p.mu.Lock()
@@ -296,7 +408,7 @@
 		return err
 	}
 	p := c.p
-	const piece = 64 << 10
+	const piece = 4 << 10
 	for len(cmd.value) < h.N {
 		if len(cmd.value) == cap(cmd.value) {
 			size := min(h.N, max(piece, 2*cap(cmd.value)))
@@ -328,7 +440,13 @@
 			return err
 		}
 	}
-	return c.in.End()
+	if err := c.in.End(); err != nil { // the length was wrong
+		p.mu.Lock()
+		p.held -= cap(cmd.value)
+		p.mu.Unlock()
+		return err
+	}
+	return nil
 }
 
 // say answers a command that is no request.
@@ -361,11 +479,6 @@
 func (c *client) flush() {
 	for len(c.pending) > 0 && !c.w.busy {
 		r := c.pending[0]
-		if r.stream != nil {
-			c.w.busy = true // the stream has the sending side until it is through
-			close(r.stream.turn)
-			return
-		}
 		if r.reply == nil {
 			return
 		}
@@ -396,10 +509,13 @@
 	}
 }
 
-// close ends the connection; its reader cleans up.
+// close ends the connection and gives up its place; its reader cleans up.
 func (c *client) close() {
-	c.ended = true
-	c.conn.Close()
+	if !c.closed {
+		c.ended, c.closed = true, true
+		c.conn.Close()
+		delete(c.p.clients, c)
+	}
 	c.wake()
 }
 
@@ -413,14 +529,10 @@
 	for _, r := range pending {
 		p.held -= len(r.reply)
 		r.reply = nil
-		if r.stream != nil && !r.stream.begun() {
-			close(r.stream.turn)
-		}
 		if !r.done {
 			r.done = true
 			p.bal.Expired(p.now, r.id)
 		}
 		p.settle(r)
 	}
-	delete(p.clients, c)
 }
--- /dev/null
+++ b/internal/proxy/client_test.go
@@ -0,0 +1,245 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A command that no client should send gets an error line or a close, never a value, and reaches no member.
+func TestFaultyCommandIsTurnedAway(t *testing.T) {
+	var sent atomic.Int32
+	node := cache(t, func(asked) string { sent.Add(1); return hit("value") })
+	p := start(t, testConfig(), entry("s-1", node, "large"))
+	for name, text := range map[string]string{
+		"noise":              "\xb8mh\xf4\x05\x89Ti\r\n\r\n",
+		"inline":             "GET key\r\n",
+		"endless line":       strings.Repeat("k", 64<<10),
+		"nested arrays":      strings.Repeat("*1\r\n", 100),
+		"negative length":    "*4\r\n$-7\r\n",
+		"huge count":         "*99999999999999999999\r\n",
+		"wrong length":       "*5\r\n$7\r\nOBJ.SET\r\n$1\r\na\r\n$1\r\nb\r\n$18\r\nc=pass-order,d=100\r\n$4\r\nabcdefgh\r\n",
+		"huge value":         "*5\r\n$7\r\nOBJ.SET\r\n$1\r\na\r\n$1\r\nc\r\n$18\r\nc=pass-order,d=100\r\n$60000000\r\n" + strings.Repeat("v", 1<<20),
+		"unknown command":    words("FLUSHALL"),
+		"too few words":      words("OBJ.GET", "a", "d"),
+		"unknown class":      words("OBJ.GET", "a", "e", "c=tile-reads,d=100"),
+		"no class":           words("OBJ.GET", "a", "f", "d=100"),
+		"two classes":        words("OBJ.GET", "a", "f2", "c=tile-read,c=pass-order,d=100"),
+		"deadline no number": words("OBJ.GET", "a", "g", "c=tile-read,d=soon"),
+		"deadline empty":     words("OBJ.GET", "a", "h", "c=tile-read,d="),
+		"no deadline":        words("OBJ.GET", "a", "i", "c=tile-read"),
+		"deadline negative":  words("OBJ.GET", "a", "j", "c=tile-read,d=-5"),
+		"deadline not finite": words("OBJ.GET", "a", "k", "c=tile-read,d=inf") +
+			words("OBJ.GET", "a", "l", "c=tile-read,d=nan"),
+		"deadline absurd": words("OBJ.GET", "a", "m", "c=tile-read,d=99999999999999999999999"),
+		"no id":           words("OBJ.GET", "a", "", "c=tile-read,d=100"),
+		"no key":          words("OBJ.GET", "", "n", "c=tile-read,d=100"),
+		"line end in id":  words("OBJ.GET", "a", "o\r\nX-A: b", "c=tile-read,d=100"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := p.dial()
+			c.send(text)
+			if got := c.answer(); got != "" && !strings.HasPrefix(got, "-ERR ") {
+				t.Errorf("answered %q, want an error line or a close", got)
+			}
+		})
+	}
+	if n := sent.Load(); n > 0 {
+		t.Errorf("%d commands were passed on", n)
+	}
+	p.eventually("no memory held for values", func() bool { return p.held == 0 })
+}
+
+// After a run of faulty commands the connection ends, however many more would come.
+func TestFaultyClientIsCutOff(t *testing.T) {
+	p := start(t, testConfig())
+	c := p.dial()
+	c.send(strings.Repeat(words("FLUSHALL"), 10*maxFaults))
+	errors := 0
+	for c.answer() != "" {
+		errors++
+	}
+	if errors < maxFaults || errors > maxFaults+1 {
+		t.Errorf("%d answers, want %d and the end", errors, maxFaults)
+	}
+}
+
+// An id belongs to the request that brought it, while that is open and for a time after.
+func TestIDInUseIsTurnedAway(t *testing.T) {
+	asks, release := make(chan asked, 10), make(chan struct{})
+	node := cache(t, func(a asked) string { asks <- a; <-release; return hit("value of " + a.key) })
+	p := start(t, testConfig(), entry("s-1", node, "large"))
+	good, bad := p.dial(), p.dial()
+	good.send(get("a1", "id1"))
+	<-asks
+	bad.send(get("a2", "id1"))
+	if got := bad.answer(); !strings.HasPrefix(got, "-ERR") {
+		t.Errorf("an id in use was answered %q", got)
+	}
+	close(release)
+	if got := good.answer(); got != "value of a1" {
+		t.Errorf("the id's owner was answered %q", got)
+	}
+	bad.send(get("a1", "id1"))
+	if got := bad.answer(); !strings.HasPrefix(got, "-ERR") {
+		t.Errorf("an id used before was answered %q", got)
+	}
+}
+
+// A crowd that only connects must not take the descriptors, nor the place of those who ask. Making room once
+// closed the same connection over and over, under the lock, for good.
+func TestSilentCrowdLeavesRoom(t *testing.T) {
+	cfg := testConfig()
+	cfg.Sockets = 64
+	node := cache(t, func(a asked) string { return hit("value of " + a.key) })
+	p := start(t, cfg, entry("s-1", node, "large"))
+	good := p.dial()
+	ask := func(i int) {
+		t.Helper()
+		key := fmt.Sprintf("a%d", i)
+		good.send(get(key, "id"+key))
+		if got := good.answer(); got != "value of "+key {
+			t.Fatalf("answered %q among a silent crowd", got)
+		}
+	}
+	ask(0)
+	crowd := make([]*testClient, 3*cfg.Sockets)
+	for i := range crowd {
+		crowd[i] = p.dial()
+		if i%16 == 0 {
+			ask(i + 1)
+		}
+	}
+	p.eventually("descriptors within the limit", func() bool { return p.sockets() <= cfg.Sockets-spareSockets })
+	for _, c := range crowd { // each is owed an end, though it said nothing
+		if got := c.answer(); got != "" {
+			t.Fatalf("a silent client was told %q", got)
+		}
+	}
+	good = p.dial() // it stood idle itself meanwhile
+	ask(1000)
+}
+
+func TestHalfACommandEnds(t *testing.T) {
+	p := start(t, testConfig())
+	c := p.dial()
+	c.send("*4\r\n$7\r\nOBJ.GET\r\n$16\r\n26ba")
+	if got := c.answer(); !strings.HasPrefix(got, "-ERR") {
+		t.Errorf("half a command was answered %q, want an error line", got)
+	}
+	if got := c.answer(); got != "" {
+		t.Errorf("then %q, want the end", got)
+	}
+}
+
+// What was taken before the stop is answered; afterwards nothing is taken and Run ends.
+func TestDrainAnswersWhatWasTaken(t *testing.T) {
+	asks, release := make(chan asked, 10), make(chan struct{})
+	node := cache(t, func(a asked) string { asks <- a; <-release; return hit("value of " + a.key) })
+	p := start(t, testConfig(), entry("s-1", node, "large"))
+	busy, idle := p.dial(), p.dial()
+	idle.send(words("PING"))
+	if got := idle.answer(); got != "+PONG" {
+		t.Fatalf("PING was answered %q", got)
+	}
+	busy.send(get("a1", "id1"))
+	<-asks
+	p.stop()
+	if got := idle.answer(); got != "" {
+		t.Errorf("an idle client was told %q, want the end", got)
+	}
+	p.eventually("no request is taken any more", func() bool { return p.stopping })
+	busy.send(get("a2", "id2"))
+	p.eventually("the second request is read", func() bool { // its answer waits for its turn
+		for c := range p.clients {
+			if len(c.pending) == 2 {
+				return true
+			}
+		}
+		return false
+	})
+	close(release)
+	if got := busy.answer(); got != "value of a1" {
+		t.Errorf("what was taken before the stop was answered %q", got)
+	}
+	if got := busy.answer(); got != "-BUSY" {
+		t.Errorf("what came after it was answered %q, want a refusal", got)
+	}
+	p.ended()
+}
+
+// A connection that stands idle for long is given up.
+func TestIdleClientIsClosed(t *testing.T) {
+	p := start(t, testConfig())
+	c := p.dial()
+	c.send(words("PING"))
+	c.answer()
+	p.eventually("the client is known as idle", func() bool {
+		for c := range p.clients {
+			if c.asked && c.free() {
+				c.active -= clientIdle
+				return true
+			}
+		}
+		return false
+	})
+	if got := c.answer(); got != "" {
+		t.Errorf("told %q, want the end", got)
+	}
+	p.eventually("its place is free", func() bool { return len(p.clients) == 0 })
+}
+
+// A write whose bytes may have gone out is not offered again, nor refused.
+func TestOnceIsNotSentTwice(t *testing.T) {
+	var sent atomic.Int32
+	o := listenOnceThenClose(t, &sent)
+	p := start(t, testConfig(), entry("o-1", o, "origin"))
+	c := p.dial()
+	c.send(put("a1", "id1", "order"))
+	if got := c.answer(); got != "-ERR failed" {
+		t.Errorf("answered %q, want a failure", got)
+	}
+	if n := sent.Load(); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+func listenOnceThenClose(t *testing.T, sent *atomic.Int32) string {
+	return origin(t, func(*http.Request) string { sent.Add(1); return "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nshort" })
+}
+
+// What the writer has handed to its goroutine may be out at any moment.
+func TestUnsentKnowsWhatMayBeOut(t *testing.T) {
+	u := &upstream{w: &writer{taken: 100, begun: 60}}
+	for _, c := range []struct {
+		end  int64
+		want bool
+	}{{60, false}, {61, true}, {100, true}} {
+		if got := u.unsent(&attempt{end: c.end}); got != c.want {
+			t.Errorf("unsent with the last byte at %d: %v, want %v", c.end, got, c.want)
+		}
+	}
+}
+
+func TestIDsAreBounded(t *testing.T) {
+	s := newIDs()
+	for i := range 5 * idsKept {
+		s.add(fmt.Append(nil, i), time.Duration(i))
+	}
+	if n := len(s.now) + len(s.last); n > 2*idsKept {
+		t.Errorf("%d ids kept", n)
+	}
+	if !s.used(fmt.Append(nil, 5*idsKept-1), 5*idsKept) {
+		t.Error("the last id is not known")
+	}
+	s = newIDs()
+	s.add([]byte("a"), time.Second)
+	s.add([]byte("b"), time.Second+idKeep)
+	s.add([]byte("c"), time.Second+2*idKeep)
+	if s.used([]byte("a"), time.Second+2*idKeep) {
+		t.Error("an old id was not let go of")
+	}
+}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -21,6 +21,11 @@
 		p.log.Error("accept while draining", "err", err)
 	}
 	p.listen.Close()
+	// What still comes on connections that are busy is turned away: answered in full, it could take longer
+	// than there is time for.
+	p.enter()
+	p.stopping = true
+	p.leave()
 	longest := commandTime
 	for _, c := range p.cfg.Settings.Classes {
 		longest = max(longest, c.Deadline)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -49,6 +49,7 @@
 	bufferShare = 0.25
 	// spareSockets are kept for the listener, discovery, the runtime and connections in between.
 	spareSockets = 24
+	clientShare  = 50 // percent of the descriptors that clients may hold
 	sweepEvery   = 250 * time.Millisecond
 	readyWithin  = 500 * time.Millisecond // wait this long at most for discovery's first list
 )
@@ -77,7 +78,12 @@
 	upstreams   int // connections to members, those being dialled included
 	dialling    int
 	dialQueue   []*member // they wait for others' dials to end
-	held        int       // bytes of bodies and unsent answers
+	ids         ids
+	stopping    bool                       // no request is taken any more
+	watches     []*watch                   // the one that counts, and one that has yet to tell its first list
+	startWatch  func(w *watch, whole bool) // nil while the proxy does not run
+	revision    int64                      // of the list
+	held        int                        // bytes of bodies and unsent answers
 	heldMax     int
 	scratch     []byte
 	buffers     sync.Pool
@@ -90,7 +96,7 @@
 	p := &Proxy{
 		cfg: cfg, log: log, started: time.Now(),
 		members: map[logic.MemberID]*member{}, requests: map[logic.RequestID]*request{},
-		clients: map[*client]struct{}{},
+		clients: map[*client]struct{}{}, ids: newIDs(),
 		heldMax: int(float64(cfg.MemoryMB) * (1 << 20) * bufferShare),
 	}
 	// The module's clock is monotonic and begins at the wall's time, so that start times, which members
@@ -128,32 +134,16 @@
 	p.leave()
 
 	var g sync.WaitGroup
-	first := make(chan struct{})
-	var once sync.Once
-	watcher := discovery.Watcher{
-		Addr: p.cfg.Discovery, Revision: p.cfg.Known.Revision, Log: p.log,
-		Take: func(l discovery.List) {
-			kind := logic.ListDelta
-			if l.Complete {
-				kind = logic.ListFull
-			}
-			p.enter()
-			p.apply(kind, l)
-			p.leave()
-			once.Do(func() { close(first) })
-		},
-		Broken: func() {
-			p.enter()
-			p.bal.SetMembers(p.now, logic.ListFailed, nil)
-			p.leave()
-		},
-	}
-	g.Go(func() { watcher.Run(background) })
+	p.enter()
+	p.revision = p.cfg.Known.Revision
+	p.startWatch = func(w *watch, whole bool) { g.Go(func() { p.watch(background, w, whole) }) }
+	first := p.follow(p.cfg.Discovery, false)
+	p.leave()
 	g.Go(func() { p.sweep(background) })
 
 	// Clients come once PING is answered: with a list too old, the first requests would go astray.
 	select {
-	case <-first:
+	case <-first.told:
 	case <-time.After(readyWithin):
 	case <-ctx.Done():
 	}
@@ -168,8 +158,9 @@
 		p.drain(accepted)
 	case err = <-accepted:
 	}
-	stop()
 	p.enter()
+	p.startWatch = nil
+	stop()
 	p.closeAll()
 	p.mu.Unlock()
 	g.Wait()
@@ -185,7 +176,7 @@
 	}
 	for _, m := range p.members {
 		for _, u := range slices.Clone(m.conns) {
-			u.conn.Close()
+			u.close()
 		}
 	}
 }
@@ -270,6 +261,7 @@
 		case <-tick.C:
 		}
 		p.enter()
+		p.closeIdleClients()
 		for id, m := range p.members {
 			p.closeIdle(m, p.cfg.ConnIdle*idleShare/100)
 			if m.state == logic.Gone && len(m.conns) == 0 && m.dials == 0 && len(m.waiting) == 0 {
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,305 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"linenloom/internal/discovery"
+	"linenloom/internal/resp"
+	"linenloom/logic"
+)
+
+// patience bounds every wait of a test. It is no measure of speed: only a test that fails waits as long.
+const patience = 20 * time.Second
+
+// command is what a fake member was asked.
+type asked struct{ name, key, id, attrs, value string }
+
+// listen serves connections on a loopback address until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				serve(conn)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// cache is a fake cache: what answer returns goes out for each command, as it is.
+func cache(t *testing.T, answer func(asked) string) string {
+	return listen(t, func(conn net.Conn) {
+		in := resp.NewReader(conn, 4096)
+		for {
+			words, err := readCommand(in)
+			if err != nil {
+				return
+			}
+			a := asked{name: words[0], key: words[1], id: words[2], attrs: words[3]}
+			if _, err := io.WriteString(conn, answer(a)); err != nil {
+				return
+			}
+		}
+	})
+}
+
+func readCommand(in *resp.Reader) ([]string, error) {
+	h, err := in.Head()
+	if err != nil {
+		return nil, err
+	}
+	words := make([]string, h.N)
+	for i := range words {
+		if h, err = in.Head(); err != nil {
+			return nil, err
+		}
+		b, err := in.Bulk(nil, h.N)
+		if err != nil {
+			return nil, err
+		}
+		words[i] = string(b)
+	}
+	return words, nil
+}
+
+// origin is a fake origin that answers as it is told.
+func origin(t *testing.T, answer func(r *http.Request) string) string {
+	return listen(t, func(conn net.Conn) {
+		in := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			if _, err := io.WriteString(conn, answer(r)); err != nil {
+				return
+			}
+		}
+	})
+}
+
+func hit(value string) string {
+	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(value), value)
+}
+
+const miss = "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
+
+func page(value string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(value), value)
+}
+
+// registry is a fake discovery: lines given to tell go out to every watch.
+type registry struct {
+	addr    string
+	list    discovery.List
+	mu      sync.Mutex
+	watches []chan discovery.List
+	watched chan struct{} // a token for each watch that has begun
+	ended   chan struct{} // and for each that has ended
+}
+
+func newRegistry(t *testing.T, list discovery.List) *registry {
+	r := &registry{list: list, watched: make(chan struct{}, 100), ended: make(chan struct{}, 100)}
+	stop := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		out := json.NewEncoder(w)
+		out.Encode(r.list)
+		w.(http.Flusher).Flush()
+		if q.URL.Query().Get("watch") == "" {
+			return
+		}
+		c := make(chan discovery.List, 10)
+		r.mu.Lock()
+		r.watches = append(r.watches, c)
+		r.mu.Unlock()
+		r.watched <- struct{}{}
+		defer func() { r.ended <- struct{}{} }()
+		for {
+			select {
+			case l := <-c:
+				out.Encode(l)
+			case <-time.After(time.Second):
+				io.WriteString(w, "\n")
+			case <-stop:
+				return
+			case <-q.Context().Done():
+				return
+			}
+			w.(http.Flusher).Flush()
+		}
+	}))
+	t.Cleanup(func() { close(stop); s.Close() })
+	r.addr = s.Listener.Addr().String()
+	return r
+}
+
+func (r *registry) tell(l discovery.List) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.watches {
+		c <- l
+	}
+}
+
+func entry(id, addr, flavor string) discovery.Member {
+	return discovery.Member{ID: id, HostPort: addr, Locality: "kochi-dc", Flavor: flavor,
+		Phase: discovery.PhaseInService, Size: 1}
+}
+
+func testConfig() Config {
+	return Config{
+		Listen: "127.0.0.1:0", Seed: 1, Zones: []string{"kochi-dc"}, Kinds: []string{"large", "origin"},
+		ConnIdle: 5 * time.Second, MostHeld: 1000, MemoryMB: 64, Sockets: 256,
+		Settings: logic.Settings{
+			Classes: []logic.Class{
+				{Name: "tile-read", Aim: 5 * time.Second, Deadline: 8 * time.Second, Worth: 5},
+				{Name: "pass-order", Aim: 5 * time.Second, Deadline: 8 * time.Second, Worth: 15, Effect: logic.Once},
+			},
+			Instances: 2, Zones: 1, Mode: logic.Aside, OriginKind: 1, Weights: logic.WeightsNominal,
+			Tick: time.Millisecond, TryLimit: 4, CanCancel: true, ConnectTimeout: 2 * time.Second,
+			ColdFrom: 0.3, ColdFor: time.Second, FallMultiple: 4, FallAfter: time.Second,
+		},
+	}
+}
+
+type testProxy struct {
+	*Proxy
+	t    *testing.T
+	stop context.CancelFunc
+	done chan error
+}
+
+// start runs a proxy before the members, until the test ends.
+func start(t *testing.T, cfg Config, members ...discovery.Member) *testProxy {
+	t.Helper()
+	r := newRegistry(t, discovery.List{Revision: 1, Complete: true, Members: members})
+	return startAt(t, cfg, r)
+}
+
+func startAt(t *testing.T, cfg Config, r *registry) *testProxy {
+	t.Helper()
+	cfg.Discovery, cfg.Known = r.addr, r.list
+	inner, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p := &testProxy{Proxy: inner, t: t, stop: stop, done: make(chan error, 1)}
+	go func() { p.done <- p.Run(ctx) }()
+	t.Cleanup(func() { p.ended() })
+	return p
+}
+
+// ended stops the proxy and waits for its end.
+func (p *testProxy) ended() {
+	p.t.Helper()
+	p.stop()
+	select {
+	case err := <-p.done:
+		if err != nil {
+			p.t.Errorf("Run: %v", err)
+		}
+		p.done <- nil
+	case <-time.After(patience):
+		p.t.Error("the proxy did not end")
+	}
+}
+
+// testClient is a client's connection.
+type testClient struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (p *testProxy) dial() *testClient {
+	p.t.Helper()
+	conn, err := net.Dial("tcp", p.Addr().String())
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(patience))
+	p.t.Cleanup(func() { conn.Close() })
+	return &testClient{t: p.t, conn: conn, in: bufio.NewReader(conn)}
+}
+
+func (c *testClient) send(text string) {
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		c.t.Logf("send: %v", err) // the proxy may have closed already
+	}
+}
+
+// answer reads one answer: the value of a bulk string, an error line, or "" at the end of the connection.
+func (c *testClient) answer() string {
+	c.t.Helper()
+	line, err := c.in.ReadString('\n')
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		c.t.Fatal("no answer and no close")
+	}
+	if err != nil {
+		return ""
+	}
+	line = strings.TrimSpace(line)
+	var n int
+	if k, _ := fmt.Sscanf(line, "$%d", &n); k != 1 {
+		return line
+	}
+	b := make([]byte, n+2)
+	if _, err := io.ReadFull(c.in, b); err != nil {
+		return ""
+	}
+	return string(b[:n])
+}
+
+func words(w ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "*%d\r\n", len(w))
+	for _, s := range w {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(s), s)
+	}
+	return b.String()
+}
+
+func get(key, id string) string { return words("OBJ.GET", key, id, "c=tile-read,d=8000") }
+
+func put(key, id, value string) string {
+	return words("OBJ.SET", key, id, "c=pass-order,d=8000", value)
+}
+
+// eventually waits until ok holds under the proxy's lock.
+func (p *testProxy) eventually(what string, ok func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		p.enter()
+		is := ok()
+		p.leave()
+		if is {
+			return
+		}
+	}
+	p.t.Fatalf("never came about: %s", what)
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -2,6 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
+	"hash/maphash"
+	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,27 +18,25 @@
 type request struct {
 	command
 	id       logic.RequestID
+	class    int
 	client   *client
 	deadline time.Duration
 	attempts []*attempt // by number
 	out      int        // attempts without outcome
 	done     bool       // the final answer is decided, or nobody waits for it
 	reply    []byte     // the final answer, until it is written
-	stream   *stream    // the final answer, if it is passed on piece by piece
 }
 
 // attempt is one sending of a request to a member.
 type attempt struct {
-	req       *request
-	n         int
-	to        logic.MemberID
-	sentAt    time.Duration
-	until     time.Duration // it is given up then
-	conn      *upstream     // nil while it waits for one
-	end       int64         // place of its last byte in what the connection sends
-	streaming bool
-	answered  time.Duration // when the first byte of a streamed value came
-	ended     bool
+	req    *request
+	n      int
+	to     logic.MemberID
+	sentAt time.Duration
+	until  time.Duration // it is given up then
+	conn   *upstream     // nil while it waits for one
+	end    int64         // place of its last byte in what the connection sends
+	ended  bool
 }
 
 // end gives an attempt its outcome; later ones are dropped.
@@ -45,12 +47,9 @@
 	a.ended = true
 	r := a.req
 	r.out--
-	elapsed := p.now - a.sentAt
-	if a.streaming {
-		elapsed = a.answered - a.sentAt
-	}
 	p.outcomes = append(p.outcomes, logic.Outcome{
-		Request: r.id, Attempt: a.n, Member: a.to, Status: s, Elapsed: elapsed, Note: note, Final: r.done,
+		Request: r.id, Attempt: a.n, Member: a.to, Status: s, Elapsed: p.now - a.sentAt, Note: note,
+		Final: r.done,
 	})
 	p.settle(r)
 }
@@ -69,34 +68,61 @@
 func (p *Proxy) submit(c *client, cmd command) {
 	r := &request{command: cmd, client: c}
 	c.pending = append(c.pending, r)
-	if len(p.requests) >= p.cfg.MostHeld || p.held > p.heldMax {
-		p.held -= cap(r.value)
-		r.value, r.done = nil, true
-		c.answer(r, resp.AppendError(nil, "BUSY"))
+	lr, err := r.describe(p.cfg.Settings)
+	if err == nil && p.ids.used(r.reqID, p.now) {
+		err = errors.New("the id is in use")
+	}
+	switch {
+	case err != nil:
+		c.faults++
+		p.turnAway(r, "ERR "+err.Error())
+		return
+	case len(p.requests) >= p.maxRequests() || p.held > p.heldMax || p.stopping:
+		p.turnAway(r, "BUSY")
 		return
 	}
+	p.ids.add(r.reqID, p.now)
 	p.nextID++ // after 2^32 it begins anew, long after the request that had the number
 	r.id = p.nextID
-	lr := r.describe(p.cfg.Settings)
 	lr.ID = r.id
+	r.class = lr.Class
 	lr.Deadline += p.now
 	r.deadline = lr.Deadline
 	p.requests[r.id] = r
 	p.bal.Request(p.now, lr)
 }
 
-// describe reads what the command tells of the request; Deadline is still relative.
-func (c *command) describe(s logic.Settings) logic.Request {
+// turnAway answers a request that the Balancer has not seen and never will.
+func (p *Proxy) turnAway(r *request, text string) {
+	p.held -= cap(r.value)
+	r.value, r.done = nil, true
+	r.client.answer(r, resp.AppendError(nil, text))
+}
+
+// requestsPerMB bounds the requests in hand by the memory: each takes a few KB with its timers and attempts.
+const requestsPerMB = 64
+
+func (p *Proxy) maxRequests() int { return min(p.cfg.MostHeld, p.cfg.MemoryMB*requestsPerMB) }
+
+// describe reads what the command tells of the request; Deadline is still relative. What a client has to say
+// is checked here, once, since members and the Balancer rely on it: a command that no client should send is
+// not passed on, so that it can neither be served nor count against the member that turns it away. It would
+// harm clients that leave out a name of the protocol.
+func (c *command) describe(s logic.Settings) (logic.Request, error) {
 	r := logic.Request{Key: keyOf(c.key), Class: -1, Write: c.write}
-	wait := 0.0
+	if !plain(c.key) || !plain(c.reqID) || len(c.attrs) > 0 && !plain(c.attrs) {
+		return r, errors.New("key, id and list must be given, without spaces")
+	}
+	var wait float64
+	var hasClass, hasWait bool
 	for name, value := range c.names() {
 		switch name {
 		case "c":
-			for i := range s.Classes {
-				if s.Classes[i].Name == string(value) {
-					r.Class = i
-				}
+			if hasClass {
+				return r, errors.New("more than one class")
 			}
+			hasClass = true
+			r.Class = slices.IndexFunc(s.Classes, func(c logic.Class) bool { return c.Name == string(value) })
 		case "t":
 			for i := range s.Tenants {
 				if s.Tenants[i].Name == string(value) {
@@ -104,7 +130,10 @@
 				}
 			}
 		case "d":
-			wait = number(value)
+			if wait = number(value); hasWait || len(bytes.Trim(value, "0123456789.")) > 0 {
+				return r, errors.New("the deadline is no number")
+			}
+			hasWait = true
 		case "h":
 			r.Cost = time.Duration(number(value) * float64(time.Microsecond))
 			r.Known = r.Cost > 0
@@ -114,13 +143,56 @@
 			r.Size = number(value)
 		}
 	}
-	class := &s.Classes[max(0, r.Class)]
-	r.Deadline = class.Deadline
-	// No client waits longer than its class allows; a figure beyond that is a mistake.
-	if d := time.Duration(wait * float64(time.Millisecond)); wait > 0 && d > 0 && d < r.Deadline {
-		r.Deadline = d
+	switch {
+	case r.Class < 0:
+		return r, errors.New("unknown class")
+	case !(wait > 0 && wait <= maxWait):
+		return r, errors.New("the deadline is out of range")
+	}
+	// No client waits longer than its class allows.
+	r.Deadline = min(s.Classes[r.Class].Deadline, time.Duration(math.Ceil(wait*float64(time.Millisecond))))
+	return r, nil
+}
+
+// maxWait is the longest wait, in milliseconds, that is taken for a wait and not for a mistake: a day.
+const maxWait = 24 * 60 * 60 * 1000
+
+// plain tells whether a text is there and holds nothing that could end a line or an item.
+func plain(text []byte) bool {
+	return len(text) > 0 && !slices.ContainsFunc(text, func(b byte) bool { return b <= ' ' || b == 0x7f })
+}
+
+// idKeep is how long an id counts as in use after its request was taken, at the least, and idsKept how many
+// are remembered at the most, in each of two generations. Ids are new with every request, so one that comes
+// again belongs to another client or is a copy.
+const (
+	idKeep  = 6 * time.Second
+	idsKept = 8192
+)
+
+// ids remembers the ids taken lately, as numbers of a hash that clients can't foresee.
+type ids struct {
+	seed      maphash.Seed
+	now, last map[uint64]struct{}
+	since     time.Duration
+}
+
+func newIDs() ids { return ids{seed: maphash.MakeSeed(), now: map[uint64]struct{}{}} }
+
+func (s *ids) used(id []byte, now time.Duration) bool {
+	h := maphash.Bytes(s.seed, id)
+	if _, ok := s.now[h]; ok {
+		return true
+	}
+	_, ok := s.last[h]
+	return ok && now-s.since < idKeep
+}
+
+func (s *ids) add(id []byte, now time.Duration) {
+	if now-s.since >= idKeep || len(s.now) >= idsKept {
+		s.last, s.now, s.since = s.now, make(map[uint64]struct{}), now
 	}
-	return r
+	s.now[maphash.Bytes(s.seed, id)] = struct{}{}
 }
 
 // number reads a figure that a client gave; what is not one, or negative, is 0.
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -88,7 +88,7 @@
 			p.bal.Timer(p.now, d.token)
 		case d.connect:
 			p.connectTimeout(d.attempt)
-		case !d.attempt.ended && !d.attempt.streaming:
+		case !d.attempt.ended:
 			p.abandon(d.attempt, logic.StatusTimeout)
 		}
 	}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"syscall"
 	"time"
 
 	"linenloom/internal/resp"
@@ -19,14 +20,32 @@
 
 const (
 	// nodeSockets is how many connections a cache surely takes from all proxies together; each has its
-	// part of them. A fuller table also takes of what the cache can do, so few are opened beyond the first.
+	// part of them. A fuller table also takes of what the cache can do, so few are opened.
 	nodeSockets    = 28
-	cacheSockets   = 3
+	cacheSockets   = 6
 	originSockets  = 48
+	originShare    = 12 // percent of the descriptors for the origin, at most
 	maxDials       = 64 // at once: a zone that vanished takes its time to fail, and must not take the descriptors
 	idleShare      = 80 // percent of the idle time, after which a connection is closed
+	freshShare     = 20 // the same for a request that must not be repeated: a close that crosses it can't be mended
 	upstreamBuffer = 4 << 10
 	fullFor        = time.Second // no further connection is tried after one failed while others stand
+	// restTime is how long a connection rests after an answer. What comes in that time belongs to no request
+	// (a second copy of the answer, noise behind it) and ends the connection before it could be taken for the
+	// next one's answer. It should catch whatever a member sends unasked, and costs a connection its use for
+	// so long; unasked bytes that come later than this, with the next request already sent, get through.
+	restTime = time.Millisecond
+	// stallTime is how long an answer may pause once it has begun. It ends answers that stop in the middle
+	// long before the attempt's own time is up, and would harm a member that pauses so long inside one.
+	stallTime = 250 * time.Millisecond
+	// maxInterim is how many 1xx answers may come ahead of one that counts.
+	maxInterim = 16
+	originHead = 64 << 10 // bytes that an origin may send beside its value
+)
+
+var (
+	errStray = errors.New("bytes that no request asked for")
+	errCut   = errors.New("answer cut short")
 )
 
 // member is what this package knows of a member: its address and the connections to it.
@@ -43,17 +62,18 @@
 	full    time.Duration // no dials until then, while there are connections
 }
 
-// upstream is a connection to a member. A cache answers in the order of the commands; an origin has one
-// request at a time.
+// upstream is a connection to a member, with one request at a time: a cache that answers in order would let a
+// quick answer wait for a slow one, closes on what it can't read whatever else waits, and bytes that nobody
+// asked for could not be told from the answer to a request that crossed them.
 type upstream struct {
 	p       *Proxy
 	m       *member
 	conn    *net.TCPConn
 	w       *writer
-	pending []*attempt // sent and not yet answered, in order; given up ones are kept for their place
+	current *attempt // sent and not yet answered, or answered and the connection at rest
 	used    time.Duration
 	retired bool // nothing new is sent
-	stream  bool // a long value is coming; what is sent now would wait for it
+	closed  bool
 }
 
 // update takes a list entry.
@@ -92,34 +112,36 @@
 // retire takes a connection out of use and closes it once nothing is awaited on it.
 func (u *upstream) retire() {
 	u.retired = true
-	if !u.awaited() {
-		u.remove()
-		u.conn.Close()
+	if u.current == nil || u.current.ended {
+		u.close()
 	}
 }
 
-// awaited tells whether any attempt on the connection is still wanted.
-func (u *upstream) awaited() bool {
-	return slices.ContainsFunc(u.pending, func(a *attempt) bool { return !a.ended })
-}
-
-func (u *upstream) remove() {
+// close ends a connection and gives up its place; its reader finds out.
+func (u *upstream) close() {
+	if u.closed {
+		return
+	}
+	u.closed, u.retired = true, true
 	if i := slices.Index(u.m.conns, u); i >= 0 {
 		u.m.conns = slices.Delete(u.m.conns, i, i+1)
 	}
+	u.p.upstreams--
+	u.w.drop()
+	u.conn.Close()
 }
 
-// limits are the most connections to a member and the most attempts on one.
-func (p *Proxy) limits(m *member) (conns, depth int) {
+// maxConns is the most connections to a member.
+func (p *Proxy) maxConns(m *member) int {
 	if m.origin {
-		return originSockets, 1
+		return min(originSockets, max(4, p.cfg.Sockets*originShare/100))
 	}
-	return min(cacheSockets, max(1, nodeSockets/max(1, p.cfg.Settings.Instances))), max(1, p.cfg.Multiplex)
+	return min(cacheSockets, max(1, nodeSockets/max(1, p.cfg.Settings.Instances)))
 }
 
 // dispatch sends an attempt on a connection that is free, or has it wait for one.
 func (p *Proxy) dispatch(m *member, a *attempt) {
-	if u := p.pick(m); u != nil {
+	if u := p.pick(m, a); u != nil {
 		u.start(a)
 		return
 	}
@@ -128,36 +150,35 @@
 	p.dial(m)
 }
 
-// pick chooses the connection for the next attempt: the idle one used last, so that the others fall idle and
-// close; with none idle a new one, as long as there may be more; else the one with the least before it.
-func (p *Proxy) pick(m *member) *upstream {
-	most, depth := p.limits(m)
-	var best *upstream
+// pick chooses the free connection used last, so that the others fall idle and close; nil, if there is none.
+// One that has stood so long that the member may be closing it, or that is not silent, is not used again.
+func (p *Proxy) pick(m *member, a *attempt) *upstream {
+	share := time.Duration(idleShare)
+	if p.once(a.req) {
+		share = freshShare
+	}
 	for i := len(m.conns) - 1; i >= 0; i-- {
 		u := m.conns[i]
-		if u.retired || u.stream || u.w.busy || u.w.failed || len(u.pending) >= depth {
-			continue
-		}
-		if len(u.pending) == 0 {
-			if p.now-u.used < p.cfg.ConnIdle*idleShare/100 {
-				return u
-			}
-			u.retire() // the member may be closing it at this moment
-			continue
-		}
-		if best == nil || len(u.pending) < len(best.pending) {
-			best = u
+		switch {
+		case u.retired || u.w.failed || u.w.busy || u.current != nil:
+		case p.now-u.used >= p.cfg.ConnIdle*idleShare/100 || !u.silent():
+			u.retire()
+		case p.now-u.used < p.cfg.ConnIdle*share/100:
+			return u
 		}
 	}
-	if best != nil && (len(m.conns)+m.dials >= most || p.now < m.full) {
-		return best
-	}
 	return nil
 }
 
+// once tells whether a request must never run twice.
+func (p *Proxy) once(r *request) bool { return p.cfg.Settings.Classes[r.class].Effect == logic.Once }
+
 // dial opens connections for those that wait, within the bounds.
 func (p *Proxy) dial(m *member) {
-	most, _ := p.limits(m)
+	most := p.maxConns(m)
+	if len(m.conns) > 0 && p.now < m.full {
+		return
+	}
 	for m.state == logic.Ready && m.dials < len(m.waiting) && len(m.conns)+m.dials < most {
 		if p.dialling >= maxDials || p.sockets() >= p.cfg.Sockets-spareSockets/2 && !p.makeRoom() {
 			if !m.queued {
@@ -186,6 +207,7 @@
 	}
 	switch {
 	case err != nil:
+		p.upstreams--
 		p.dialFailed(m)
 	case m.state != logic.Ready || addr != m.addr || started != m.started:
 		u.retire() // the list has changed meanwhile
@@ -200,16 +222,9 @@
 		if conn != nil {
 			conn.Close()
 		}
-		p.enter()
-		p.upstreams--
-		p.leave()
 		return
 	}
-	if m.origin {
-		u.fail(u.readHTTP())
-	} else {
-		u.fail(u.readRESP())
-	}
+	u.fail(u.serve())
 }
 
 func (p *Proxy) newUpstream(m *member, conn *net.TCPConn) (*upstream, error) {
@@ -220,12 +235,12 @@
 	return &upstream{p: p, m: m, conn: conn, w: w, used: p.now}, nil
 }
 
-// dialFailed ends the attempt that has waited longest, unless another connection can still take it: a cache
+// dialFailed ends the attempt that has waited longest, unless the connections that stand will take it: a cache
 // that is up but holds all the connections it will goes on answering on the open ones.
 func (p *Proxy) dialFailed(m *member) {
 	m.full = p.now + fullFor
 	p.serveWaiting(m)
-	if len(m.waiting) > 0 {
+	if len(m.waiting) > 0 && len(m.conns) == 0 {
 		a := m.waiting[0]
 		m.waiting = m.waiting[1:]
 		p.end(a, logic.StatusConnectFailed, 0)
@@ -250,7 +265,7 @@
 	for len(m.waiting) > 0 && m.state == logic.Ready {
 		a := m.waiting[0]
 		if !a.ended {
-			u := p.pick(m)
+			u := p.pick(m, a)
 			if u == nil {
 				return
 			}
@@ -260,12 +275,18 @@
 	}
 }
 
-// connectTimeout ends an attempt that has found no connection in time.
+// connectTimeout ends an attempt that has found no connection in time. Where connections stand, they are all
+// busy: the member is full rather than out of reach.
 func (p *Proxy) connectTimeout(a *attempt) {
-	if a.conn == nil && !a.ended {
-		p.unqueue(a)
-		p.end(a, logic.StatusConnectFailed, 0)
+	if a.conn != nil || a.ended {
+		return
+	}
+	p.unqueue(a)
+	s := logic.StatusConnectFailed
+	if m := p.members[a.to]; m != nil && len(m.conns) > 0 {
+		s = logic.StatusFull
 	}
+	p.end(a, s, 0)
 }
 
 func (p *Proxy) unqueue(a *attempt) {
@@ -280,7 +301,7 @@
 func (u *upstream) start(a *attempt) {
 	p := u.p
 	a.conn = u
-	u.pending = append(u.pending, a)
+	u.current = a
 	u.touch()
 	b := p.scratch[:0]
 	if u.m.origin {
@@ -310,8 +331,11 @@
 	}
 }
 
-// abandon stops waiting for an attempt. Its connection is closed, or if others wait on it, its sending is
-// ended: until then the attempt is out, and a further one would be a second copy.
+// unsent tells whether an attempt's last byte is still here and surely won't go out.
+func (u *upstream) unsent(a *attempt) bool { return a.end > u.w.begun }
+
+// abandon stops waiting for an attempt, by closing its connection: until then the attempt is out, and a
+// further one would be a second copy.
 func (p *Proxy) abandon(a *attempt, s logic.Status) {
 	u := a.conn
 	if u == nil {
@@ -322,86 +346,178 @@
 		p.end(a, s, 0)
 		return
 	}
-	if a.end > u.w.sent { // part of it is still here, and won't go out
+	if u.unsent(a) {
 		s = logic.StatusConnectFailed
 	}
 	p.end(a, s, 0)
-	u.retire()
-	if u.awaited() {
-		u.conn.CloseWrite()
-	}
-}
-
-// next takes the attempt that the next answer belongs to; nil, if there is none.
-func (u *upstream) next() *attempt {
-	if len(u.pending) == 0 {
-		return nil
-	}
-	return u.pending[0]
-}
-
-// answered takes the attempt that has been answered off the connection and lets the next one have it.
-func (u *upstream) answered() {
-	u.pending = slices.Delete(u.pending, 0, 1)
-	u.used = u.p.now
-	if u.retired {
-		u.retire()
-	}
-	u.p.serveWaiting(u.m)
+	u.close()
+	p.dial(u.m)
+	p.dialNext()
 }
 
-// result gives the attempt at the head its outcome, with the reply that the client gets if it was served.
-func (u *upstream) result(s logic.Status, note int, reply []byte) error {
+// result gives the attempt its outcome, with the reply that the client gets if it was served. The connection
+// is not free yet: see rest.
+func (u *upstream) result(s logic.Status, note int, reply []byte) {
 	p := u.p
 	p.enter()
 	defer p.leave()
-	a := u.next()
-	if a == nil {
-		return errors.New("answer without a request")
-	}
-	if !a.ended {
-		if r := a.req; s == logic.StatusOK && !r.done {
-			r.done = true
-			r.client.answer(r, reply)
-		}
-		p.end(a, s, note)
+	a := u.current
+	if a == nil || a.ended { // given up; the connection is closed
+		return
 	}
-	u.answered()
-	return nil
+	if r := a.req; s == logic.StatusOK && !r.done {
+		r.done = true
+		r.client.answer(r, reply)
+	}
+	p.end(a, s, note)
 }
 
-// fail ends a connection and the attempts on it. One whose last byte was not written never ran; the others
-// may have.
+// fail ends a connection and the attempt on it. One whose last byte was not written never ran; else it may have.
 func (u *upstream) fail(err error) {
 	p := u.p
 	p.enter()
 	defer p.leave()
-	u.remove()
-	u.retired = true
-	u.w.failed = true
-	u.conn.Close()
-	for i, a := range u.pending {
+	if a := u.current; a != nil && !a.ended {
 		s := logic.StatusReset
 		switch {
-		case a.end > u.w.sent:
+		case u.unsent(a):
 			s = logic.StatusConnectFailed
-		case i == 0 && errors.Is(err, resp.ErrProtocol):
+		case errors.Is(err, resp.ErrProtocol) || errors.Is(err, errCut) || errors.Is(err, errStray):
 			s = logic.StatusError
 		}
 		p.end(a, s, 0)
 	}
-	u.pending = nil
-	p.upstreams--
+	u.close()
 	p.dial(u.m)
 	p.dialNext()
 }
 
+// serve reads answers until the connection ends.
+func (u *upstream) serve() error {
+	next := u.reader()
+	for {
+		if err := u.await(); err != nil {
+			return err
+		}
+		buffered, err := next()
+		if err != nil {
+			return err
+		}
+		if buffered > 0 {
+			return errStray
+		}
+		if err := u.rest(); err != nil {
+			return err
+		}
+	}
+}
+
+// reader gives the function that reads one answer and tells how many bytes beyond it have come.
+func (u *upstream) reader() func() (int, error) {
+	if u.m.origin {
+		limit := &capped{r: u}
+		in := bufio.NewReaderSize(limit, upstreamBuffer)
+		return func() (int, error) {
+			limit.left = originHead + resp.MaxValue
+			err := u.readHTTP(in)
+			return in.Buffered(), err
+		}
+	}
+	in := resp.NewReader(u, upstreamBuffer)
+	return func() (int, error) {
+		err := u.readRESP(in)
+		return in.Buffered(), err
+	}
+}
+
+// Read reads within an answer, which must not pause for long.
+func (u *upstream) Read(b []byte) (int, error) {
+	u.conn.SetReadDeadline(time.Now().Add(stallTime))
+	n, err := u.conn.Read(b)
+	if n == 0 && err != nil {
+		err = fmt.Errorf("%w: %w", errCut, err)
+	}
+	return n, err
+}
+
+// await waits until something can be read, without reading it: as long as it is in the kernel, pick sees it.
+// What comes while no request is out is not an answer.
+func (u *upstream) await() error {
+	u.conn.SetReadDeadline(time.Time{})
+	if err := u.w.raw.Read(func(fd uintptr) bool { return peek(fd) != peekNothing }); err != nil {
+		return err
+	}
+	u.p.enter()
+	defer u.p.leave()
+	ended := false
+	if err := u.w.raw.Control(func(fd uintptr) { ended = peek(fd) == peekEnd }); err != nil {
+		return err
+	}
+	switch {
+	case ended:
+		return io.EOF
+	case u.current == nil:
+		return errStray
+	}
+	return nil
+}
+
+// rest lets a connection be used again after an answer, once it has been silent for a while.
+func (u *upstream) rest() error {
+	time.Sleep(restTime)
+	p := u.p
+	p.enter()
+	defer p.leave()
+	switch {
+	case u.closed:
+		return net.ErrClosed
+	case u.retired:
+		return io.EOF
+	case !u.silent():
+		return errStray
+	}
+	u.current, u.used = nil, p.now
+	p.serveWaiting(u.m)
+	return nil
+}
+
+// silent tells whether nothing has come on the connection, neither bytes nor its end.
+func (u *upstream) silent() bool {
+	saw := peekEnd
+	u.w.raw.Control(func(fd uintptr) { saw = peek(fd) })
+	return saw == peekNothing
+}
+
+// What peek can see.
+const (
+	peekNothing = iota
+	peekBytes
+	peekEnd
+)
+
+// peek looks at what has come on a socket and leaves it there.
+func peek(fd uintptr) int {
+	var b [1]byte
+	for {
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			return peekNothing
+		case err != nil || n == 0:
+			return peekEnd
+		default:
+			return peekBytes
+		}
+	}
+}
+
 // closeIdle closes the connections to a member that have been idle for long enough, before the member does:
 // a command that crosses its close would count as one that may have run.
 func (p *Proxy) closeIdle(m *member, age time.Duration) (closed int) {
 	for _, u := range slices.Clone(m.conns) {
-		if len(u.pending) == 0 && p.now-u.used >= age {
-			u.retire()
+		if u.current == nil && p.now-u.used >= age {
+			u.close()
 			closed++
 		}
 	}
@@ -421,33 +537,39 @@
 	return 0
 }
 
-// readRESP reads a cache's answers until the connection ends.
-func (u *upstream) readRESP() error {
-	in := resp.NewReader(u.conn, upstreamBuffer)
-	for {
-		h, err := in.Head()
-		switch {
-		case err != nil:
-			return err
-		case h.Kind == '-':
-			s := logic.StatusError
-			if bytes.HasPrefix(h.Text, []byte("BUSY")) {
-				s = logic.StatusFull
-			}
-			err = u.result(s, 0, nil)
-		case h.Kind == '*' && h.N >= 1:
-			err = u.readArray(in, h.N)
-		default:
-			err = resp.ErrProtocol
-		}
-		if err != nil {
-			return err
-		}
+// readRESP reads one answer of a cache.
+func (u *upstream) readRESP(in *resp.Reader) error {
+	h, err := in.Head()
+	switch {
+	case err != nil:
+		return err
+	case h.Kind == '-':
+		u.result(refusal(h.Text), 0, nil)
+		return nil
+	case h.Kind == '*' && h.N == answerParts:
+		return u.readArray(in)
 	}
+	return resp.ErrProtocol
 }
 
-// readArray reads an answer of n elements: the value, how the read went, and a report, which is not used.
-func (u *upstream) readArray(in *resp.Reader, n int) error {
+// answerParts are the elements of an answer: the value, how the read went, and the load report.
+const answerParts = 3
+
+// refusal names what an error line says. A cache that finds fault with the request itself says nothing about
+// its own health.
+func refusal(text []byte) logic.Status {
+	switch word, rest, _ := bytes.Cut(text, []byte{' '}); {
+	case string(word) == "BUSY":
+		return logic.StatusFull
+	case string(word) == "ERR" && !bytes.HasPrefix(rest, []byte("failed")):
+		return logic.StatusRejected
+	}
+	return logic.StatusError
+}
+
+// readArray reads an answer's elements. It counts once the value and how the read went are there; what comes
+// after, a report that is not used, can't spoil it, only the connection.
+func (u *upstream) readArray(in *resp.Reader) error {
 	h, err := in.Head()
 	if err != nil {
 		return err
@@ -455,58 +577,42 @@
 	if h.Kind != '$' {
 		return resp.ErrProtocol
 	}
-	size, rest := h.N, n-1
-	if size > longValue {
-		if err := u.pass(size, in); err != nil {
-			return err
-		}
-		if err := in.End(); err != nil {
-			return err
-		}
-		_, err := readRest(in, rest)
-		return err
-	}
 	buf := u.p.buffers.Get().(*[]byte)
 	defer u.p.buffers.Put(buf)
 	status := logic.StatusMiss
 	reply := (*buf)[:0]
-	if size >= 0 {
+	if h.N >= 0 {
 		status = logic.StatusOK
-		reply = resp.AppendBulkHead(slices.Grow(reply, size+16), size)
-		if reply, err = in.Bulk(reply, size); err != nil {
+		reply = resp.AppendBulkHead(slices.Grow(reply, h.N+16), h.N)
+		if reply, err = in.Bulk(reply, h.N); err != nil {
 			return err
 		}
 		reply = append(reply, "\r\n"...)
 		*buf = reply
 	}
-	note, err := readRest(in, rest)
+	word, err := readWord(in)
 	if err != nil {
 		return err
 	}
-	return u.result(status, note, reply)
+	u.result(status, noteOf(word), reply)
+	_, err = readWord(in)
+	return err
 }
 
-// readRest reads the elements after the value.
-func readRest(in *resp.Reader, n int) (note int, err error) {
-	for i := range n {
-		h, err := in.Head()
-		if err != nil {
-			return 0, err
-		}
-		word := h.Text
-		switch {
-		case h.Kind == '$' && h.N > maxText || h.Kind == '*' && h.N >= 0 || h.Kind == '-':
-			return 0, resp.ErrProtocol
-		case h.Kind == '$' && h.N >= 0:
-			if word, err = in.Bulk(nil, h.N); err != nil {
-				return 0, err
-			}
-		}
-		if i == 0 {
-			note = noteOf(word)
-		}
+// readWord reads a short string or null.
+func readWord(in *resp.Reader) ([]byte, error) {
+	h, err := in.Head()
+	switch {
+	case err != nil:
+		return nil, err
+	case h.Kind == '+':
+		return bytes.Clone(h.Text), nil
+	case h.Kind == '$' && h.N < 0:
+		return nil, nil
+	case h.Kind == '$' && h.N <= maxText:
+		return in.Bulk(nil, h.N)
 	}
-	return note, nil
+	return nil, resp.ErrProtocol
 }
 
 // appendHTTP appends the request for an origin, without a write's value; http.Request.Write would copy that
@@ -560,66 +666,53 @@
 	return n, err
 }
 
-// readHTTP reads an origin's answers until the connection ends.
-func (u *upstream) readHTTP() error {
-	const maxHeader = 64 << 10
-	limit := &capped{r: u.conn}
-	in := bufio.NewReaderSize(limit, upstreamBuffer)
-	for {
-		limit.left = maxHeader
-		if _, err := in.Peek(1); err != nil {
-			return err
-		}
+// readHTTP reads one answer of an origin.
+func (u *upstream) readHTTP(in *bufio.Reader) error {
+	for range maxInterim {
 		answer, err := http.ReadResponse(in, nil)
-		if err != nil {
-			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNet(err) {
-				return err
-			}
-			return errors.Join(resp.ErrProtocol, err)
-		}
-		if answer.StatusCode < http.StatusOK { // it only says that more will come
-			continue
-		}
-		limit.left = resp.MaxValue + maxHeader
-		if err := u.readAnswer(answer); err != nil {
+		switch {
+		case err != nil && (errors.Is(err, errCut) || errors.Is(err, resp.ErrProtocol)):
 			return err
-		}
-		if answer.Close {
-			return io.EOF
+		case err != nil:
+			return fmt.Errorf("%w: %w", resp.ErrProtocol, err)
+		case answer.StatusCode >= http.StatusOK:
+			return u.readAnswer(answer)
 		}
 	}
+	return resp.ErrProtocol
 }
 
-func isNet(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op)
+// readAnswer reads an answer's value. Only one that tells its length can be told from a part of it.
+func (u *upstream) readAnswer(answer *http.Response) error {
+	chunked := len(answer.TransferEncoding) > 0
+	if answer.ContentLength > resp.MaxValue || answer.ContentLength < 0 && !chunked {
+		return resp.ErrProtocol
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, resp.MaxValue+1))
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: %w", errCut, err)
+	case len(body) > resp.MaxValue:
+		return resp.ErrProtocol
+	}
+	u.result(statusOf(answer), 0, resp.AppendBulk(nil, body))
+	if answer.Close {
+		return io.EOF
+	}
+	return nil
 }
 
-// readAnswer reads one answer of an origin.
-func (u *upstream) readAnswer(answer *http.Response) error {
-	s := logic.StatusError
+// statusOf names what an origin's answer says.
+func statusOf(answer *http.Response) logic.Status {
 	switch answer.StatusCode {
 	case http.StatusOK:
-		s = logic.StatusOK
+		return logic.StatusOK
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if answer.Header.Get("X-Not-Processed") == "1" {
-			s = logic.StatusFull
+			return logic.StatusFull
 		}
+	case http.StatusBadRequest:
+		return logic.StatusRejected
 	}
-	size := int(answer.ContentLength)
-	if s == logic.StatusOK && size > longValue && size <= resp.MaxValue {
-		return u.pass(size, answer.Body)
-	}
-	if size > resp.MaxValue {
-		return resp.ErrProtocol
-	}
-	// Without a length, a value has to be held until its end shows how long it is.
-	body, err := io.ReadAll(io.LimitReader(answer.Body, resp.MaxValue+1))
-	if err != nil {
-		return err
-	}
-	if len(body) > resp.MaxValue {
-		return resp.ErrProtocol
-	}
-	return u.result(s, 0, resp.AppendBulk(nil, body))
+	return logic.StatusError
 }
--- /dev/null
+++ b/internal/proxy/upstream_test.go
@@ -0,0 +1,180 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"linenloom/internal/resp"
+)
+
+// Bytes behind an answer must never be taken for the answer to the next request.
+func TestBytesNobodyAskedForAreNoAnswer(t *testing.T) {
+	for name, behind := range map[string]string{
+		"a second copy":    hit("value of another"),
+		"noise":            "\x8fb2\xf4\r\n",
+		"half a line":      "*3\r\n$5\r\nsto",
+		"an error":         "-ERR failed\r\n",
+		"an HTTP response": page("value of another"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			node := cache(t, func(a asked) string { return hit("value of "+a.key) + behind })
+			o := origin(t, func(r *http.Request) string { return page("receipt of "+r.URL.Path[1:]) + behind })
+			p := start(t, testConfig(), entry("s-1", node, "large"), entry("o-1", o, "origin"))
+			c := p.dial()
+			for i := range 10 {
+				key := fmt.Sprintf("a%d", i)
+				c.send(get(key, "r"+key) + put(key, "w"+key, "order"))
+				if got := c.answer(); got != "value of "+key {
+					t.Fatalf("read %d was answered %q", i, got)
+				}
+				if got := c.answer(); got != "receipt of "+key {
+					t.Fatalf("write %d was answered %q", i, got)
+				}
+			}
+		})
+	}
+}
+
+// An answer that can't be read has failed; the read goes elsewhere, and its client gets nothing of it.
+func TestSpoiltAnswerIsAFailedAttempt(t *testing.T) {
+	for name, spoilt := range map[string]string{
+		"noise":          "\x8fb2\xf4\r\n",
+		"endless line":   strings.Repeat("x", 64<<10),
+		"short length":   "*3\r\n$3\r\nspoilt value\r\n$3\r\nhit\r\n$-1\r\n",
+		"long length":    "*3\r\n$30\r\nspoilt value\r\n$3\r\nhit\r\n$-1\r\n",
+		"huge length":    "*3\r\n$3000000000\r\n" + strings.Repeat("x", 64<<10),
+		"many elements":  "*60\r\n$6\r\nspoilt\r\n$3\r\nhit\r\n$-1\r\n",
+		"one element":    "*1\r\n$6\r\nspoilt\r\n",
+		"stops half-way": "*3\r\n$6\r\nspo",
+		"not an array":   "$6\r\nspoilt\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var turn atomic.Int32
+			answer := func(a asked) string { // the first of the two that is asked spoils
+				if turn.Add(1) == 1 {
+					return spoilt
+				}
+				return hit("value of " + a.key)
+			}
+			p := start(t, testConfig(), entry("s-1", cache(t, answer), "large"),
+				entry("s-2", cache(t, answer), "large"))
+			c := p.dial()
+			c.send(get("a1", "id1"))
+			if got := c.answer(); got != "value of a1" {
+				t.Errorf("answered %q", got)
+			}
+		})
+	}
+}
+
+// What comes with a good answer and is of no use must not spoil it.
+func TestGoodAnswerSurvivesItsTrimmings(t *testing.T) {
+	value := "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n"
+	for name, answer := range map[string]string{
+		"report is noise":       value + "\x8fb2\xf4\r\n",
+		"report too long":       value + "$70000\r\n" + strings.Repeat("x", 70000) + "\r\n",
+		"report of wrong kind":  value + "*2\r\n:1\r\n:2\r\n",
+		"report stops half-way": value + "$40\r\ninfl",
+		"report unreadable":     value + "$8\r\n\x00\x01=,,=\xff!\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			node := cache(t, func(asked) string { return answer })
+			p := start(t, testConfig(), entry("s-1", node, "large"))
+			c := p.dial()
+			for i := range 3 {
+				c.send(get("a1", fmt.Sprintf("id%d", i)))
+				if got := c.answer(); got != "value" {
+					t.Fatalf("answered %q", got)
+				}
+			}
+		})
+	}
+	for name, ahead := range map[string]string{
+		"100":         "HTTP/1.1 100 Continue\r\n\r\n",
+		"103 and 102": "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := origin(t, func(r *http.Request) string { return ahead + page("receipt") })
+			p := start(t, testConfig(), entry("o-1", o, "origin"))
+			c := p.dial()
+			for i := range 3 {
+				c.send(put("a1", fmt.Sprintf("id%d", i), "order"))
+				if got := c.answer(); got != "receipt" {
+					t.Fatalf("answered %q", got)
+				}
+			}
+		})
+	}
+}
+
+// A cache that finds fault with the request is not at fault itself: others must still be sent to it.
+func TestRejectedRequestIsNotTheCachesFault(t *testing.T) {
+	node := cache(t, func(a asked) string {
+		if strings.HasPrefix(a.key, "bad") {
+			return "-ERR bad request\r\n"
+		}
+		return hit("value")
+	})
+	p := start(t, testConfig(), entry("s-1", node, "large"))
+	c := p.dial()
+	for i := range 20 {
+		c.send(get("bad", fmt.Sprintf("bad%d", i)))
+		if got := c.answer(); got != "-ERR failed" {
+			t.Fatalf("a rejected request was answered %q", got)
+		}
+		c.send(get("good", fmt.Sprintf("good%d", i)))
+		if got := c.answer(); got != "value" {
+			t.Fatalf("a good request was answered %q", got)
+		}
+	}
+}
+
+// A connection that the member has closed while it stood idle costs the next request nothing.
+func TestClosedConnectionIsNotUsedAgain(t *testing.T) {
+	closed := make(chan struct{}, 10)
+	node := listen(t, func(conn net.Conn) {
+		if _, err := readCommand(resp.NewReader(conn, 4096)); err == nil {
+			io.WriteString(conn, hit("value"))
+		}
+		conn.Close()
+		closed <- struct{}{}
+	})
+	p := start(t, testConfig(), entry("s-1", node, "large"))
+	c := p.dial()
+	for i := range 5 {
+		c.send(get("a1", fmt.Sprintf("id%d", i)))
+		if got := c.answer(); got != "value" {
+			t.Fatalf("read %d was answered %q", i, got)
+		}
+		<-closed
+	}
+	p.eventually("no connection is left", func() bool { return p.upstreams == 0 })
+}
+
+// Members that come and go leave nothing behind, be it under new ids at an old address.
+func TestMembersGoneAreForgotten(t *testing.T) {
+	node := cache(t, func(a asked) string { return hit("value") })
+	r := newRegistry(t, discoveryList(1, true, entry("s-0", node, "large")))
+	p := startAt(t, testConfig(), r)
+	<-r.watched
+	c := p.dial()
+	for i := range 20 {
+		gone := entry(fmt.Sprintf("s-%d", i), node, "large")
+		gone.Phase = "terminated"
+		id := fmt.Sprintf("s-%d", i+1)
+		r.tell(discoveryList(int64(i+2), false, gone, entry(id, node, "large")))
+		p.eventually("the new member is known", func() bool { return p.revision == int64(i+2) })
+		c.send(get("a1", "id-"+id))
+		if got := c.answer(); got != "value" {
+			t.Fatalf("from %s: %q", id, got)
+		}
+	}
+	p.eventually("one member and its connection are left", func() bool {
+		return len(p.members) == 1 && p.upstreams == 1
+	})
+}
--- /dev/null
+++ b/internal/proxy/watch.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+
+	"linenloom/internal/discovery"
+	"linenloom/logic"
+)
+
+// watch is a watch on discovery at one address. It counts until the next one has told its first list, so that
+// an address that is not up yet leaves the proxy no worse off; from then on nothing that it tells is taken.
+type watch struct {
+	addr   string
+	told   chan struct{} // closed with its first list
+	cancel context.CancelFunc
+}
+
+// Follow moves the watch to another address. It returns at once.
+func (p *Proxy) Follow(addr string) {
+	p.enter()
+	defer p.leave()
+	if p.startWatch == nil {
+		p.cfg.Discovery = addr
+		return
+	}
+	if newest := p.watches[len(p.watches)-1]; newest.addr != addr {
+		p.log.Info("discovery moves", "from", newest.addr, "to", addr)
+		p.follow(addr, true)
+	}
+}
+
+// follow starts a watch. Of those before it, the one that counts goes on for the time being.
+func (p *Proxy) follow(addr string, whole bool) *watch {
+	for len(p.watches) > 1 {
+		p.watches[1].cancel()
+		p.watches = slices.Delete(p.watches, 1, 2)
+	}
+	w := &watch{addr: addr, told: make(chan struct{}), cancel: func() {}}
+	p.watches = append(p.watches, w)
+	p.startWatch(w, whole)
+	return w
+}
+
+// watch runs a watch until it is superseded or the context ends.
+func (p *Proxy) watch(ctx context.Context, w *watch, whole bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.enter()
+	w.cancel = cancel
+	current := slices.Contains(p.watches, w)
+	revision := p.revision
+	p.leave()
+	if !current {
+		return
+	}
+	watcher := discovery.Watcher{
+		Addr: w.addr, Revision: revision, Whole: whole, Log: p.log,
+		Take:   func(l discovery.List) { p.take(w, l) },
+		Broken: func() { p.broken(w) },
+	}
+	watcher.Run(ctx)
+}
+
+// take applies a list, if the watch that it came by still counts or begins to.
+func (p *Proxy) take(w *watch, l discovery.List) {
+	kind := logic.ListDelta
+	if l.Complete {
+		kind = logic.ListFull
+	}
+	p.enter()
+	defer p.leave()
+	at := slices.Index(p.watches, w)
+	if at < 0 {
+		return
+	}
+	for _, old := range p.watches[:at] {
+		old.cancel()
+	}
+	p.watches = slices.Delete(p.watches, 0, at)
+	p.revision = l.Revision
+	p.apply(kind, l)
+	select {
+	case <-w.told:
+	default:
+		close(w.told)
+	}
+}
+
+func (p *Proxy) broken(w *watch) {
+	p.enter()
+	defer p.leave()
+	if p.watches[0] == w {
+		p.bal.SetMembers(p.now, logic.ListFailed, nil)
+	}
+}
--- /dev/null
+++ b/internal/proxy/watch_test.go
@@ -0,0 +1,69 @@
+package proxy
+
+import (
+	"testing"
+
+	"linenloom/internal/discovery"
+)
+
+func discoveryList(revision int64, complete bool, members ...discovery.Member) discovery.List {
+	return discovery.List{Revision: revision, Complete: complete, Members: members}
+}
+
+// Once another discovery has told its list, that one alone counts.
+func TestFollowMovesTheWatch(t *testing.T) {
+	node := func(name string) string { return cache(t, func(asked) string { return hit(name) }) }
+	a := entry("s-a", node("a"), "large")
+	b := entry("s-b", node("b"), "large")
+	old := newRegistry(t, discoveryList(5, true, a))
+	fresh := newRegistry(t, discoveryList(7, true, b))
+	p := startAt(t, testConfig(), old)
+	<-old.watched
+	c := p.dial()
+	c.send(get("k", "id1"))
+	if got := c.answer(); got != "a" {
+		t.Fatalf("before the move: %q", got)
+	}
+
+	p.Follow(fresh.addr)
+	p.Follow(fresh.addr) // again: nothing changes
+	<-fresh.watched
+	p.eventually("the new list holds", func() bool { return p.revision == 7 && len(p.watches) == 1 })
+	c.send(get("k", "id2"))
+	if got := c.answer(); got != "b" {
+		t.Errorf("after the move: %q", got)
+	}
+	<-old.ended
+	p.take(&watch{}, discoveryList(9, true, a)) // what the old one had on its way
+	c.send(get("k", "id3"))
+	if got := c.answer(); got != "b" {
+		t.Errorf("after a late list of the old discovery: %q", got)
+	}
+
+	p.Follow(old.addr) // and back, to one that has fallen behind: its list holds after a while
+	<-old.watched
+	p.eventually("the first list holds again", func() bool { return p.revision == 5 })
+	c.send(get("k", "id4"))
+	if got := c.answer(); got != "a" {
+		t.Errorf("after the move back: %q", got)
+	}
+}
+
+// An address that does not answer leaves the watch that stands in force.
+func TestFollowToADeadAddressKeepsTheWatch(t *testing.T) {
+	a := entry("s-a", cache(t, func(asked) string { return hit("a") }), "large")
+	b := entry("s-b", cache(t, func(asked) string { return hit("b") }), "large")
+	old := newRegistry(t, discoveryList(5, true, a))
+	p := startAt(t, testConfig(), old)
+	<-old.watched
+	p.Follow("127.0.0.1:1")
+	gone := a
+	gone.Phase = discovery.PhaseTerminated
+	old.tell(discoveryList(6, false, gone, b))
+	p.eventually("the change is taken", func() bool { return p.revision == 6 })
+	c := p.dial()
+	c.send(get("k", "id1"))
+	if got := c.answer(); got != "b" {
+		t.Errorf("answered %q", got)
+	}
+}
--- a/internal/proxy/writer.go
+++ b/internal/proxy/writer.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// stallLimit is how long the other side may take nothing of what is written to it.
-const stallLimit = 10 * time.Second
+// stallLimit is how long the other side may take nothing of what is written to it, before it counts as gone.
+const stallLimit = 3 * time.Second
 
 // writer is the sending side of a connection. It writes at once, under the proxy's lock, what the kernel
 // takes without waiting, and leaves the rest to a goroutine: most messages are small and need no hand-off,
@@ -21,8 +21,10 @@
 	busy   bool   // a goroutine has the sending side
 	failed bool
 	queue  net.Buffers
-	taken  int64 // bytes given to send
-	sent   int64 // bytes the kernel has
+	// Places in the stream of bytes: what was given to send, and what the kernel has or may have by now. What
+	// the goroutine is writing may be out at any moment, so it counts as begun from when it is handed over.
+	taken, begun int64
+	backlog      int // bytes that wait or are being written by the goroutine
 
 	// The arguments and results of step; a closure for each write would be garbage.
 	buf  []byte
@@ -67,7 +69,7 @@
 			return
 		}
 		n := max(0, w.n)
-		w.sent += int64(n)
+		w.begun += int64(n)
 		if b = b[n:]; len(b) == 0 {
 			return
 		}
@@ -78,6 +80,7 @@
 		b = slices.Clone(b)
 	}
 	w.queue = append(w.queue, b)
+	w.backlog += len(b)
 	w.p.held += len(b)
 }
 
@@ -87,6 +90,20 @@
 	w.conn.Close()
 }
 
+// drop lets go of what has not been handed over and keeps it from going out.
+func (w *writer) drop() {
+	w.failed = true
+	for _, b := range w.queue {
+		w.release(len(b))
+	}
+	w.queue = nil
+}
+
+func (w *writer) release(n int) {
+	w.backlog -= n
+	w.p.held -= n
+}
+
 // drain writes the backlog.
 func (w *writer) drain() {
 	for {
@@ -102,22 +119,19 @@
 			w.p.leave()
 			return
 		}
-		w.p.leave()
 		size := 0
 		for _, b := range queue {
 			size += len(b)
 		}
+		w.begun += int64(size)
+		w.p.leave()
 		w.conn.SetWriteDeadline(time.Now().Add(stallLimit))
-		n, err := queue.WriteTo(w.conn)
+		_, err := queue.WriteTo(w.conn)
 		w.p.enter()
-		w.p.held -= size
-		w.sent += n
+		w.release(size)
 		if err != nil {
 			w.fail()
-			for _, b := range w.queue {
-				w.p.held -= len(b)
-			}
-			w.queue = nil
+			w.drop()
 		}
 		w.p.leave()
 	}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -13,8 +13,9 @@
 	"strconv"
 )
 
-// MaxValue is the longest value that either side may send.
-const MaxValue = 4 << 20
+// MaxValue is the longest value that either side may send. What announces more is broken or hostile, and is
+// turned away at its first line, before room is made for it.
+const MaxValue = 64 << 10
 
 // maxElements is the most elements of an array; commands and answers here have at most five.
 const maxElements = 64
@@ -38,9 +39,6 @@
 	return err
 }
 
-// Buffered is the number of bytes that can be read without waiting.
-func (r *Reader) Buffered() int { return r.br.Buffered() }
-
 // Read reads raw bytes, for the inside of a value.
 func (r *Reader) Read(p []byte) (int, error) { return r.br.Read(p) }
 
@@ -137,6 +135,9 @@
 	return nil
 }
 
+// Buffered is the number of bytes that have come and were not read yet.
+func (r *Reader) Buffered() int { return r.br.Buffered() }
+
 // Skip reads over the n bytes of a bulk string and its line end.
 func (r *Reader) Skip(n int) error {
 	if _, err := r.br.Discard(n); err != nil {
--- a/logic/api.go
+++ b/logic/api.go
@@ -204,8 +204,9 @@
 	StatusConnectFailed // never sent
 	StatusReset         // the connection broke
 	StatusCancelled
-	StatusMoot // never sent: the request was over, or out of attempts
-	StatusMiss // the member holds no value for the key
+	StatusMoot     // never sent: the request was over, or out of attempts
+	StatusMiss     // the member holds no value for the key
+	StatusRejected // the member finds fault with the request itself; a further attempt would end alike
 )
 
 // NeverRan tells whether the status proves that the attempt had no effect.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -110,6 +110,11 @@
 				}
 			}
 		}
+		for id := range b.nodes { // those that drained when last heard of
+			if !listed[id] {
+				delete(b.nodes, id)
+			}
+		}
 	}
 	b.peak = max(b.peak, b.size())
 	b.pump()
@@ -126,6 +131,9 @@
 
 func (b *Balancer) update(m Member) {
 	n := b.nodes[m.ID]
+	if m.State != Ready && m.State != Draining {
+		defer delete(b.nodes, m.ID) // ids are ever new: what is gone must not be kept
+	}
 	if n == nil {
 		n = &node{hash: mix(uint64(m.ID) + 0x9e3779b97f4a7c15), weight: b.slotWeight(m)}
 		n.limit, n.sentAt = startLimit, b.now
@@ -678,6 +686,9 @@
 	switch {
 	case f.done || o.Status == StatusOK:
 		b.retire(f)
+	case o.Status == StatusRejected:
+		b.do.Fail(f.ID)
+		b.retire(f)
 	case f.out != 0 || f.waiting:
 	case o.Status == StatusMiss && b.s.Mode == Aside:
 		b.missed(f, n, o.Note)
@@ -744,7 +755,7 @@
 	n.out = max(0, n.out-1)
 	bad := 1.0
 	switch o.Status {
-	case StatusCancelled, StatusMoot:
+	case StatusCancelled, StatusMoot, StatusRejected:
 		return
 	case StatusFull:
 		if fetched {
