Warm connections, ejection only after two failures in a row

'nochoice' was over 90% of the refusals; throttling and the origin's queue were under 1%, ruled out.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -264,6 +264,7 @@
 		p.closeIdleClients()
 		for id, m := range p.members {
 			p.closeIdle(m, p.cfg.ConnIdle*idleShare/100)
+			p.warm(m)
 			if m.state == logic.Gone && len(m.conns) == 0 && m.dials == 0 && len(m.waiting) == 0 {
 				delete(p.members, id)
 			}
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -10,8 +10,9 @@
 // connection. None is withdrawn; one that is no longer wanted does nothing.
 type due struct {
 	at      time.Duration
-	attempt *attempt // nil: the module's timer
-	connect bool     // the wait for a connection ends
+	attempt *attempt  // nil: the module's timer
+	connect bool      // the wait for a connection ends
+	pinged  *upstream // the answer to a PING is due
 	token   uint64
 }
 
@@ -84,6 +85,8 @@
 	for len(p.timers) > 0 && p.timers[0].at <= p.now {
 		d := p.timers.pop()
 		switch {
+		case d.pinged != nil:
+			p.pingLate(d.pinged, time.Duration(d.token))
 		case d.attempt == nil:
 			p.bal.Timer(p.now, d.token)
 		case d.connect:
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -40,6 +40,10 @@
 	stallTime = 250 * time.Millisecond
 	// maxInterim is how many 1xx answers may come ahead of one that counts.
 	maxInterim = 16
+	// warmShare is the part of a connection's idle time after which the last one to a cache is used for a
+	// PING, so that the cache does not close it; warmTime is how long one may take to answer it.
+	warmShare  = 60
+	warmTime   = time.Second
 	originHead = 64 << 10 // bytes that an origin may send beside its value
 )
 
@@ -57,6 +61,7 @@
 	started time.Duration
 	conns   []*upstream // used last stands last
 	dials   int
+	warming bool // a dial is out that no attempt asked for
 	queued  bool // in dialQueue
 	waiting []*attempt
 	full    time.Duration // no dials until then, while there are connections
@@ -72,6 +77,7 @@
 	w       *writer
 	current *attempt // sent and not yet answered, or answered and the connection at rest
 	used    time.Duration
+	pinged  bool // a PING is out, and nothing else may be sent
 	retired bool // nothing new is sent
 	closed  bool
 }
@@ -160,7 +166,7 @@
 	for i := len(m.conns) - 1; i >= 0; i-- {
 		u := m.conns[i]
 		switch {
-		case u.retired || u.w.failed || u.w.busy || u.current != nil:
+		case u.retired || u.w.failed || u.w.busy || u.current != nil || u.pinged:
 		case p.now-u.used >= p.cfg.ConnIdle*idleShare/100 || !u.silent():
 			u.retire()
 		case p.now-u.used < p.cfg.ConnIdle*share/100:
@@ -190,18 +196,65 @@
 		m.dials++
 		p.dialling++
 		p.upstreams++
-		go p.connect(m, m.addr, m.started)
+		go p.connect(m, m.addr, m.started, false)
+	}
+}
+
+// warm keeps a connection to each cache open and used. The first request on a connection waits for what a
+// handshake takes, several round trips; sent to another zone it can time out by that alone, which closes the
+// connection and makes the next one wait as long, so that a healthy cache looks slow for good. A PING takes
+// that wait in a request's place. It costs each cache a little work every few seconds, so where proxies are
+// many, or members more than there are descriptors for, it is left out.
+func (p *Proxy) warm(m *member) {
+	s := &p.cfg.Settings
+	if !s.CanProbe || m.origin || m.state != logic.Ready || m.warming ||
+		2*max(1, s.Instances) > nodeSockets || len(p.members) > p.cfg.Sockets/8 {
+		return
+	}
+	if len(m.conns) == 1 {
+		if u := m.conns[0]; u.current == nil && !u.pinged && !u.retired && !u.w.busy &&
+			p.now-u.used >= p.cfg.ConnIdle*warmShare/100 {
+			u.ping()
+		}
+	}
+	if len(m.conns)+m.dials == 0 && p.now >= m.full && p.dialling < maxDials/2 &&
+		p.sockets() < p.cfg.Sockets-spareSockets {
+		m.warming = true
+		m.dials++
+		p.dialling++
+		p.upstreams++
+		go p.connect(m, m.addr, m.started, true)
+	}
+}
+
+// ping sends a PING on a connection that is free.
+func (u *upstream) ping() {
+	u.pinged = true
+	u.touch()
+	u.w.send([]byte("*1\r\n$4\r\nPING\r\n"), false)
+	u.p.schedule(due{at: u.p.now + warmTime, pinged: u, token: uint64(u.used)})
+}
+
+// pingLate gives up a connection whose PING has not been answered.
+func (p *Proxy) pingLate(u *upstream, sentAt time.Duration) {
+	if u.pinged && u.used == sentAt {
+		u.close()
+		p.dial(u.m)
+		p.dialNext()
 	}
 }
 
 // connect opens a connection and reads its answers until it ends.
-func (p *Proxy) connect(m *member, addr string, started time.Duration) {
+func (p *Proxy) connect(m *member, addr string, started time.Duration, warm bool) {
 	d := net.Dialer{Timeout: p.cfg.Settings.ConnectTimeout, KeepAlive: -1}
 	conn, err := d.DialContext(context.Background(), "tcp", addr)
 	var u *upstream
 	p.enter()
 	m.dials--
 	p.dialling--
+	if warm {
+		m.warming = false
+	}
 	if err == nil {
 		u, err = p.newUpstream(m, conn.(*net.TCPConn))
 	}
@@ -213,7 +266,9 @@
 		u.retire() // the list has changed meanwhile
 	default:
 		m.conns = append(m.conns, u)
-		p.serveWaiting(m)
+		if p.serveWaiting(m); warm && u.current == nil {
+			u.ping()
+		}
 	}
 	p.dial(m)
 	p.dialNext()
@@ -456,7 +511,7 @@
 	switch {
 	case ended:
 		return io.EOF
-	case u.current == nil:
+	case u.current == nil && !u.pinged:
 		return errStray
 	}
 	return nil
@@ -476,7 +531,7 @@
 	case !u.silent():
 		return errStray
 	}
-	u.current, u.used = nil, p.now
+	u.current, u.pinged, u.used = nil, false, p.now
 	p.serveWaiting(u.m)
 	return nil
 }
@@ -516,7 +571,7 @@
 // a command that crosses its close would count as one that may have run.
 func (p *Proxy) closeIdle(m *member, age time.Duration) (closed int) {
 	for _, u := range slices.Clone(m.conns) {
-		if u.current == nil && p.now-u.used >= age {
+		if u.current == nil && !u.pinged && p.now-u.used >= age {
 			u.close()
 			closed++
 		}
@@ -543,6 +598,11 @@
 	switch {
 	case err != nil:
 		return err
+	case u.pinged: // by this goroutine's own order of events: await saw it under the lock
+		if h.Kind != '+' && h.Kind != '-' {
+			return resp.ErrProtocol
+		}
+		return nil
 	case h.Kind == '-':
 		u.result(refusal(h.Text), 0, nil)
 		return nil
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -178,3 +178,61 @@
 		return len(p.members) == 1 && p.upstreams == 1
 	})
 }
+
+// The first request on a connection to a cache must not be the one that pays for its handshake, and a
+// connection that stands idle is kept in use.
+func TestCachesAreKeptWarm(t *testing.T) {
+	pings, conns := make(chan net.Conn, 10), make(chan net.Conn, 10)
+	node := listen(t, func(conn net.Conn) {
+		conns <- conn
+		in := resp.NewReader(conn, 4096)
+		for {
+			words, err := readCommand(in)
+			switch {
+			case err != nil:
+				return
+			case words[0] == "PING":
+				pings <- conn
+				io.WriteString(conn, "+PONG\r\n")
+			default:
+				io.WriteString(conn, hit("value"))
+			}
+		}
+	})
+	cfg := testConfig()
+	cfg.Settings.CanProbe = true
+	p := start(t, cfg, entry("s-1", node, "large"))
+	first := <-conns
+	if got := <-pings; got != first {
+		t.Fatal("the PING came on another connection")
+	}
+	free := func() *upstream {
+		for _, m := range p.members {
+			if len(m.conns) == 1 && m.conns[0].current == nil && !m.conns[0].pinged {
+				return m.conns[0]
+			}
+		}
+		return nil
+	}
+	p.eventually("the connection is free", func() bool {
+		u := free()
+		if u != nil {
+			u.used -= cfg.ConnIdle * warmShare / 100 // as if it stood idle so long
+		}
+		return u != nil
+	})
+	if got := <-pings; got != first {
+		t.Error("the idle connection was not kept in use")
+	}
+	p.eventually("the connection is free again", func() bool { return free() != nil })
+	c := p.dial()
+	c.send(get("a1", "id1"))
+	if got := c.answer(); got != "value" {
+		t.Errorf("answered %q", got)
+	}
+	select {
+	case <-conns:
+		t.Error("the request opened a connection of its own")
+	default:
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -693,7 +693,7 @@
 	case o.Status == StatusMiss && b.s.Mode == Aside:
 		b.missed(f, n, o.Note)
 	default:
-		b.again(f, fetched)
+		b.again(f, o.Status, fetched)
 	}
 	b.pump()
 }
@@ -736,7 +736,7 @@
 }
 
 // again makes a further attempt after a failure, if the rules, the time and the retry budget allow one.
-func (b *Balancer) again(f *flight, fetched bool) {
+func (b *Balancer) again(f *flight, s Status, fetched bool) {
 	if b.retries < 1 || b.now >= f.aim || f.attempts >= b.s.TryLimit {
 		b.conclude(f)
 		return
@@ -746,6 +746,9 @@
 		b.enqueue(f)
 		return
 	}
+	if s == StatusReset && len(f.tried) == 1 {
+		f.tried = f.tried[:0] // the connection broke; the member, which has the key, may well be up
+	}
 	f.missAt = nil
 	b.route(f)
 }
@@ -783,9 +786,10 @@
 	}
 	n.fails += (bad - n.fails) * 0.3
 	b.fails += (bad - b.fails) * 0.05
-	hard := o.Status == StatusConnectFailed || o.Status == StatusReset
-	// Relative to the fleet: when everything fails alike, ejecting helps nobody.
-	if bad > 0 && !fetched && (hard || n.streak >= 2) && n.fails > 2*b.fails {
+	// Two in a row: one broken connection or spoilt answer tells of a connection, not of its member, and an
+	// ejected member's load goes to others that lack its keys. Relative to the fleet: when everything fails
+	// alike, ejecting helps nobody.
+	if bad > 0 && !fetched && n.streak >= 2 && n.fails > 2*b.fails {
 		d := 250 * time.Millisecond << min(n.streak, 5)
 		n.outUntil = b.now + d/2 + b.jitter(d)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -639,3 +639,56 @@
 		t.Error("slots moved with the load")
 	}
 }
+
+// One broken connection tells nothing of its member: it stays in use, and the read may go there again.
+func TestOneResetDoesNotEject(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(6)...)
+	a := h.ask(Request{ID: 1, Key: 77})
+	h.run(10 * ms)
+	h.end(1, 0, StatusReset)
+	if len(a.sent) != 2 || a.sent[1].to != a.sent[0].to {
+		t.Fatalf("sent %+v, want the same cache twice", a.sent)
+	}
+	h.end(1, 1, StatusReset)
+	if n := h.b.nodes[a.sent[0].to]; n.outUntil <= h.now {
+		t.Error("two in a row did not eject the cache")
+	}
+	h.check()
+}
+
+// Members under ever new ids leave nothing behind.
+func TestMembersGoneAreForgotten(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	for i := range 50 {
+		m := Member{ID: MemberID(1000 + i), Weight: 1}
+		h.members(ListDelta, m)
+		m.State = Draining
+		h.members(ListDelta, m)
+		if i%2 == 0 {
+			m.State = Gone
+			h.members(ListDelta, m)
+		}
+	}
+	h.members(ListFull, Member{ID: 1, Weight: 1})
+	if len(h.b.nodes) != 1 {
+		t.Errorf("%d members kept, want 1", len(h.b.nodes))
+	}
+}
+
+// A request that a member finds fault with is not sent again, and the member keeps its good name.
+func TestRejectedRequestFailsAtOnce(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(6)...)
+	for id := RequestID(1); id < 10; id++ {
+		a := h.ask(Request{ID: id, Key: 77})
+		h.end(id, 0, StatusRejected)
+		if len(a.sent) != 1 || a.answered != 1 {
+			t.Fatalf("sent %+v, answered %d times", a.sent, a.answered)
+		}
+		if n := h.b.nodes[a.sent[0].to]; n.fails != 0 || n.streak != 0 {
+			t.Fatal("it counted against the member")
+		}
+	}
+	h.check()
+}
