Resets don't eject, limits keep a floor, reads spill further before they are refused

One slow answer cut a cache in another zone, which is asked once in 10 s, to 0.01 of an attempt for good. Refusals then named two busy candidates while six others had room and the origin was idle. Connect failures and time-outs were looked at and eject as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,6 +27,7 @@
 	throttleSpan  = 3 * time.Second // over which asked and answered are compared
 	throttleAt    = 2               // a read may be refused when the caches answer less than one in this many
 	throttleSlack = 8               // fewer asked than this tell nothing
+	spillOver     = 6               // busy candidates passed over before a read is refused
 	coldShare     = 0.5             // of the fall multiple: the rest is left for what this proxy can't see
 )
 
@@ -487,7 +488,7 @@
 		if b.room(r.n) {
 			return r.n
 		}
-		if busy++; busy == 2 || !b.originIdle(f) {
+		if busy++; busy == spillOver || !b.originIdle(f) {
 			return nil
 		}
 	}
@@ -786,10 +787,14 @@
 	}
 	n.fails += (bad - n.fails) * 0.3
 	b.fails += (bad - b.fails) * 0.05
-	// Two in a row: one broken connection or spoilt answer tells of a connection, not of its member, and an
-	// ejected member's load goes to others that lack its keys. Relative to the fleet: when everything fails
-	// alike, ejecting helps nobody.
-	if bad > 0 && !fetched && n.streak >= 2 && n.fails > 2*b.fails {
+	// Two in a row, and more where an answer or connection broke: that tells of a connection rather than of
+	// its member, which is up if the next one can be opened. An ejected member's load goes to others that lack
+	// its keys. Relative to the fleet: when everything fails alike, ejecting helps nobody.
+	least := 2
+	if o.Status == StatusReset || o.Status == StatusError {
+		least = 4
+	}
+	if bad > 0 && !fetched && n.streak >= least && n.fails > 2*b.fails {
 		d := 250 * time.Millisecond << min(n.streak, 5)
 		n.outUntil = b.now + d/2 + b.jitter(d)
 	}
@@ -819,7 +824,10 @@
 		if used < 1 { // it will hear of this member only seldom
 			by *= by
 		}
-		n.cutAt, n.limit = b.now, max(0.01, min(n.limit, used)*by)
+		// The proxies together may keep half an attempt out: one slow answer to a proxy that seldom asks would
+		// else take the member out for it.
+		least := max(0.01, 0.5/float64(b.s.Instances))
+		n.cutAt, n.limit = b.now, max(least, min(n.limit, used)*by)
 	}
 }
 
