--- /dev/null
+++ b/cmd/linenloom/main_test.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// asProxy makes the test's binary be the program, so that signals reach a process of its own.
+const asProxy = "LINENLOOM_TEST_AS_PROXY"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProxy) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// configWith is the test configuration with some fields replaced.
+func configWith(t *testing.T, fields map[string]any) []byte {
+	t.Helper()
+	text, err := os.ReadFile("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var c map[string]any
+	if err := json.Unmarshal(text, &c); err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range fields {
+		c[name] = value
+	}
+	if text, err = json.Marshal(c); err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func replace(t *testing.T, path string, text []byte) {
+	t.Helper()
+	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestEnvironmentHoldsAtTheStartAndTheFileAfterwards(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	replace(t, path, configWith(t, map[string]any{"discovery": "127.0.0.1:10"}))
+	env := map[string]string{"LB_CONFIG": path, "LB_DISCOVERY": "127.0.0.1:20", "LB_LISTEN": "127.0.0.1:30"}
+	getenv := func(name string) string { return env[name] }
+	c, err := loadConfig(getenv)
+	if err != nil || c.Discovery != "127.0.0.1:20" || c.Listen != "127.0.0.1:30" {
+		t.Errorf("at the start: %+v, %v", c, err)
+	}
+	c, err = reloadConfig(getenv)
+	if err != nil || c.Discovery != "127.0.0.1:10" || c.Listen != "127.0.0.1:30" {
+		t.Errorf("afterwards: %+v, %v", c, err)
+	}
+	for name, fields := range map[string]map[string]any{
+		"no address":   {"discovery": "nowhere"},
+		"no discovery": {"discovery": ""},
+		"few sockets":  {"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 3}},
+	} {
+		replace(t, path, configWith(t, fields))
+		if _, err := reloadConfig(getenv); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	replace(t, path, []byte(`{"discovery":"127.0.0.1:10","known":{"mem`))
+	if _, err := reloadConfig(getenv); err == nil {
+		t.Error("half a file was taken")
+	}
+}
+
+// SIGHUP moves the watch, a file that can't be used changes nothing, and SIGTERM still ends the program.
+func TestSignals(t *testing.T) {
+	const patience = 20 * time.Second
+	registry := func() (addr string, watched chan struct{}) {
+		watched = make(chan struct{}, 10)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Write([]byte(`{"revision":5,"complete":true,"members":[]}` + "\n"))
+			w.(http.Flusher).Flush()
+			if r.URL.Query().Get("watch") != "" {
+				watched <- struct{}{}
+				<-r.Context().Done()
+			}
+		}))
+		t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+		return s.Listener.Addr().String(), watched
+	}
+	await := func(c <-chan struct{}, what string) {
+		t.Helper()
+		select {
+		case <-c:
+		case <-time.After(patience):
+			t.Fatalf("never came about: %s", what)
+		}
+	}
+	first, firstWatched := registry()
+	second, secondWatched := registry()
+	path := filepath.Join(t.TempDir(), "config.json")
+	replace(t, path, configWith(t, map[string]any{"discovery": second}))
+
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self)
+	cmd.Env = append(os.Environ(), asProxy+"=1", "LB_CONFIG="+path, "LB_DISCOVERY="+first)
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	lines := map[string]chan struct{}{
+		"msg=ready": make(chan struct{}, 10), "reload failed": make(chan struct{}, 10),
+		"msg=stopped": make(chan struct{}, 10),
+	}
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		for in := bufio.NewScanner(out); in.Scan(); {
+			for text, c := range lines {
+				if strings.Contains(in.Text(), text) {
+					c <- struct{}{}
+				}
+			}
+		}
+	}()
+	await(lines["msg=ready"], "the proxy is ready")
+	await(firstWatched, "a watch on the environment's discovery")
+
+	good := configWith(t, map[string]any{"discovery": second})
+	replace(t, path, good[:len(good)/2])
+	cmd.Process.Signal(syscall.SIGHUP)
+	await(lines["reload failed"], "a log line about the bad file")
+
+	replace(t, path, good)
+	cmd.Process.Signal(syscall.SIGHUP)
+	await(secondWatched, "a watch on the file's discovery")
+	replace(t, path, configWith(t, map[string]any{"discovery": first}))
+	cmd.Process.Signal(syscall.SIGHUP)
+	await(firstWatched, "a watch on the first discovery again")
+
+	cmd.Process.Signal(syscall.SIGTERM)
+	await(lines["msg=stopped"], "the end")
+	<-read
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
