A busy zone spills to the slot's cache in another zone; no line at busy caches; requests of clients that left run out

Cause: the proxy in the zone with the fewest caches refused 300 of 1,260 reads in 2 s while eight caches in other zones had room, since the origin had none for a miss (per-read log of the candidates). Those caches hold the key for their own zone's proxies. 19 attempts stood in a line for 6 connections of one cache, which the module took for the cache's own slowness. A client that left cost a connection each time (379 of them). Ruled out: throttling (0 refusals), CPU (0.11 s in the worst second).

--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -60,13 +60,15 @@
 	}
 }
 
-// Cancel stops waiting for an attempt.
+// Cancel stops waiting for an attempt. Of a request that is over it is left to end by itself, at its own time
+// at the latest: closing its connection would stop no work at the member and cost it another handshake, and
+// the Balancer would count as free what is not.
 func (x actions) Cancel(id logic.RequestID, attempt int) {
 	r := x.p.requests[id]
 	if r == nil || attempt < 0 || attempt >= len(r.attempts) {
 		return
 	}
-	if a := r.attempts[attempt]; !a.ended {
+	if a := r.attempts[attempt]; !a.ended && (!r.done || a.conn == nil) {
 		x.p.abandon(a, logic.StatusCancelled)
 	}
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -23,6 +23,7 @@
 	// part of them. A fuller table also takes of what the cache can do, so few are opened.
 	nodeSockets    = 28
 	cacheSockets   = 6
+	waitingRoom    = 2 // attempts that wait at a cache for one of its connections to be free, beside the dials
 	originSockets  = 48
 	originShare    = 12 // percent of the descriptors for the origin, at most
 	maxDials       = 64 // at once: a zone that vanished takes its time to fail, and must not take the descriptors
@@ -151,6 +152,13 @@
 		u.start(a)
 		return
 	}
+	// A long line here would be load that the Balancer takes for the member's own. It is told at once that
+	// there is no more room, and can send elsewhere.
+	more := len(m.conns)+m.dials < p.maxConns(m) && (len(m.conns) == 0 || p.now >= m.full)
+	if !m.origin && !more && len(m.waiting) >= m.dials+waitingRoom {
+		p.end(a, logic.StatusFull, 0)
+		return
+	}
 	m.waiting = append(m.waiting, a)
 	p.schedule(due{at: p.now + p.cfg.Settings.ConnectTimeout, attempt: a, connect: true})
 	p.dial(m)
@@ -171,6 +179,8 @@
 			u.retire()
 		case p.now-u.used < p.cfg.ConnIdle*share/100:
 			return u
+		case len(m.conns)+m.dials >= p.maxConns(m):
+			u.close() // a fresh one takes its place
 		}
 	}
 	return nil
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -236,3 +236,71 @@
 	default:
 	}
 }
+
+// When a cache's connections are all busy, the Balancer hears of it at once and sends elsewhere, rather than
+// have a line form that it can't see.
+func TestFullCacheIsNotQueuedFor(t *testing.T) {
+	asks, release := make(chan asked, 100), make(chan struct{})
+	node := cache(t, func(a asked) string { asks <- a; <-release; return hit("value") })
+	p := start(t, testConfig(), entry("s-1", node, "large"))
+	p.eventually("the member is known", func() bool { return len(p.members) == 1 })
+	p.enter()
+	var m *member
+	for _, m = range p.members {
+	}
+	var over *attempt
+	r := &request{done: true, command: command{key: []byte("k"), reqID: []byte("i"), attrs: []byte("c=tile-read")}}
+	for range cacheSockets + waitingRoom + 1 {
+		over = &attempt{req: r, to: m.id, end: -1, until: p.now + patience}
+		r.attempts, r.out = append(r.attempts, over), r.out+1
+		p.dispatch(m, over)
+	}
+	if !over.ended || len(p.outcomes) != 1 {
+		t.Error("an attempt too many waits")
+	}
+	p.leave()
+	for range cacheSockets {
+		<-asks
+	}
+	close(release)
+	p.eventually("those that wait are sent", func() bool { return r.out == 0 })
+}
+
+// An attempt whose client has left runs out on its connection, which then serves others.
+func TestClientThatLeavesCostsNoConnection(t *testing.T) {
+	conns, asks, release := make(chan struct{}, 10), make(chan asked, 10), make(chan struct{})
+	node := listen(t, func(conn net.Conn) {
+		conns <- struct{}{}
+		in := resp.NewReader(conn, 4096)
+		for {
+			words, err := readCommand(in)
+			if err != nil {
+				return
+			}
+			asks <- asked{key: words[1]}
+			<-release
+			io.WriteString(conn, hit("value of "+words[1]))
+		}
+	})
+	p := start(t, testConfig(), entry("s-1", node, "large"))
+	gone := p.dial()
+	gone.send(get("a1", "id1"))
+	<-asks
+	gone.conn.Close()
+	p.eventually("the client is gone", func() bool { return len(p.clients) == 0 })
+	close(release)
+	p.eventually("its request is over", func() bool {
+		for _, m := range p.members {
+			return len(p.requests) == 0 && len(m.conns) == 1 && m.conns[0].current == nil
+		}
+		return false
+	})
+	c := p.dial()
+	c.send(get("a2", "id2"))
+	if got := c.answer(); got != "value of a2" {
+		t.Errorf("answered %q", got)
+	}
+	if n := len(conns); n != 1 {
+		t.Errorf("%d connections were opened", n)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -488,6 +488,9 @@
 		if b.room(r.n) {
 			return r.n
 		}
+		if n := b.abroad(f); busy == 0 && n != nil {
+			return n
+		}
 		if busy++; busy == spillOver || !b.originIdle(f) {
 			return nil
 		}
@@ -507,6 +510,27 @@
 	return last
 }
 
+// abroad is a cache with room in another zone that has the slot in that zone's table. The proxies there ask it
+// for the same keys, so a read is more likely found than at a second candidate here, and costs less than a
+// refusal; nil where all zones share a table.
+func (b *Balancer) abroad(f *flight) *node {
+	if !b.local {
+		return nil
+	}
+	seen := uint64(1) << (b.s.Zone & 63)
+	for _, r := range b.order(f.slot) {
+		bit := uint64(1) << (r.n.m.Zone & 63)
+		if seen&bit != 0 || !b.owns(r.n, f.slot) {
+			continue
+		}
+		seen |= bit
+		if b.usable(f, r.n) && b.room(r.n) {
+			return r.n
+		}
+	}
+	return nil
+}
+
 func (b *Balancer) usable(f *flight, n *node) bool {
 	return n.outUntil <= b.now && !slices.Contains(f.tried, n) && b.maySend(f, n) && b.coldRoom(n)
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -692,3 +692,33 @@
 	}
 	h.check()
 }
+
+// With the slot's cache in this zone busy, a read goes to the one that has the slot in another zone, where its
+// key is kept too, and is not refused because the origin has no room for a miss.
+func TestBusyZoneSpillsToTheSlotsCacheAbroad(t *testing.T) {
+	s := testSettings()
+	s.Zones, s.CrossZonePrice = 3, 0.06
+	h := newHost(t, s, 1)
+	list := withOrigin(9)
+	for i := range list {
+		list[i].Zone = i % 3
+	}
+	h.members(ListCached, list...)
+	order := h.b.order(slotOf(77))
+	first := order[0].n
+	if first.m.Zone != s.Zone {
+		t.Fatalf("the slot's first cache is in zone %d", first.m.Zone)
+	}
+	at := slices.IndexFunc(order, func(r ranked) bool { return r.n.m.Zone != s.Zone })
+	for _, r := range order[:at] {
+		r.n.limit, r.n.out = 1, 1
+	}
+	o := h.b.origins[0]
+	o.limit, o.out = 1, 1
+	a := h.ask(Request{ID: 1, Key: 77})
+	if len(a.sent) != 1 || a.sent[0].to != order[at].n.m.ID {
+		t.Fatalf("sent %+v, want %d", a.sent, order[at].n.m.ID)
+	}
+	h.end(1, 0, StatusOK)
+	h.check()
+}
