--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -109,9 +109,7 @@
 	crowd := make([]*testClient, 3*cfg.Sockets)
 	for i := range crowd {
 		crowd[i] = p.dial()
-		if i%16 == 0 {
-			ask(i + 1)
-		}
+		ask(i + 1)
 	}
 	p.eventually("descriptors within the limit", func() bool { return p.sockets() <= cfg.Sockets-spareSockets })
 	for _, c := range crowd { // each is owed an end, though it said nothing
