A connection's reader no longer looks at its member without the lock

Cause: the race detector, in the checks: reader() read member.origin while a list was being applied, which writes it. The kind of member is now noted when the connection is made.

--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -76,6 +76,7 @@
 	m       *member
 	conn    *net.TCPConn
 	w       *writer
+	origin  bool     // as the member was when it connected: the reader must not look at the member unlocked
 	current *attempt // sent and not yet answered, or answered and the connection at rest
 	used    time.Duration
 	pinged  bool // a PING is out, and nothing else may be sent
@@ -297,7 +298,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &upstream{p: p, m: m, conn: conn, w: w, used: p.now}, nil
+	return &upstream{p: p, m: m, origin: m.origin, conn: conn, w: w, used: p.now}, nil
 }
 
 // dialFailed ends the attempt that has waited longest, unless the connections that stand will take it: a cache
@@ -479,7 +480,7 @@
 
 // reader gives the function that reads one answer and tells how many bytes beyond it have come.
 func (u *upstream) reader() func() (int, error) {
-	if u.m.origin {
+	if u.origin {
 		limit := &capped{r: u}
 		in := bufio.NewReaderSize(limit, upstreamBuffer)
 		return func() (int, error) {
