One failed dial no longer starves a pool; own shortage is not booked as the member's load; broken connections take a quarter of the retry budget

The shortage came out as 'full' (dispatch, connectTimeout), which cut the member's limit, and as latency counted from before the wait (end), which cut the origin's: 24 to 2, fetches 89 to 15 a second, and misses went from 74 to 276 as nothing was stored. Those and every reset took one of the retry budget (again): 30 to 60 refusals a second.

Mended: dials back off from 10 ms, doubling, up to 1 s, with a timer; a dial refused at once is made once more; StatusNoConn for what found no connection; latency counts from the write; a reset or failed connect takes a quarter of the budget; a fetch that broke keeps those who wait for it while it goes back in line.

Ruled out: attempts of finished requests (at most 1 out), throttling (0), CPU (0.1 s in the worst second).

--- /dev/null
+++ b/internal/proxy/pool_test.go
@@ -0,0 +1,162 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"linenloom/internal/resp"
+	"linenloom/logic"
+)
+
+// One dial that fails must not leave the pool short: those that wait get a connection as soon as there is one
+// to be had, though the only one that stands stays busy.
+func TestFailedDialDoesNotStarveThePool(t *testing.T) {
+	asks, release := make(chan string, 10), make(chan struct{})
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		in := resp.NewReader(conn, 4096)
+		for {
+			words, err := readCommand(in)
+			if err != nil {
+				return
+			}
+			asks <- words[1]
+			if words[1] == "a1" {
+				<-release
+			}
+			io.WriteString(conn, hit("value of "+words[1]))
+		}
+	}
+	accept := func(l net.Listener) {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go accept(l)
+	cfg := testConfig()
+	cfg.Settings.ConnectTimeout, cfg.Settings.TryLimit = patience, 1 // the read must wait, and get its connection
+	p := start(t, cfg, entry("s-1", l.Addr().String(), "large"))
+	busy, waiting := p.dial(), p.dial()
+	busy.send(get("a1", "id1"))
+	<-asks
+	l.Close()
+	waiting.send(get("a2", "id2"))
+	p.eventually("a dial has failed", func() bool {
+		for _, m := range p.members {
+			return m.full > 0
+		}
+		return false
+	})
+	if l, err = net.Listen("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go accept(l)
+	if got := waiting.answer(); got != "value of a2" {
+		t.Errorf("the read that waited was answered %q", got)
+	}
+	close(release)
+	if got := busy.answer(); got != "value of a1" {
+		t.Errorf("the busy read was answered %q", got)
+	}
+}
+
+// The backoff grows while dials fail, counts dials that fail together once, and ends with one that comes up.
+func TestDialBackoffDoublesAndEnds(t *testing.T) {
+	node := cache(t, func(a asked) string { return hit("value") })
+	p := start(t, testConfig(), entry("s-1", node, "large"))
+	p.eventually("the member is known", func() bool { return len(p.members) == 1 })
+	p.enter()
+	var m *member
+	for _, m = range p.members {
+	}
+	var got []time.Duration
+	for range 9 {
+		p.dialFailed(m, io.EOF)
+		p.dialFailed(m, io.EOF)
+		got = append(got, m.backoff)
+		p.now = m.full
+	}
+	p.leave()
+	for i, want := 0, dialBackoff; i < len(got); i, want = i+1, min(2*want, dialBackoffMax) {
+		if got[i] != want {
+			t.Errorf("backoff %d is %v, not %v", i, got[i], want)
+		}
+	}
+	c := p.dial()
+	c.send(get("a1", "id1"))
+	if got := c.answer(); got != "value" {
+		t.Errorf("answered %q", got)
+	}
+	p.enter()
+	if m.backoff != 0 {
+		t.Errorf("the backoff outlives a connection: %v", m.backoff)
+	}
+	p.leave()
+}
+
+// The member's latency is counted from when it was written to: the wait for a connection is the proxy's own.
+func TestWaitForAConnectionIsNoLatency(t *testing.T) {
+	p := start(t, testConfig())
+	p.enter()
+	defer p.leave()
+	r := &request{done: true}
+	waited := &attempt{req: r, sentAt: p.now - time.Second, began: p.now - 10*time.Millisecond}
+	never := &attempt{req: r, sentAt: p.now - time.Second}
+	r.out = 2
+	p.end(waited, logic.StatusOK, 0)
+	p.end(never, logic.StatusNoConn, 0)
+	if got := p.outcomes[0].Elapsed; got != 10*time.Millisecond {
+		t.Errorf("an attempt that waited took %v", got)
+	}
+	if got := p.outcomes[1].Elapsed; got != time.Second {
+		t.Errorf("an attempt that was never written took %v", got)
+	}
+	p.outcomes = nil
+}
+
+// Connections that break all day must not use up what further attempts are allowed.
+func TestBrokenConnectionsAreTriedAgain(t *testing.T) {
+	first := map[string]bool{}
+	ids := make(chan string, 1)
+	seen := make(chan bool)
+	go func() {
+		for id := range ids {
+			seen <- first[id]
+			first[id] = true
+		}
+	}()
+	t.Cleanup(func() { close(ids) })
+	node := listen(t, func(conn net.Conn) {
+		in := resp.NewReader(conn, 4096)
+		for {
+			words, err := readCommand(in)
+			if err != nil {
+				return
+			}
+			if ids <- words[2]; !<-seen { // every read's first attempt
+				return
+			}
+			io.WriteString(conn, hit("value of "+words[1]))
+		}
+	})
+	p := start(t, testConfig(), entry("s-1", node, "large"))
+	c := p.dial()
+	for i := range 40 {
+		c.send(get("a1", fmt.Sprintf("id%d", i)))
+		if got := c.answer(); got != "value of a1" {
+			t.Fatalf("read %d was answered %q", i, got)
+		}
+	}
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -33,10 +33,12 @@
 	n      int
 	to     logic.MemberID
 	sentAt time.Duration
+	began  time.Duration // when it was written to a connection; 0: not yet
 	until  time.Duration // it is given up then
 	conn   *upstream     // nil while it waits for one
 	end    int64         // place of its last byte in what the connection sends
 	ended  bool
+	again  bool // a dial for it was refused at once, and one more is made
 }
 
 // end gives an attempt its outcome; later ones are dropped.
@@ -47,8 +49,13 @@
 	a.ended = true
 	r := a.req
 	r.out--
+	// The wait for a connection is this proxy's own: as the member's latency it would cut the member's limit.
+	since := a.sentAt
+	if a.began > 0 {
+		since = a.began
+	}
 	p.outcomes = append(p.outcomes, logic.Outcome{
-		Request: r.id, Attempt: a.n, Member: a.to, Status: s, Elapsed: p.now - a.sentAt, Note: note,
+		Request: r.id, Attempt: a.n, Member: a.to, Status: s, Elapsed: p.now - since, Note: note,
 		Final: r.done,
 	})
 	p.settle(r)
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -13,6 +13,7 @@
 	attempt *attempt  // nil: the module's timer
 	connect bool      // the wait for a connection ends
 	pinged  *upstream // the answer to a PING is due
+	dial    *member   // the backoff after a failed dial ends
 	token   uint64
 }
 
@@ -87,6 +88,8 @@
 		switch {
 		case d.pinged != nil:
 			p.pingLate(d.pinged, time.Duration(d.token))
+		case d.dial != nil:
+			p.dial(d.dial)
 		case d.attempt == nil:
 			p.bal.Timer(p.now, d.token)
 		case d.connect:
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -30,7 +30,12 @@
 	idleShare      = 80 // percent of the idle time, after which a connection is closed
 	freshShare     = 20 // the same for a request that must not be repeated: a close that crosses it can't be mended
 	upstreamBuffer = 4 << 10
-	fullFor        = time.Second // no further connection is tried after one failed while others stand
+	// dialBackoff is how long no further connection is tried after a dial failed while others stand; it doubles
+	// with each failure in a row, up to dialBackoffMax. One dial may fail by chance, and the pool must not stay
+	// short for it; a member that holds all the connections it will, or is gone, is soon asked only seldom. It
+	// could do harm at a member to which each try is dear.
+	dialBackoff    = 10 * time.Millisecond
+	dialBackoffMax = time.Second
 	// restTime is how long a connection rests after an answer. What comes in that time belongs to no request
 	// (a second copy of the answer, noise behind it) and ends the connection before it could be taken for the
 	// next one's answer. It should catch whatever a member sends unasked, and costs a connection its use for
@@ -65,6 +70,7 @@
 	warming bool // a dial is out that no attempt asked for
 	queued  bool // in dialQueue
 	waiting []*attempt
+	backoff time.Duration // the last one, doubled with each dial in a row that failed
 	full    time.Duration // no dials until then, while there are connections
 }
 
@@ -157,7 +163,7 @@
 	// there is no more room, and can send elsewhere.
 	more := len(m.conns)+m.dials < p.maxConns(m) && (len(m.conns) == 0 || p.now >= m.full)
 	if !m.origin && !more && len(m.waiting) >= m.dials+waitingRoom {
-		p.end(a, logic.StatusFull, 0)
+		p.end(a, logic.StatusNoConn, 0)
 		return
 	}
 	m.waiting = append(m.waiting, a)
@@ -272,10 +278,11 @@
 	switch {
 	case err != nil:
 		p.upstreams--
-		p.dialFailed(m)
+		p.dialFailed(m, err)
 	case m.state != logic.Ready || addr != m.addr || started != m.started:
 		u.retire() // the list has changed meanwhile
 	default:
+		m.backoff, m.full = 0, 0
 		m.conns = append(m.conns, u)
 		if p.serveWaiting(m); warm && u.current == nil {
 			u.ping()
@@ -302,12 +309,21 @@
 }
 
 // dialFailed ends the attempt that has waited longest, unless the connections that stand will take it: a cache
-// that is up but holds all the connections it will goes on answering on the open ones.
-func (p *Proxy) dialFailed(m *member) {
-	m.full = p.now + fullFor
+// that is up but holds all the connections it will goes on answering on the open ones. Refused at once, it is
+// tried once more, since that has taken no time.
+func (p *Proxy) dialFailed(m *member, err error) {
+	if p.now >= m.full { // dials that fail together count once
+		m.backoff = min(max(dialBackoff, 2*m.backoff), dialBackoffMax)
+		m.full = p.now + m.backoff
+		p.schedule(due{at: m.full, dial: m})
+	}
 	p.serveWaiting(m)
 	if len(m.waiting) > 0 && len(m.conns) == 0 {
 		a := m.waiting[0]
+		if slow := net.Error(nil); !a.again && !(errors.As(err, &slow) && slow.Timeout()) {
+			a.again = true
+			return
+		}
 		m.waiting = m.waiting[1:]
 		p.end(a, logic.StatusConnectFailed, 0)
 	}
@@ -342,7 +358,7 @@
 }
 
 // connectTimeout ends an attempt that has found no connection in time. Where connections stand, they are all
-// busy: the member is full rather than out of reach.
+// busy: it is the pool that is short, and the member is neither full nor out of reach.
 func (p *Proxy) connectTimeout(a *attempt) {
 	if a.conn != nil || a.ended {
 		return
@@ -350,7 +366,7 @@
 	p.unqueue(a)
 	s := logic.StatusConnectFailed
 	if m := p.members[a.to]; m != nil && len(m.conns) > 0 {
-		s = logic.StatusFull
+		s = logic.StatusNoConn
 	}
 	p.end(a, s, 0)
 }
@@ -366,7 +382,7 @@
 // start writes an attempt. The caller has made sure, under the same lock, that the member is ready.
 func (u *upstream) start(a *attempt) {
 	p := u.p
-	a.conn = u
+	a.conn, a.began = u, p.now
 	u.current = a
 	u.touch()
 	b := p.scratch[:0]
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"linenloom/internal/resp"
+	"linenloom/logic"
 )
 
 // Bytes behind an answer must never be taken for the answer to the next request.
@@ -257,6 +258,8 @@
 	}
 	if !over.ended || len(p.outcomes) != 1 {
 		t.Error("an attempt too many waits")
+	} else if s := p.outcomes[0].Status; s != logic.StatusNoConn {
+		t.Errorf("the pool's own shortage is told as status %d of the cache", s)
 	}
 	p.leave()
 	for range cacheSockets {
--- a/logic/api.go
+++ b/logic/api.go
@@ -207,11 +207,13 @@
 	StatusMoot     // never sent: the request was over, or out of attempts
 	StatusMiss     // the member holds no value for the key
 	StatusRejected // the member finds fault with the request itself; a further attempt would end alike
+	StatusNoConn   // never sent: the host had no connection free, which tells nothing of the member
 )
 
 // NeverRan tells whether the status proves that the attempt had no effect.
 func (s Status) NeverRan() bool {
-	return s == StatusFull || s == StatusConnectFailed || s == StatusMoot || s == StatusMiss
+	return s == StatusFull || s == StatusConnectFailed || s == StatusMoot || s == StatusMiss ||
+		s == StatusNoConn
 }
 
 // The notes on an outcome.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -12,17 +12,23 @@
 )
 
 const (
-	slotCount     = 4096            // many more than members, so that shares come out even
-	orderDepth    = 16              // candidates kept for a slot
-	counterSize   = 1024            // keys the counter follows, several times the hot set
-	maxHot        = 200             // the cap of the hot set (MIP-200 of the paper)
-	keyWeight     = 3.33            // k of the paper: what a key costs beside its requests
-	window        = 4 * time.Second // counts are halved and hot keys placed anew this often
-	enoughCounts  = 400             // requests that rank the hot keys well enough
-	splitAt       = 0.5             // a key that asks for more of a cache's mean load than this is split
-	keepMargin    = 0.1             // a hot key moves only if that lowers the objective by this share
-	retryRatio    = 0.15            // further attempts after failures, as a share of requests
-	retryBurst    = 10
+	slotCount    = 4096            // many more than members, so that shares come out even
+	orderDepth   = 16              // candidates kept for a slot
+	counterSize  = 1024            // keys the counter follows, several times the hot set
+	maxHot       = 200             // the cap of the hot set (MIP-200 of the paper)
+	keyWeight    = 3.33            // k of the paper: what a key costs beside its requests
+	window       = 4 * time.Second // counts are halved and hot keys placed anew this often
+	enoughCounts = 400             // requests that rank the hot keys well enough
+	splitAt      = 0.5             // a key that asks for more of a cache's mean load than this is split
+	keepMargin   = 0.1             // a hot key moves only if that lowers the objective by this share
+	retryRatio   = 0.15            // further attempts after failures, as a share of requests
+	retryBurst   = 10
+	// brokenCost is what a further attempt takes of the retry budget after a connection broke or did not come up.
+	// The budget keeps attempts from multiplying load; a broken connection tells nothing of load, and where they
+	// break all day they would use it up. It guards likewise against restarts, proxies in between and stale
+	// connections. It could do harm where members shed load by resetting: there each request costs up to as many
+	// attempts as it may have.
+	brokenCost    = 0.25
 	startLimit    = 8               // attempts out at a member that has told nothing yet
 	throttleSpan  = 3 * time.Second // over which asked and answered are compared
 	throttleAt    = 2               // a read may be refused when the caches answer less than one in this many
@@ -50,7 +56,7 @@
 		return nil, err
 	}
 	s.Instances = max(1, s.Instances)
-	s.TryLimit = min(s.TryLimit, 64)
+	s.TryLimit = min(s.TryLimit, 32) // as many again may find no connection, and a flight has 64 bits
 	b := &Balancer{
 		s: s, do: do, rng: rand.New(rand.NewPCG(seed, uint64(s.Self))),
 		nodes: map[MemberID]*node{}, slots: make([][]ranked, slotCount), kindSize: map[int]float64{},
@@ -453,7 +459,7 @@
 func (b *Balancer) patience(f *flight) time.Duration {
 	// Where caches fetch by themselves a slow answer is most often a miss: giving it up wastes the fetch, and
 	// the next candidate would only fetch once more.
-	if f.attempts+1 >= b.s.TryLimit || f.class.Effect == Once || b.s.Mode == Through {
+	if f.sent()+1 >= b.s.TryLimit || f.class.Effect == Once || b.s.Mode == Through {
 		return 0
 	}
 	left := f.aim - b.now
@@ -535,9 +541,12 @@
 	return n.outUntil <= b.now && !slices.Contains(f.tried, n) && b.maySend(f, n) && b.coldRoom(n)
 }
 
+// sent is how many attempts the request has had on the wire.
+func (f *flight) sent() int { return f.attempts - f.unsent }
+
 // maySend is the one guard of every send: drains, the attempts allowed, and effects that must not double.
 func (b *Balancer) maySend(f *flight, n *node) bool {
-	if f.done || f.stream || n.m.State != Ready || f.attempts >= b.s.TryLimit || b.now >= f.Deadline {
+	if f.done || f.stream || n.m.State != Ready || f.sent() >= b.s.TryLimit || b.now >= f.Deadline {
 		return false
 	}
 	if f.out != 0 && !b.s.SecondCopies {
@@ -704,8 +713,12 @@
 	if o.Status.NeverRan() {
 		f.ran &^= bit
 	}
+	if o.Status == StatusNoConn && f.unsent < b.s.TryLimit {
+		f.unsent++
+	}
 	f.done = f.done || o.Final
-	if fetched && f.owner {
+	// A fetch that failed goes back in line below; until it is given up, those who wait for it go on waiting.
+	if fetched && f.owner && (f.done || o.Status == StatusOK) {
 		b.landed(f, o.Status == StatusOK)
 	}
 	switch {
@@ -729,7 +742,7 @@
 		f.missAt = n
 	}
 	w, out := b.fetching[f.Key]
-	if f.leased || f.Key == 0 || f.attempts+2 > b.s.TryLimit || !out && note != NoteFetched {
+	if f.leased || f.Key == 0 || f.sent()+2 > b.s.TryLimit || !out && note != NoteFetched {
 		b.enqueue(f)
 		return
 	}
@@ -762,11 +775,18 @@
 
 // again makes a further attempt after a failure, if the rules, the time and the retry budget allow one.
 func (b *Balancer) again(f *flight, s Status, fetched bool) {
-	if b.retries < 1 || b.now >= f.aim || f.attempts >= b.s.TryLimit {
+	cost := 1.0
+	switch s {
+	case StatusNoConn:
+		cost = 0
+	case StatusReset, StatusConnectFailed:
+		cost = brokenCost
+	}
+	if b.retries < cost || b.now >= f.aim || f.sent() >= b.s.TryLimit {
 		b.conclude(f)
 		return
 	}
-	b.retries--
+	b.retries -= cost
 	if fetched {
 		b.enqueue(f)
 		return
@@ -783,7 +803,7 @@
 	n.out = max(0, n.out-1)
 	bad := 1.0
 	switch o.Status {
-	case StatusCancelled, StatusMoot, StatusRejected:
+	case StatusCancelled, StatusMoot, StatusRejected, StatusNoConn:
 		return
 	case StatusFull:
 		if fetched {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -722,3 +722,51 @@
 	h.end(1, 0, StatusOK)
 	h.check()
 }
+
+// The host's own shortage of connections tells nothing of the member and costs neither an attempt nor the retry
+// budget.
+func TestOwnShortageIsNotTheMembersLoad(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(8)...)
+	r := h.ask(Request{ID: 1, Key: 7})
+	h.b.retries = 1
+	n := h.b.nodes[r.sent[0].to]
+	h.end(1, 0, StatusNoConn)
+	if n.limit != startLimit || n.streak != 0 || n.fails != 0 || n.outUntil != 0 {
+		t.Errorf("the member is held to blame: %+v", n.limiter)
+	}
+	if len(r.sent) != 2 {
+		t.Fatalf("sent %+v, want a further attempt", r.sent)
+	}
+	if f := h.b.flights[1]; h.b.retries != 1 || f.sent() != 1 {
+		t.Errorf("retry budget %v, attempts on the wire %d, want 1 and 1", h.b.retries, f.sent())
+	}
+	h.end(1, 1, StatusOK)
+	h.check()
+}
+
+// A fetch whose connection broke goes back in line, and those who wait for it don't ask the cache meanwhile.
+func TestBrokenFetchKeepsThoseWhoWait(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(6)...)
+	a := h.ask(Request{ID: 1, Key: 77})
+	h.end(1, 0, StatusMiss)
+	b := h.ask(Request{ID: 2, Key: 77})
+	h.end(1, 1, StatusReset)
+	if len(a.sent) != 3 || a.sent[2].to != originID {
+		t.Fatalf("after a reset: sent %+v, want the origin again", a.sent)
+	}
+	if len(b.sent) != 0 {
+		t.Fatalf("the read that waits was sent to a cache that has nothing yet: %+v", b.sent)
+	}
+	h.end(1, 2, StatusOK)
+	if len(b.sent) != 1 || b.sent[0].to == originID {
+		t.Fatalf("after the fetch: sent %+v, want the cache", b.sent)
+	}
+	h.end(2, 0, StatusOK)
+	h.run(5 * time.Second)
+	h.check()
+	if len(h.b.flights) != 0 || len(h.b.fetching) != 0 {
+		t.Errorf("left behind: %d requests, %d fetches", len(h.b.flights), len(h.b.fetching))
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -39,6 +39,7 @@
 	aim            time.Duration // answers after this are worth little or nothing
 	value          float64
 	slot, attempts int
+	unsent         int    // attempts that found no connection: they count for nothing, up to the try limit
 	out            uint64 // attempts outstanding, a bit each
 	fetch          uint64 // attempts that went to the origin
 	ran            uint64 // attempts that may have run, or may yet
