Learn how long a connection may stand idle and still carry a request

A pass-order must not run again, so each of its breaks was a failure, and it had become the worst class.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -79,7 +79,8 @@
 	dialling    int
 	dialQueue   []*member // they wait for others' dials to end
 	ids         ids
-	stopping    bool                       // no request is taken any more
+	stopping    bool // no request is taken any more
+	idle        idleTimes
 	watches     []*watch                   // the one that counts, and one that has yet to tell its first list
 	startWatch  func(w *watch, whole bool) // nil while the proxy does not run
 	revision    int64                      // of the list
@@ -97,6 +98,7 @@
 		cfg: cfg, log: log, started: time.Now(),
 		members: map[logic.MemberID]*member{}, requests: map[logic.RequestID]*request{},
 		clients: map[*client]struct{}{}, ids: newIDs(),
+		idle:    newIdleTimes(cfg.ConnIdle * idleShare / 100),
 		heldMax: int(float64(cfg.MemoryMB) * (1 << 20) * bufferShare),
 	}
 	// The module's clock is monotonic and begins at the wall's time, so that start times, which members
@@ -262,8 +264,9 @@
 		}
 		p.enter()
 		p.closeIdleClients()
+		p.idle.sweep(p.cfg.ConnIdle * idleShare / 100)
 		for id, m := range p.members {
-			p.closeIdle(m, p.cfg.ConnIdle*idleShare/100)
+			p.closeIdle(m, p.idle.limit)
 			p.warm(m)
 			if m.state == logic.Gone && len(m.conns) == 0 && m.dials == 0 && len(m.waiting) == 0 {
 				delete(p.members, id)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -85,6 +85,8 @@
 	origin  bool     // as the member was when it connected: the reader must not look at the member unlocked
 	current *attempt // sent and not yet answered, or answered and the connection at rest
 	used    time.Duration
+	idle    int  // the span of idle time that the request on it found it in; below 0: the connection was new
+	kept    bool // it has carried an answer
 	pinged  bool // a PING is out, and nothing else may be sent
 	retired bool // nothing new is sent
 	closed  bool
@@ -182,7 +184,7 @@
 		u := m.conns[i]
 		switch {
 		case u.retired || u.w.failed || u.w.busy || u.current != nil || u.pinged:
-		case p.now-u.used >= p.cfg.ConnIdle*idleShare/100 || !u.silent():
+		case p.now-u.used >= p.idle.limit && u.kept || p.now-u.used >= p.cfg.ConnIdle*idleShare/100 || !u.silent():
 			u.retire()
 		case p.now-u.used < p.cfg.ConnIdle*share/100:
 			return u
@@ -224,6 +226,9 @@
 // many, or members more than there are descriptors for, it is left out.
 func (p *Proxy) warm(m *member) {
 	s := &p.cfg.Settings
+	if p.idle.limit < p.cfg.ConnIdle*warmShare/100 { // it would not last
+		return
+	}
 	if !s.CanProbe || m.origin || m.state != logic.Ready || m.warming ||
 		2*max(1, s.Instances) > nodeSockets || len(p.members) > p.cfg.Sockets/8 {
 		return
@@ -384,6 +389,10 @@
 	p := u.p
 	a.conn, a.began = u, p.now
 	u.current = a
+	if u.idle = -1; u.kept {
+		u.idle = p.idle.class(p.now - u.used)
+		p.idle.used[u.idle]++
+	}
 	u.touch()
 	b := p.scratch[:0]
 	if u.m.origin {
@@ -460,6 +469,9 @@
 	p.enter()
 	defer p.leave()
 	if a := u.current; a != nil && !a.ended {
+		if u.idle >= 0 {
+			p.idle.broke[u.idle]++
+		}
 		s := logic.StatusReset
 		switch {
 		case u.unsent(a):
@@ -559,6 +571,7 @@
 		return errStray
 	}
 	u.current, u.pinged, u.used = nil, false, p.now
+	u.kept = true
 	p.serveWaiting(u.m)
 	return nil
 }
