Hold back the last byte of a pass-order for 2 ms, so that a reset over the rest proves that it never ran

Cause: start wrote a pass-order in one go, so that every reset of its connection counted as one that may have run, and it was failed.

Kept for the rule on effects: it can only turn a failure into another attempt. The test fails without the held byte.

--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -160,3 +162,51 @@
 		}
 	}
 }
+
+// An origin that has dropped a kept connection resets it over the next write, which must not run twice. Its last
+// byte was never sent, so it is known not to have run, and is made again elsewhere.
+func TestResetBeforeTheLastByteProvesThatAWriteNeverRan(t *testing.T) {
+	whole := make(chan string, 10)
+	o := listen(t, func(conn net.Conn) {
+		in := bufio.NewReader(conn)
+		for n := 0; ; n++ {
+			if n > 0 { // a kept connection ends over the first byte
+				in.Peek(1)
+				return
+			}
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			whole <- r.Header.Get("X-Request-ID")
+			io.WriteString(conn, page("receipt"))
+		}
+	})
+	p := start(t, testConfig(), entry("o-1", o, "origin"))
+	p.enter()
+	p.hold = 500 * time.Millisecond // the reset is seen by then, however slow the machine
+	p.leave()
+	c := p.dial()
+	for i := range 3 {
+		id := fmt.Sprintf("id%d", i)
+		c.send(put("a1", id, "order"))
+		if got := c.answer(); got != "receipt" {
+			t.Fatalf("order %d was answered %q", i, got)
+		}
+		if got := <-whole; got != id {
+			t.Fatalf("the origin carried out %q, not %q", got, id)
+		}
+		p.eventually("the connection is free", func() bool {
+			for _, m := range p.members {
+				return len(m.conns) == 1 && m.conns[0].current == nil
+			}
+			return false
+		})
+	}
+	if n := len(whole); n != 0 {
+		t.Errorf("%d orders too many were carried out", n)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -81,6 +81,7 @@
 	ids         ids
 	stopping    bool // no request is taken any more
 	idle        idleTimes
+	hold        time.Duration              // see holdTime
 	watches     []*watch                   // the one that counts, and one that has yet to tell its first list
 	startWatch  func(w *watch, whole bool) // nil while the proxy does not run
 	revision    int64                      // of the list
@@ -98,6 +99,7 @@
 		cfg: cfg, log: log, started: time.Now(),
 		members: map[logic.MemberID]*member{}, requests: map[logic.RequestID]*request{},
 		clients: map[*client]struct{}{}, ids: newIDs(),
+		hold:    holdTime,
 		idle:    newIdleTimes(cfg.ConnIdle * idleShare / 100),
 		heldMax: int(float64(cfg.MemoryMB) * (1 << 20) * bufferShare),
 	}
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -13,6 +13,7 @@
 	attempt *attempt  // nil: the module's timer
 	connect bool      // the wait for a connection ends
 	pinged  *upstream // the answer to a PING is due
+	held    bool      // the rest of the attempt is written
 	dial    *member   // the backoff after a failed dial ends
 	token   uint64
 }
@@ -92,6 +93,8 @@
 			p.dial(d.dial)
 		case d.attempt == nil:
 			p.bal.Timer(p.now, d.token)
+		case d.held:
+			p.release(d.attempt)
 		case d.connect:
 			p.connectTimeout(d.attempt)
 		case !d.attempt.ended:
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -44,6 +44,12 @@
 	// stallTime is how long an answer may pause once it has begun. It ends answers that stop in the middle
 	// long before the attempt's own time is up, and would harm a member that pauses so long inside one.
 	stallTime = 250 * time.Millisecond
+	// holdTime is how long the last byte of a write to an origin is held back if it must not run twice. A
+	// connection that the member, or anything in between, has dropped or drops over what is sent says so once
+	// something is written to it; until its last byte is out a request has surely not run, and can be sent again.
+	// It should exceed a round trip; beyond that it only makes such writes late, and would do harm at a member
+	// that has few places and gives one away with the head.
+	holdTime = 2 * time.Millisecond
 	// maxInterim is how many 1xx answers may come ahead of one that counts.
 	maxInterim = 16
 	// warmShare is the part of a connection's idle time after which the last one to a cache is used for a
@@ -403,14 +409,29 @@
 	p.scratch = b[:0]
 	u.w.send(b, false)
 	if a.req.write {
-		u.w.send(a.req.value, true)
-		if !u.m.origin {
-			u.w.send([]byte("\r\n"), true)
+		hold := 0
+		if u.m.origin && p.once(a.req) && len(a.req.value) > 0 {
+			hold = 1
+			p.schedule(due{at: p.now + p.hold, attempt: a, held: true})
 		}
+		u.w.send(a.req.value[:len(a.req.value)-hold], true)
+		a.end = u.w.taken + int64(hold)
+		if u.m.origin {
+			return
+		}
+		u.w.send([]byte("\r\n"), true)
 	}
 	a.end = u.w.taken
 }
 
+// release writes the byte that start has held back, if the connection still stands; else its reader tells that
+// the attempt never ran.
+func (p *Proxy) release(a *attempt) {
+	if u := a.conn; !a.ended && !u.closed && !u.w.failed && u.silent() {
+		u.w.send(a.req.value[len(a.req.value)-1:], true)
+	}
+}
+
 // touch makes the connection the one used last.
 func (u *upstream) touch() {
 	u.used = u.p.now
