A streak ejects only if it is no chance, and a handshake is no load

Cause: learn ejected a cache after two failures in a row if the second was a time-out, whatever the fleet's share of failures, so that where 20% of attempts fail 8 of 12 caches stood ejected though each answered. adapt took the handshake in a first request's time for load, and patience gave such a cache 60% of the aim, less than it is known to take.

--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -56,7 +56,7 @@
 	}
 	p.outcomes = append(p.outcomes, logic.Outcome{
 		Request: r.id, Attempt: a.n, Member: a.to, Status: s, Elapsed: p.now - since, Note: note,
-		Final: r.done,
+		Final: r.done, Fresh: a.conn != nil && a.conn.idle < 0,
 	})
 	p.settle(r)
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -232,6 +232,7 @@
 	Elapsed time.Duration
 	Note    int
 	Final   bool      // the request is over
+	Fresh   bool      // it was the first on its connection, and Elapsed holds the wait for a handshake
 	Load    []float32 // in the order of Settings.ReportColumns; may be empty
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,8 @@
 	throttleAt    = 2               // a read may be refused when the caches answer less than one in this many
 	throttleSlack = 8               // fewer asked than this tell nothing
 	spillOver     = 6               // busy candidates passed over before a read is refused
+	ejectChance   = 3000            // a streak that comes about by chance in fewer attempts ejects nobody
+	maxStreak     = 8               // but one this long always does
 	coldShare     = 0.5             // of the fall multiple: the rest is left for what this proxy can't see
 )
 
@@ -452,18 +454,18 @@
 		b.conclude(f)
 		return
 	}
-	b.send(f, n, b.patience(f))
+	b.send(f, n, b.patience(f, n))
 }
 
 // patience is an attempt's time-out: part of what is left while there is another attempt to make.
-func (b *Balancer) patience(f *flight) time.Duration {
+func (b *Balancer) patience(f *flight, n *node) time.Duration {
 	// Where caches fetch by themselves a slow answer is most often a miss: giving it up wastes the fetch, and
 	// the next candidate would only fetch once more.
 	if f.sent()+1 >= b.s.TryLimit || f.class.Effect == Once || b.s.Mode == Through {
 		return 0
 	}
 	left := f.aim - b.now
-	d := left * 6 / 10
+	d := max(left*6/10, min(left, seconds(2*n.latency))) // one that is known to take longer is not asked in vain
 	if f.Known {
 		d = max(d, min(left, 3*f.Cost))
 	}
@@ -814,7 +816,7 @@
 		return
 	case StatusOK, StatusMiss:
 		bad, n.streak = 0, 0
-		b.adapt(n, o.Elapsed.Seconds())
+		b.adapt(n, o.Elapsed.Seconds(), o.Fresh)
 		if !fetched {
 			b.latency += (o.Elapsed.Seconds() - b.latency) * 0.01
 			b.answered++
@@ -824,7 +826,7 @@
 			}
 		}
 	case StatusTimeout:
-		b.adapt(n, max(o.Elapsed.Seconds(), 2*b.target))
+		b.adapt(n, max(o.Elapsed.Seconds(), 2*b.target), o.Fresh)
 		n.streak++
 	default:
 		n.streak++
@@ -834,11 +836,14 @@
 	// Two in a row, and more where an answer or connection broke: that tells of a connection rather than of
 	// its member, which is up if the next one can be opened. An ejected member's load goes to others that lack
 	// its keys. Relative to the fleet: when everything fails alike, ejecting helps nobody.
-	least := 2
+	least := 2.0
 	if o.Status == StatusReset || o.Status == StatusError {
 		least = 4
 	}
-	if bad > 0 && !fetched && n.streak >= least && n.fails > 2*b.fails {
+	// Where attempts fail everywhere, a few in a row come about by chance, and kinds of failure mix: as many are
+	// asked for as the fleet's own share of failures would bring only once in ejectChance attempts.
+	least = max(least, min(maxStreak, math.Log(ejectChance)/-math.Log(max(1e-9, min(0.9, b.fails)))))
+	if bad > 0 && !fetched && float64(n.streak) >= least && n.fails > 2*b.fails {
 		d := 250 * time.Millisecond << min(n.streak, 5)
 		n.outUntil = b.now + d/2 + b.jitter(d)
 	}
@@ -846,10 +851,15 @@
 
 // adapt moves a member's limit so that answers come within the target: members with deep queues else hold
 // work that nobody waits for any more, and stay jammed long after a burst has passed.
-func (b *Balancer) adapt(n *node, s float64) {
+//
+// A handshake is no load: the wait for one tells how long an answer takes, but neither cuts the limit nor raises
+// it. Members in other zones would else look jammed wherever connections don't last. It could do harm at a member
+// whose every connection is new: only full answers hold its limit down.
+func (b *Balancer) adapt(n *node, s float64, fresh bool) {
 	n.seen++
 	n.latency += (s - n.latency) * max(0.1, 1/float64(n.seen))
 	switch {
+	case fresh && s > b.target:
 	case n.latency > b.target && s > b.target: // an answer in time never cuts, however slow those before it
 		b.cut(n, 0.8)
 	case float64(n.out+1) < n.limit-1: // not what holds it back
