A time-out that later attempts have overtaken is no load; fetches are given up at their aim; refusals tell when to come back

Cause: learn took a fetch on a connection that had fallen silent for the origin's latency, a whole deadline of it, and cut its limit, though the origin answered all others; pump sent fetches without a time-out, so each also held a place of that limit until its client gave up. One proxy's limit fell to 2 to 5 while the other's, before the same origin, stood at 27.

Each test fails with its part taken out.

--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -210,3 +210,63 @@
 		t.Errorf("%d orders too many were carried out", n)
 	}
 }
+
+// A fetch whose connection falls silent is given up once it can be of no use, long before its client gives up: it
+// would hold a place at the origin until then.
+func TestSilentFetchIsGivenUp(t *testing.T) {
+	node := cache(t, func(asked) string { return miss })
+	silent := make(chan struct{}, 10)
+	o := listen(t, func(conn net.Conn) {
+		in := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if r.URL.Path == "/51" {
+				silent <- struct{}{}
+				continue
+			}
+			io.WriteString(conn, page("value"))
+		}
+	})
+	cfg := testConfig()
+	cfg.Settings.Classes[0].Aim, cfg.Settings.Classes[0].Deadline = 300*time.Millisecond, time.Hour
+	cfg.Settings.MaxRetryAfter = time.Second
+	p := start(t, cfg, entry("s-1", node, "large"), entry("o-1", o, "origin"))
+	c := p.dial()
+	c.send(words("OBJ.GET", "51", "id1", "c=tile-read,d=3600000"))
+	<-silent
+	got := c.answer()
+	var after int
+	if n, _ := fmt.Sscanf(got, "-BUSY %d", &after); n != 1 || after < 1 || after > 1000 {
+		t.Errorf("answered %q, want a refusal that tells when to come back", got)
+	}
+	p.eventually("nothing is out", func() bool { return len(p.requests) == 0 })
+}
+
+// The Balancer is told which attempts had to wait for a handshake.
+func TestFirstOnAConnectionIsTold(t *testing.T) {
+	node := cache(t, func(a asked) string { return hit("value") })
+	p := start(t, testConfig(), entry("s-1", node, "large"))
+	c := p.dial()
+	for i, want := range []bool{true, false, false} {
+		c.send(get("a1", fmt.Sprintf("id%d", i)))
+		if got := c.answer(); got != "value" {
+			t.Fatalf("answered %q", got)
+		}
+		p.eventually("the connection is free", func() bool {
+			for _, m := range p.members {
+				return len(m.conns) == 1 && m.conns[0].current == nil
+			}
+			return false
+		})
+		p.enter()
+		for _, m := range p.members {
+			if fresh := m.conns[0].idle < 0; fresh != want {
+				t.Errorf("read %d counts as first on its connection: %v", i, fresh)
+			}
+		}
+		p.leave()
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,6 +39,12 @@
 	coldShare     = 0.5             // of the fall multiple: the rest is left for what this proxy can't see
 )
 
+// What a refused client is told.
+const (
+	leastWait  = 50 * time.Millisecond
+	refusalGap = time.Second // without a refusal ends a shortage
+)
+
 // purposes of a timer, in the low bits of its token.
 const (
 	tickClose  = iota // the window closes
@@ -630,13 +636,29 @@
 	case f.done:
 		return
 	case b.mayRefuse(f):
-		b.do.Refuse(f.ID, 0)
+		b.do.Refuse(f.ID, b.comeBack(f))
 	default:
 		b.do.Fail(f.ID)
 	}
 	b.retire(f)
 }
 
+// comeBack is when a refused client should ask again: once the line for the origin is drained, and, the longer
+// this proxy has had to refuse, the later, since a shortage that has lasted is not over soon. Clients that ask
+// again at once multiply the load that they were refused for. It is spread, so that they don't return together.
+func (b *Balancer) comeBack(f *flight) time.Duration {
+	if b.now-b.refusedAt > refusalGap {
+		b.refusing = b.now
+	}
+	b.refusedAt = b.now
+	wait := max(leastWait, b.now-b.refusing)
+	if o := b.originFor(f); o != nil {
+		wait = max(wait, seconds(float64(len(b.queue)+1)*o.latency/max(1, o.limit)))
+	}
+	wait = min(wait, b.s.MaxRetryAfter*2/3)
+	return wait/2 + b.jitter(wait)
+}
+
 // retire ends a request; attempts still out are called off, but for fetches, whose value will be stored.
 func (b *Balancer) retire(f *flight) {
 	f.done, f.waiting = true, false
@@ -816,6 +838,7 @@
 		return
 	case StatusOK, StatusMiss:
 		bad, n.streak = 0, 0
+		n.answered = max(n.answered, b.now-o.Elapsed)
 		b.adapt(n, o.Elapsed.Seconds(), o.Fresh)
 		if !fetched {
 			b.latency += (o.Elapsed.Seconds() - b.latency) * 0.01
@@ -826,6 +849,13 @@
 			}
 		}
 	case StatusTimeout:
+		// A member that has answered what was sent in the second half of the wait is neither jammed nor gone: this
+		// attempt's connection fell silent, or its work was long. As latency, the wait would cut the limit of a
+		// member that is well. A jam that takes attempts in turn is still seen; one that serves the newest first
+		// would be missed.
+		if n.answered > b.now-o.Elapsed/2 {
+			return
+		}
 		b.adapt(n, max(o.Elapsed.Seconds(), 2*b.target), o.Fresh)
 		n.streak++
 	default:
@@ -933,7 +963,7 @@
 		case n == nil || b.now+seconds(min(n.latency, b.target)/2) >= f.aim:
 			dropped = append(dropped, f)
 		case (f.Write || b.room(n)) && b.maySend(f, n):
-			b.send(f, n, 0)
+			b.send(f, n, b.fetchTime(f, n))
 		default:
 			kept = append(kept, f)
 		}
@@ -949,6 +979,16 @@
 	}
 }
 
+// fetchTime is a fetch's time-out: until its aim, or several times what fetches take lately. One whose connection
+// fell silent would else hold a place in the origin's limit until its client gives up. A write is never given up
+// earlier, since it could not be made again.
+func (b *Balancer) fetchTime(f *flight, n *node) time.Duration {
+	if f.Write {
+		return 0
+	}
+	return max(f.aim-b.now, seconds(4*n.latency), time.Millisecond)
+}
+
 // originIdle tells whether another fetch would be taken at once, and in good time.
 func (b *Balancer) originIdle(f *flight) bool {
 	n := b.originFor(f)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -770,3 +770,108 @@
 		t.Errorf("left behind: %d requests, %d fetches", len(h.b.flights), len(h.b.fetching))
 	}
 }
+
+// A fetch whose connection falls silent, while the origin answers others, must not cut what the origin is sent;
+// one that nothing overtakes does.
+func TestOvertakenTimeoutIsNoLoad(t *testing.T) {
+	for name, others := range map[string]int{"others are answered": 20, "nothing is answered": 0} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t, testSettings(), 1)
+			h.members(ListCached, withOrigin(3)...)
+			o := h.b.origins[0]
+			o.latency, o.seen, o.limit = 0.02, 10, 10
+			h.ask(Request{ID: 1, Key: 1})
+			h.end(1, 0, StatusMiss)
+			sent := h.now
+			for i := range others {
+				id := RequestID(i + 2)
+				h.ask(Request{ID: id, Key: uint64(id)})
+				h.end(id, 0, StatusMiss)
+				h.now += 20 * ms
+				h.end(id, 1, StatusOK)
+			}
+			h.now = sent + 400*ms
+			latency, limit := o.latency, o.limit
+			h.b.Outcome(h.now, Outcome{Request: 1, Attempt: 1, Member: originID, Status: StatusTimeout, Elapsed: h.now - sent})
+			if cut := o.latency > latency || o.limit < limit; cut != (others == 0) {
+				t.Errorf("latency %v -> %v, limit %v -> %v", latency, o.latency, limit, o.limit)
+			}
+		})
+	}
+}
+
+// A refused client is told when to come back: later, the longer the shortage lasts, spread, and within the bound.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	s := testSettings()
+	s.MaxRetryAfter = 2 * time.Second
+	h := newHost(t, s, 1)
+	h.members(ListCached, withOrigin(3)...)
+	f := &flight{}
+	mean := func(at time.Duration) (sum time.Duration) {
+		h.b.now = at
+		seen := map[time.Duration]bool{}
+		for range 100 {
+			d := h.b.comeBack(f)
+			if d <= 0 || d > s.MaxRetryAfter {
+				t.Fatalf("told to come back after %v", d)
+			}
+			seen[d] = true
+			sum += d / 100
+		}
+		if len(seen) < 50 && sum < s.MaxRetryAfter {
+			t.Errorf("only %d times of 100 differ", len(seen))
+		}
+		return sum
+	}
+	start := h.now
+	first := mean(start)
+	mean(start + 500*ms)
+	later := mean(start + time.Second)
+	mean(start + 2*time.Second)
+	if most := mean(start + 3*time.Second); later < 2*first || most < later {
+		t.Errorf("%v at first, %v after a second, %v after three", first, later, most)
+	}
+	if again := mean(start + 10*time.Second); again > 2*first {
+		t.Errorf("%v at the start of another shortage, %v at that of the first", again, first)
+	}
+}
+
+// Where many of all attempts fail, two in a row are chance and eject nobody; a member that only fails is ejected
+// all the same.
+func TestChanceStreaksEjectNobody(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(8)...)
+	n := h.b.caches[0]
+	h.b.fails = 0.15
+	for range 2 {
+		h.b.learn(n, Outcome{Status: StatusTimeout, Elapsed: 100 * ms}, false)
+	}
+	if n.outUntil > h.b.now {
+		t.Error("ejected after two time-outs where many fail")
+	}
+	for range maxStreak {
+		h.b.learn(n, Outcome{Status: StatusTimeout, Elapsed: 100 * ms}, false)
+		h.b.fails = 0.15
+	}
+	if n.outUntil <= h.b.now {
+		t.Errorf("not ejected after %d failures in a row", n.streak)
+	}
+}
+
+// A handshake makes a first answer slow; that is no load of the member's.
+func TestHandshakeIsNoLoad(t *testing.T) {
+	for name, fresh := range map[string]bool{"first on its connection": true, "on a kept connection": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t, testSettings(), 1)
+			h.members(ListCached, withOrigin(8)...)
+			n := h.b.caches[0]
+			for range 5 {
+				h.b.learn(n, Outcome{Status: StatusOK, Elapsed: 2 * seconds(h.b.target), Fresh: fresh}, false)
+				h.b.now += time.Second
+			}
+			if cut := n.limit < startLimit; cut == fresh {
+				t.Errorf("limit %v after slow answers", n.limit)
+			}
+		})
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -11,6 +11,7 @@
 	gap            float64 // seconds between sends, lately
 	seen, out      int
 	cutAt, sentAt  time.Duration
+	answered       time.Duration // when the latest attempt was sent that has been answered
 }
 
 // node is what the balancer knows of a member.
@@ -86,6 +87,8 @@
 	asked, answered float64 // attempts at caches, lately
 	askedAt         time.Duration
 	watches         int
+	refusing        time.Duration // since when this proxy has had to refuse
+	refusedAt       time.Duration
 }
 
 // placed are the caches of a hot key; more than one only if the key is split.
