Idle clients are closed the sooner the more of the room for requests is taken

Cause: connections that have asked once and stay held all of the third of the descriptors that clients have for requests (127 and 128 of 128, none with a request open) for crowdedIdle, 2.2 s, so that others found none and never reached the proxy: closeIdleClients went by all connections against maxClients, and by one fixed age.

Ruled out: refusals (0 to 10 a second), half-spoken commands (0), answers that wait to be written (0).

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -26,11 +26,15 @@
 	// vanished), it would hold a descriptor and memory for good. It harms a client that pauses for longer
 	// inside a command, and one that connects long before it asks: that one has to connect again.
 	commandTime = 2500 * time.Millisecond
-	// clientIdle is how long a connection may stand idle; crowdedIdle, once half of the room for clients is
-	// taken. Clients that come once and stay are closed that way, whoever they are. A client whose next
-	// command crosses the close sends it again on a new connection.
+	// clientIdle is how long a connection may stand idle; crowdedIdle, once connections that have asked take half
+	// of the room that clients have for requests, and from there on less, down to leastIdle when they take it
+	// all. Clients that come once and stay would else hold all of it, idle, while others find none. It guards
+	// against any crowd, and pools far larger than their use. A client whose next command crosses the close sends
+	// it again on a new connection, and one that asks seldom has to connect anew: at worst for each request.
 	clientIdle  = 10 * time.Second
 	crowdedIdle = 2200 * time.Millisecond
+	leastIdle   = 100 * time.Millisecond
+	askedShare  = 30 // percent of the descriptors: a little less than clients hold for requests at most
 	// youngFor is how long a connection that has not asked yet is spared when room is needed: a client's
 	// first command may be on its way.
 	youngFor = 100 * time.Millisecond
@@ -192,10 +196,13 @@
 
 // closeIdleClients closes the connections that have stood idle for too long.
 func (p *Proxy) closeIdleClients() {
-	age := clientIdle
-	if len(p.clients) > p.maxClients()/2 {
-		age = crowdedIdle
+	asked := 0
+	for c := range p.clients {
+		if c.asked {
+			asked++
+		}
 	}
+	age := p.idleAge(asked)
 	for c := range p.clients {
 		if c.asked && p.now-c.active >= age && c.free() {
 			c.close()
@@ -203,6 +210,19 @@
 	}
 }
 
+// idleAge is how long a connection may stand idle while so many have asked.
+func (p *Proxy) idleAge(asked int) time.Duration {
+	half := max(1, p.cfg.Sockets*askedShare/200)
+	switch {
+	case asked <= half && len(p.clients) <= p.maxClients()/2:
+		return clientIdle
+	case asked <= half:
+		return crowdedIdle
+	}
+	left := max(0, 2*half-asked)
+	return leastIdle + (crowdedIdle-leastIdle)*time.Duration(left)/time.Duration(half)
+}
+
 // free tells whether the connection can be closed without losing anything.
 func (c *client) free() bool {
 	return len(c.pending) == 0 && !c.w.busy && !c.mid
--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -241,3 +241,53 @@
 		t.Error("an old id was not let go of")
 	}
 }
+
+// A crowd that asks once and stays must not hold the room that clients have for requests.
+func TestCrowdThatStaysIsClosedSooner(t *testing.T) {
+	cfg := testConfig()
+	cfg.Sockets = 64
+	node := cache(t, func(a asked) string { return hit("value of " + a.key) })
+	p := start(t, cfg, entry("s-1", node, "large"))
+	crowd := make([]*testClient, cfg.Sockets*askedShare/100)
+	for i := range crowd {
+		crowd[i] = p.dial()
+		crowd[i].send(get("a1", fmt.Sprintf("id%d", i)))
+		if got := crowd[i].answer(); got != "value of a1" {
+			t.Fatalf("client %d was answered %q", i, got)
+		}
+	}
+	p.eventually("all are idle", func() bool {
+		if len(p.clients) < len(crowd) {
+			return true // the sweep has begun to close them
+		}
+		for c := range p.clients {
+			if !c.free() {
+				return false
+			}
+			c.active = p.now - 2*leastIdle // as if they stood idle so long
+		}
+		p.closeIdleClients()
+		if n := len(p.clients); n > 0 {
+			t.Errorf("%d of %d idle clients hold their places", n, len(crowd))
+		}
+		return true
+	})
+}
+
+func TestIdleAgeFallsWithTheRoomLeft(t *testing.T) {
+	p := &Proxy{cfg: Config{Sockets: 400}}
+	last := p.idleAge(0)
+	if last != clientIdle {
+		t.Errorf("%v with nobody there", last)
+	}
+	for asked := 1; asked <= 200; asked++ {
+		age := p.idleAge(asked)
+		if age > last || age < leastIdle {
+			t.Errorf("%v with %d, %v with one less", age, asked, last)
+		}
+		last = age
+	}
+	if last != leastIdle {
+		t.Errorf("%v with all the room taken", last)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -51,6 +51,7 @@
 	spareSockets = 24
 	clientShare  = 50 // percent of the descriptors that clients may hold
 	sweepEvery   = 250 * time.Millisecond
+	crowdEvery   = 50 * time.Millisecond  // idle clients are looked at more often: a crowd comes at once
 	readyWithin  = 500 * time.Millisecond // wait this long at most for discovery's first list
 )
 
@@ -256,9 +257,9 @@
 
 // sweep closes what has stood idle for too long.
 func (p *Proxy) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepEvery)
+	tick := time.NewTicker(crowdEvery)
 	defer tick.Stop()
-	for {
+	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -266,6 +267,10 @@
 		}
 		p.enter()
 		p.closeIdleClients()
+		if n%int(sweepEvery/crowdEvery) != 0 {
+			p.leave()
+			continue
+		}
 		p.idle.sweep(p.cfg.ConnIdle * idleShare / 100)
 		for id, m := range p.members {
 			p.closeIdle(m, p.idle.limit)
