Seam between fronts and host: RESP2 is the first front behind it

Need: further ways in (an external processor first) must get the same module, limits, budgets and drain as RESP2 clients, but internal/proxy was RESP2 front, host and member connections in one.

Change: a Front hands over a described Request with a Taker for its one final answer; the host (members, attempts, timers, memory, watch, drain) names no front any more. A Carrier is a Taker whose client makes the attempts itself; the host names the member and still ends attempts whose time is up. Held bytes and descriptors are counted for all fronts together. client.go became redis.go, its tests kept.

Result: all existing tests pass under -race, unchanged but for names.

--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -1,10 +1,8 @@
 package proxy
 
 import (
-	"strconv"
 	"time"
 
-	"linenloom/internal/resp"
 	"linenloom/logic"
 )
 
@@ -26,6 +24,9 @@
 		a.until = min(a.until, p.now+timeout)
 	}
 	r.attempts = append(r.attempts, a)
+	if p.cfg.OnSend != nil {
+		p.cfg.OnSend(id, to)
+	}
 	r.out++
 	if r.done || a.until <= p.now {
 		p.end(a, logic.StatusMoot, 0)
@@ -37,25 +38,26 @@
 		return
 	}
 	p.schedule(due{at: a.until, attempt: a})
+	if c, ok := r.Taker.(Carrier); ok {
+		a.carried = true
+		c.Carry(&Attempt{p: p, a: a, Addr: m.addr})
+		return
+	}
 	p.dispatch(m, a)
 }
 
 // Refuse is the final answer that a retry is harmless.
 func (x actions) Refuse(id logic.RequestID, retryAfter time.Duration) {
-	text := "BUSY"
-	if ms := retryAfter.Milliseconds(); ms > 0 {
-		text += " " + strconv.FormatInt(ms, 10)
-	}
-	x.p.conclude(id, text)
+	x.p.conclude(id, Answer{Kind: Refused, RetryAfter: retryAfter})
 }
 
 // Fail is the final answer that promises nothing.
-func (x actions) Fail(id logic.RequestID) { x.p.conclude(id, "ERR failed") }
+func (x actions) Fail(id logic.RequestID) { x.p.conclude(id, Answer{Kind: Failed}) }
 
-func (p *Proxy) conclude(id logic.RequestID, text string) {
+func (p *Proxy) conclude(id logic.RequestID, a Answer) {
 	if r := p.requests[id]; r != nil && !r.done {
 		r.done = true
-		r.client.answer(r, resp.AppendError(nil, text))
+		r.Taker.Answer(a)
 		p.settle(r)
 	}
 }
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -14,13 +14,14 @@
 
 // drain brings a planned stop to its end: connections go on coming for a while, then those that are idle
 // are ended one by one until nothing is owed.
-func (p *Proxy) drain(accepted <-chan error) {
+func (p *Proxy) drain() {
+	for _, f := range p.fronts {
+		f.Drain()
+	}
 	time.Sleep(p.cfg.AcceptMore)
-	p.listen.SetDeadline(time.Now().Add(backlogTime))
-	if err := <-accepted; err != nil {
-		p.log.Error("accept while draining", "err", err)
+	for _, f := range p.fronts {
+		f.StopTaking()
 	}
-	p.listen.Close()
 	// What still comes on connections that are busy is turned away: answered in full, it could take longer
 	// than there is time for.
 	p.enter()
@@ -36,12 +37,12 @@
 	time.Sleep(lingerTime)
 }
 
-// owes ends the connections that are idle and tells whether others are left.
+// owes tells whether a front still owes an answer.
 func (p *Proxy) owes() (owed bool) {
 	p.enter()
 	defer p.leave()
-	for c := range p.clients {
-		if c.hangUp(false); !c.free() {
+	for _, f := range p.fronts {
+		if f.Owes() {
 			owed = true
 		}
 	}
--- /dev/null
+++ b/internal/proxy/front.go
@@ -0,0 +1,233 @@
+package proxy
+
+import (
+	"errors"
+	"time"
+
+	"linenloom/logic"
+)
+
+// Front is a way in for requests. It hands them to the Proxy, its host, with Submit, and gets each one's single
+// final answer by the request's Taker. The host knows nothing else of it, and all fronts share one Balancer, one
+// count of held bytes and of descriptors, and one drain. Sweep, MakeRoom, Owes and Close are called under the
+// host's lock and must not block.
+type Front interface {
+	// Serve takes clients until StopTaking or Close; an error ends the whole proxy.
+	Serve() error
+	// Drain says that a planned stop has begun; clients still come.
+	Drain()
+	// StopTaking ends the way in. What has been taken is still answered.
+	StopTaking()
+	// Owes lets go of clients to whom nothing is owed and tells whether others are left.
+	Owes() bool
+	// Sweep is called every 50 ms.
+	Sweep()
+	// MakeRoom gives up a descriptor with which nothing is lost, if there is one.
+	MakeRoom() bool
+	// Close ends what is still open; nothing is owed on it any more.
+	Close()
+}
+
+// AddFront adds a front before Run.
+func (p *Proxy) AddFront(f Front) { p.fronts = append(p.fronts, f) }
+
+// Command is what a client asks, in the platform's terms, whatever front it came by.
+type Command struct {
+	Write bool
+	// Key, the request's id and the list of names and values, as members are told them.
+	Key, ReqID, Attrs []byte
+	Value             []byte // of a write; its capacity counts as held
+}
+
+// Request is a client's command from its last byte to its answer, and on to the end of its last attempt. The
+// front makes it, fills in the Command and the Taker, and hands it over.
+type Request struct {
+	Command
+	Taker    Taker
+	id       logic.RequestID
+	class    int
+	deadline time.Duration
+	attempts []*attempt // by number
+	out      int        // attempts without outcome
+	done     bool       // the final answer is decided, or nobody waits for it
+}
+
+// Kind is the kind of a final answer.
+type Kind uint8
+
+// The kinds: the value as a member gave it for this request; trying again is harmless; nothing is promised.
+const (
+	Served Kind = iota
+	Refused
+	Failed
+)
+
+// Answer is a request's final answer.
+type Answer struct {
+	Kind       Kind
+	Value      []byte        // valid during the call only
+	RetryAfter time.Duration // when a refused client should come back; 0: not said
+}
+
+// Taker gets a request's single final answer, under the host's lock; it must not block.
+type Taker interface{ Answer(Answer) }
+
+// Carrier is a Taker whose client makes the attempts itself, over connections that the host has no part in. The
+// front reports how each one ends; the host still ends those whose time is up.
+type Carrier interface {
+	Taker
+	// Carry names the member for the next attempt, under the host's lock.
+	Carry(*Attempt)
+}
+
+// Attempt is an attempt in the hands of a Carrier. Its methods want the host's lock (see Do).
+type Attempt struct {
+	p    *Proxy
+	a    *attempt
+	Addr string // of the member
+}
+
+// Give notes that the client is being told of the attempt now: from here on it may have run. It tells whether
+// the attempt still stands; one that has ended, or whose member is no longer ready, must not be given.
+func (x *Attempt) Give() bool {
+	if m := x.p.members[x.a.to]; !x.a.ended && (m == nil || m.state != logic.Ready || m.addr != x.Addr) {
+		x.p.end(x.a, logic.StatusConnectFailed, 0)
+	}
+	if x.a.ended {
+		return false
+	}
+	if !x.a.given {
+		x.a.given, x.a.began = true, x.p.now
+	}
+	return true
+}
+
+// Take notes that an attempt that was given has surely not been sent, and is back in the front's hands.
+func (x *Attempt) Take() { x.a.given = false }
+
+// Ended tells whether the attempt has its outcome.
+func (x *Attempt) Ended() bool { return x.a.ended }
+
+// Left is how long the attempt may still take.
+func (x *Attempt) Left() time.Duration { return x.a.until - x.p.now }
+
+// End gives the attempt its outcome, with a note as in logic.Outcome; later ones are dropped.
+func (x *Attempt) End(s logic.Status, note int) { x.p.end(x.a, s, note) }
+
+// Deliver ends an attempt whose answer the client has: the request is served, and gets no further answer.
+func (x *Attempt) Deliver(note int) {
+	if !x.a.ended {
+		x.a.req.done = true
+		x.p.end(x.a, logic.StatusOK, note)
+	}
+}
+
+// ErrBusy tells that the host can't take a request now; it never ran.
+var ErrBusy = errors.New("no room for the request")
+
+// ErrInUse tells that the id belongs to another request.
+var ErrInUse = errors.New("the id is in use")
+
+// Submit takes a request under the host's lock. An error means that the Balancer has not seen it and never will;
+// one that is not ErrBusy finds fault with the request itself. The answer may come before Submit returns.
+func (p *Proxy) Submit(r *Request) error {
+	lr, err := r.describe(&p.cfg.Settings)
+	if err == nil && p.ids.used(r.ReqID, p.now) {
+		err = ErrInUse
+	}
+	switch {
+	case err != nil:
+		return err
+	case len(p.requests) >= p.maxRequests() || p.held > p.heldMax || p.stopping:
+		return ErrBusy
+	}
+	p.ids.add(r.ReqID, p.now)
+	p.nextID++ // after 2^32 it begins anew, long after the request that had the number
+	r.id = p.nextID
+	lr.ID = r.id
+	r.class = lr.Class
+	lr.Deadline += p.now
+	r.deadline = lr.Deadline
+	p.requests[r.id] = r
+	p.bal.Request(p.now, lr)
+	return nil
+}
+
+// Withdraw says that nobody waits for the request any more. Its attempts end by themselves.
+func (p *Proxy) Withdraw(r *Request) {
+	if r.id == 0 {
+		return // it was never taken
+	}
+	if !r.done {
+		r.done = true
+		p.bal.Expired(p.now, r.id)
+	}
+	p.settle(r)
+}
+
+// Do runs f under the host's lock, as one event.
+func (p *Proxy) Do(f func()) {
+	p.enter()
+	defer p.leave()
+	f()
+}
+
+// Now is the host's time, under the lock.
+func (p *Proxy) Now() time.Duration { return p.now }
+
+// Stopping tells, under the lock, whether no request is taken any more.
+func (p *Proxy) Stopping() bool { return p.stopping }
+
+// Settings are those of the Balancer; they never change.
+func (p *Proxy) Settings() *logic.Settings { return &p.cfg.Settings }
+
+// Hold counts n bytes, or gives back -n, under the lock. It tells whether the room is overdrawn.
+func (p *Proxy) Hold(n int) (over bool) {
+	p.held += n
+	return p.held > p.heldMax
+}
+
+// Descriptors counts n descriptors that a front has opened, or -n that it has closed, under the lock.
+func (p *Proxy) Descriptors(n int) { p.frontFDs += n }
+
+// Room tells, under the lock, whether a front may open one more descriptor, and makes room if it can.
+func (p *Proxy) Room() bool {
+	for p.sockets() >= p.cfg.Sockets-spareSockets {
+		if !p.makeRoom() {
+			return false
+		}
+	}
+	return true
+}
+
+// makeRoom closes a connection that nothing is lost with.
+func (p *Proxy) makeRoom() bool {
+	for _, f := range p.fronts {
+		if f.MakeRoom() {
+			return true
+		}
+	}
+	for _, m := range p.members {
+		if p.closeIdle(m, 0) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Tick does what has fallen due, for hosts with a Clock of their own.
+func (p *Proxy) Tick() { p.ring() }
+
+// Load counts, for tests and the rig, what the host has in hand.
+type Load struct{ Requests, Attempts, Held, Descriptors int }
+
+// Load tells what is in hand now.
+func (p *Proxy) Load() (l Load) {
+	p.Do(func() {
+		l = Load{Requests: len(p.requests), Held: p.held, Descriptors: p.sockets()}
+		for _, r := range p.requests {
+			l.Attempts += r.out
+		}
+	})
+	return l
+}
--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -113,7 +113,7 @@
 	p := start(t, testConfig())
 	p.enter()
 	defer p.leave()
-	r := &request{done: true}
+	r := &Request{done: true}
 	waited := &attempt{req: r, sentAt: p.now - time.Second, began: p.now - 10*time.Millisecond}
 	never := &attempt{req: r, sentAt: p.now - time.Second}
 	r.out = 2
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -41,6 +41,11 @@
 	Sockets    int // file descriptors
 	Known      discovery.List
 	AcceptMore time.Duration // after the stop signal, new connections still come for this long
+
+	// Clock, if set, is the time since the start in place of the system's, and Tick has to be called once it has
+	// moved. OnSend, if set, is told of each choice of the module's, under the lock. Both are for tests and the rig.
+	Clock  func() time.Duration
+	OnSend func(logic.RequestID, logic.MemberID)
 }
 
 const (
@@ -57,9 +62,9 @@
 
 // Proxy is one proxy.
 type Proxy struct {
-	cfg    Config
-	log    *slog.Logger
-	listen *net.TCPListener
+	cfg   Config
+	log   *slog.Logger
+	redis *redisFront
 
 	mu       sync.Mutex
 	now      time.Duration // when the lock was taken, on the module's clock
@@ -72,8 +77,9 @@
 	wakeAt   time.Duration
 
 	members  map[logic.MemberID]*member
-	requests map[logic.RequestID]*request
-	clients  map[*client]struct{}
+	requests map[logic.RequestID]*Request
+	fronts   []Front
+	frontFDs int // descriptors that fronts hold
 	nextID   logic.RequestID
 
 	upstreams   int // connections to members, those being dialled included
@@ -98,8 +104,8 @@
 func New(cfg Config, log *slog.Logger) (*Proxy, error) {
 	p := &Proxy{
 		cfg: cfg, log: log, started: time.Now(),
-		members: map[logic.MemberID]*member{}, requests: map[logic.RequestID]*request{},
-		clients: map[*client]struct{}{}, ids: newIDs(),
+		members: map[logic.MemberID]*member{}, requests: map[logic.RequestID]*Request{},
+		ids:     newIDs(),
 		hold:    holdTime,
 		idle:    newIdleTimes(cfg.ConnIdle * idleShare / 100),
 		heldMax: int(float64(cfg.MemoryMB) * (1 << 20) * bufferShare),
@@ -107,6 +113,9 @@
 	// The module's clock is monotonic and begins at the wall's time, so that start times, which members
 	// tell by the wall, are positive on it.
 	p.offset = time.Duration(p.started.UnixNano())
+	if cfg.Clock != nil {
+		p.offset = time.Hour
+	}
 	p.now = p.offset
 	p.buffers.New = func() any { return new([]byte) }
 	bal, err := logic.New(cfg.Settings, cfg.Seed, actions{p})
@@ -114,18 +123,15 @@
 		return nil, fmt.Errorf("balancer: %w", err)
 	}
 	p.bal = bal
-	// Keep-alive probes don't notice a peer that has vanished here, and each costs system calls.
-	lc := net.ListenConfig{KeepAlive: -1}
-	l, err := lc.Listen(context.Background(), "tcp", cfg.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+	if p.redis, err = newRedisFront(p, cfg.Listen); err != nil {
+		return nil, err
 	}
-	p.listen = l.(*net.TCPListener)
+	p.fronts = []Front{p.redis}
 	return p, nil
 }
 
 // Addr is the address that clients connect to.
-func (p *Proxy) Addr() net.Addr { return p.listen.Addr() }
+func (p *Proxy) Addr() net.Addr { return p.redis.listen.Addr() }
 
 // Run serves until the context ends and everything taken until then is answered.
 func (p *Proxy) Run(ctx context.Context) error {
@@ -153,15 +159,17 @@
 	case <-ctx.Done():
 	}
 	p.log.Info("ready", "listen", p.Addr().String(), "members", len(p.cfg.Known.Members))
-	accepted := make(chan error, 1)
-	go func() { accepted <- p.accept() }()
+	served := make(chan error, len(p.fronts))
+	for _, f := range p.fronts {
+		g.Go(func() { served <- f.Serve() })
+	}
 
 	var err error
 	select {
 	case <-ctx.Done():
 		p.log.Info("draining")
-		p.drain(accepted)
-	case err = <-accepted:
+		p.drain()
+	case err = <-served:
 	}
 	p.enter()
 	p.startWatch = nil
@@ -175,9 +183,8 @@
 // closeAll ends what is still open; nothing is owed on it any more.
 func (p *Proxy) closeAll() {
 	p.timer.Stop()
-	p.listen.Close()
-	for c := range p.clients {
-		c.close()
+	for _, f := range p.fronts {
+		f.Close()
 	}
 	for _, m := range p.members {
 		for _, u := range slices.Clone(m.conns) {
@@ -189,7 +196,14 @@
 // enter takes the lock and the time.
 func (p *Proxy) enter() {
 	p.mu.Lock()
-	p.now = p.offset + time.Since(p.started)
+	p.now = p.offset + p.elapsed()
+}
+
+func (p *Proxy) elapsed() time.Duration {
+	if p.cfg.Clock != nil {
+		return p.cfg.Clock()
+	}
+	return time.Since(p.started)
 }
 
 // leave tells the Balancer of the outcomes that its own actions have caused, and gives the lock back. Told
@@ -266,7 +280,9 @@
 		case <-tick.C:
 		}
 		p.enter()
-		p.closeIdleClients()
+		for _, f := range p.fronts {
+			f.Sweep()
+		}
 		if n%int(sweepEvery/crowdEvery) != 0 {
 			p.leave()
 			continue
@@ -297,4 +313,4 @@
 }
 
 // sockets counts the descriptors in use on both sides.
-func (p *Proxy) sockets() int { return len(p.clients) + p.upstreams }
+func (p *Proxy) sockets() int { return p.frontFDs + p.upstreams }
--- a/internal/proxy/client.go
+++ b/internal/proxy/redis.go
@@ -1,12 +1,14 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -47,24 +49,30 @@
 	lingerFor   = 500 * time.Millisecond
 )
 
-// command is what a client asks.
-type command struct {
+// input is a command as it was read.
+type input struct {
+	Command
 	name    string // of commands other than the two that are passed on
 	refused bool   // there was no room for its value
-	write   bool
-	// Slices of one allocation, as they came.
-	key, reqID, attrs []byte
-	value             []byte
+}
+
+// owed is an answer that a connection owes, in the order of its commands. A reply that no member has a part in
+// (to PING, or an error) is one too, so that answers keep their order.
+type owed struct {
+	Request
+	client *client
+	reply  []byte // the final answer, until it is written
 }
 
 // client is a client's connection.
 type client struct {
 	p       *Proxy
+	f       *redisFront
 	conn    *net.TCPConn
 	in      *resp.Reader
 	w       *writer
-	pending []*request // in the order of their commands
-	mid     bool       // a command has been read in part
+	pending []*owed // in the order of their commands
+	mid     bool    // a command has been read in part
 	resume  chan struct{}
 	active  time.Duration // when it connected, or last had something pending
 	asked   bool          // a command has been read whole
@@ -84,10 +92,74 @@
 	return c.conn.Read(b)
 }
 
+// redisFront takes RESP2 clients. It is always there: the platform's clients speak nothing else.
+type redisFront struct {
+	p       *Proxy
+	listen  *net.TCPListener
+	clients map[*client]struct{}
+	taken   chan error // the end of accept
+}
+
+var _ Front = (*redisFront)(nil)
+
+func newRedisFront(p *Proxy, addr string) (*redisFront, error) {
+	// Keep-alive probes don't notice a peer that has vanished here, and each costs system calls.
+	lc := net.ListenConfig{KeepAlive: -1}
+	l, err := lc.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return &redisFront{p: p, listen: l.(*net.TCPListener), clients: map[*client]struct{}{}, taken: make(chan error, 1)}, nil
+}
+
+// Serve takes connections until StopTaking or Close.
+func (f *redisFront) Serve() error {
+	err := f.accept()
+	f.taken <- err
+	return err
+}
+
+// Drain has nothing to say to clients yet: connections go on coming for a while.
+func (f *redisFront) Drain() {}
+
+// StopTaking takes what the kernel still holds and closes the listener.
+func (f *redisFront) StopTaking() {
+	f.listen.SetDeadline(time.Now().Add(backlogTime))
+	if err := <-f.taken; err != nil {
+		f.p.log.Error("accept while draining", "err", err)
+	}
+	f.listen.Close()
+}
+
+// Owes ends the connections that are idle and tells whether others are left.
+func (f *redisFront) Owes() (owed bool) {
+	for c := range f.clients {
+		if c.hangUp(false); !c.free() {
+			owed = true
+		}
+	}
+	return owed
+}
+
+// Sweep closes clients that have stood idle for too long.
+func (f *redisFront) Sweep() { f.closeIdleClients() }
+
+// MakeRoom closes the idle client that is missed least.
+func (f *redisFront) MakeRoom() bool { return f.dropClient() }
+
+// Close ends what is still open.
+func (f *redisFront) Close() {
+	f.listen.Close()
+	for c := range f.clients {
+		c.close()
+	}
+}
+
 // accept takes connections until the listener is closed.
-func (p *Proxy) accept() error {
+func (f *redisFront) accept() error {
+	p := f.p
 	for {
-		conn, err := p.listen.AcceptTCP()
+		conn, err := f.listen.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -110,7 +182,7 @@
 			return fmt.Errorf("accept: %w", err)
 		}
 		p.enter()
-		c, err := p.newClient(conn)
+		c, err := f.newClient(conn)
 		p.leave()
 		if err != nil || c == nil {
 			conn.Close()
@@ -121,13 +193,14 @@
 }
 
 // newClient takes a connection in; nil, if there is no room for it.
-func (p *Proxy) newClient(conn *net.TCPConn) (*client, error) {
+func (f *redisFront) newClient(conn *net.TCPConn) (*client, error) {
+	p := f.p
 	w, err := newWriter(p, conn)
 	if err != nil {
 		return nil, err
 	}
-	for len(p.clients) >= p.maxClients() {
-		if !p.dropClient() {
+	for len(f.clients) >= f.maxClients() {
+		if !f.dropClient() {
 			return nil, nil
 		}
 	}
@@ -136,44 +209,32 @@
 			return nil, nil
 		}
 	}
-	c := &client{p: p, conn: conn, w: w, active: p.now, limited: true}
+	c := &client{p: p, f: f, conn: conn, w: w, active: p.now, limited: true}
 	c.in = resp.NewReader(c, clientBuffer)
 	w.idle = c.flush
 	conn.SetReadDeadline(time.Now().Add(commandTime)) // for the first command, whether it begins or not
-	p.clients[c] = struct{}{}
+	f.clients[c] = struct{}{}
+	p.Descriptors(1)
 	return c, nil
 }
 
 // maxClients keeps descriptors for the members: without connections to them, no client can be served.
-func (p *Proxy) maxClients() int {
-	return (p.cfg.Sockets - spareSockets) * clientShare / 100
-}
-
-// makeRoom closes a connection that nothing is lost with.
-func (p *Proxy) makeRoom() bool {
-	if p.dropClient() {
-		return true
-	}
-	for _, m := range p.members {
-		if p.closeIdle(m, 0) > 0 {
-			return true
-		}
-	}
-	return false
+func (f *redisFront) maxClients() int {
+	return (f.p.cfg.Sockets - spareSockets) * clientShare / 100
 }
 
 // dropClient closes the idle client that is missed least: first those that have connected and asked nothing,
 // then those idle for long, and of each the oldest. A crowd that only connects pushes out its own like, not
 // the clients that are being served; clients that come with a first question of theirs in such a crowd may
 // have to connect again.
-func (p *Proxy) dropClient() bool {
+func (f *redisFront) dropClient() bool {
 	var victim *client
 	least := 0
-	for c := range p.clients {
+	for c := range f.clients {
 		if !c.free() {
 			continue
 		}
-		age := p.now - c.active
+		age := f.p.now - c.active
 		rank := 3
 		switch {
 		case !c.asked && age >= youngFor:
@@ -195,26 +256,26 @@
 }
 
 // closeIdleClients closes the connections that have stood idle for too long.
-func (p *Proxy) closeIdleClients() {
+func (f *redisFront) closeIdleClients() {
 	asked := 0
-	for c := range p.clients {
+	for c := range f.clients {
 		if c.asked {
 			asked++
 		}
 	}
-	age := p.idleAge(asked)
-	for c := range p.clients {
-		if c.asked && p.now-c.active >= age && c.free() {
+	age := f.idleAge(asked)
+	for c := range f.clients {
+		if c.asked && f.p.now-c.active >= age && c.free() {
 			c.close()
 		}
 	}
 }
 
 // idleAge is how long a connection may stand idle while so many have asked.
-func (p *Proxy) idleAge(asked int) time.Duration {
-	half := max(1, p.cfg.Sockets*askedShare/200)
+func (f *redisFront) idleAge(asked int) time.Duration {
+	half := max(1, f.p.cfg.Sockets*askedShare/200)
 	switch {
-	case asked <= half && len(p.clients) <= p.maxClients()/2:
+	case asked <= half && len(f.clients) <= f.maxClients()/2:
 		return clientIdle
 	case asked <= half:
 		return crowdedIdle
@@ -289,7 +350,7 @@
 		p.enter()
 		c.mid = false
 		if c.ended { // it has been told of the end; a request that crosses it is sent again elsewhere
-			p.held -= cap(cmd.value)
+			p.held -= cap(cmd.Value)
 			p.leave()
 			return io.EOF
 		}
@@ -298,7 +359,7 @@
 		case cmd.refused:
 			c.error("BUSY")
 		case cmd.name == "":
-			p.submit(c, cmd)
+			c.submit(cmd.Command)
 		case cmd.name == "PING":
 			c.say("+PONG\r\n")
 		default:
@@ -353,7 +414,7 @@
 }
 
 // command reads a command. A malformed one leaves no way to tell where the next begins.
-func (c *client) command() (cmd command, err error) {
+func (c *client) command() (cmd input, err error) {
 	h, err := c.in.Head()
 	if err != nil {
 		return cmd, err
@@ -369,7 +430,7 @@
 	switch {
 	case n == 4 && string(name) == "OBJ.GET":
 	case n == 5 && string(name) == "OBJ.SET":
-		cmd.write = true
+		cmd.Write = true
 	default:
 		cmd.name = strings.ToUpper(string(name))
 		if strings.HasPrefix(cmd.name, "OBJ.") {
@@ -393,8 +454,8 @@
 		}
 		ends[i] = len(text)
 	}
-	cmd.key, cmd.reqID, cmd.attrs = text[:ends[0]], text[ends[0]:ends[1]], text[ends[1]:]
-	if cmd.write {
+	cmd.Key, cmd.ReqID, cmd.Attrs = text[:ends[0]], text[ends[0]:ends[1]], text[ends[1]:]
+	if cmd.Write {
 		err = c.value(&cmd)
 	}
 	return cmd, err
@@ -422,47 +483,47 @@
 // value reads a value into memory, which it takes from the shared room piece by piece as bytes arrive: a
 // client that only announces a long value holds none of it. Past the room, the value is read over and the
 // command is refused.
-func (c *client) value(cmd *command) error {
+func (c *client) value(cmd *input) error {
 	h, err := c.bulkHead()
 	if err != nil {
 		return err
 	}
 	p := c.p
 	const piece = 4 << 10
-	for len(cmd.value) < h.N {
-		if len(cmd.value) == cap(cmd.value) {
-			size := min(h.N, max(piece, 2*cap(cmd.value)))
-			grown := make([]byte, len(cmd.value), size)
-			copy(grown, cmd.value)
+	for len(cmd.Value) < h.N {
+		if len(cmd.Value) == cap(cmd.Value) {
+			size := min(h.N, max(piece, 2*cap(cmd.Value)))
+			grown := make([]byte, len(cmd.Value), size)
+			copy(grown, cmd.Value)
 			p.mu.Lock()
-			p.held += cap(grown) - cap(cmd.value)
+			p.held += cap(grown) - cap(cmd.Value)
 			over := p.held > p.heldMax
 			if over {
 				p.held -= cap(grown)
 			}
 			p.mu.Unlock()
 			if over {
-				rest := h.N - len(cmd.value)
-				*cmd = command{refused: true}
+				rest := h.N - len(cmd.Value)
+				*cmd = input{refused: true}
 				return c.in.Skip(rest)
 			}
-			cmd.value = grown
+			cmd.Value = grown
 		}
-		n, err := c.in.Read(cmd.value[len(cmd.value):min(cap(cmd.value), h.N)])
-		cmd.value = cmd.value[:len(cmd.value)+n]
-		if err == nil && len(cmd.value) == h.N {
+		n, err := c.in.Read(cmd.Value[len(cmd.Value):min(cap(cmd.Value), h.N)])
+		cmd.Value = cmd.Value[:len(cmd.Value)+n]
+		if err == nil && len(cmd.Value) == h.N {
 			break
 		}
 		if err != nil {
 			p.mu.Lock()
-			p.held -= cap(cmd.value)
+			p.held -= cap(cmd.Value)
 			p.mu.Unlock()
 			return err
 		}
 	}
 	if err := c.in.End(); err != nil { // the length was wrong
 		p.mu.Lock()
-		p.held -= cap(cmd.value)
+		p.held -= cap(cmd.Value)
 		p.mu.Unlock()
 		return err
 	}
@@ -471,40 +532,80 @@
 
 // say answers a command that is no request.
 func (c *client) say(text string) {
-	r := &request{client: c, done: true}
-	c.pending = append(c.pending, r)
-	c.answer(r, []byte(text))
+	o := &owed{client: c}
+	c.pending = append(c.pending, o)
+	c.answer(o, []byte(text))
 }
 
 func (c *client) error(text string) {
 	c.say(string(resp.AppendError(nil, string(appendLine(nil, text)))))
 }
 
+// submit hands over a request that has been read whole.
+func (c *client) submit(cmd Command) {
+	o := &owed{Request: Request{Command: cmd}, client: c}
+	o.Taker = o
+	c.pending = append(c.pending, o)
+	err := c.p.Submit(&o.Request)
+	if err == nil {
+		return
+	}
+	c.p.held -= cap(o.Value)
+	o.Value = nil
+	if errors.Is(err, ErrBusy) {
+		c.answer(o, resp.AppendError(nil, "BUSY"))
+		return
+	}
+	c.faults++
+	c.answer(o, resp.AppendError(nil, "ERR "+err.Error()))
+}
+
+// Answer puts the final answer into RESP2.
+func (o *owed) Answer(a Answer) {
+	p := o.client.p
+	b := p.scratch[:0]
+	switch a.Kind {
+	case Served:
+		b = resp.AppendBulk(b, a.Value)
+	case Refused:
+		b = append(b, "-BUSY"...)
+		if ms := a.RetryAfter.Milliseconds(); ms > 0 {
+			b = append(b, ' ')
+			b = strconv.AppendInt(b, ms, 10)
+		}
+		b = append(b, "\r\n"...)
+	default:
+		b = resp.AppendError(b, "ERR failed")
+	}
+	o.client.answer(o, b)
+	p.scratch = b[:0]
+}
+
 // answer gives a request its final answer. It goes out now if it is its turn; the caller may then use the
 // bytes again.
-func (c *client) answer(r *request, reply []byte) {
-	if len(c.pending) > 0 && c.pending[0] == r && !c.w.busy {
+func (c *client) answer(o *owed, reply []byte) {
+	if len(c.pending) > 0 && c.pending[0] == o && !c.w.busy {
 		c.w.send(reply, false)
 		c.pop()
 		c.flush()
 		return
 	}
-	if slices.Contains(c.pending, r) {
-		r.reply = slices.Clone(reply)
-		c.p.held += len(r.reply)
+	if slices.Contains(c.pending, o) {
+		o.reply = slices.Clone(reply)
+		c.p.held += len(o.reply)
 	}
 }
 
 // flush writes the answers whose turn has come.
 func (c *client) flush() {
 	for len(c.pending) > 0 && !c.w.busy {
-		r := c.pending[0]
-		if r.reply == nil {
+		o := c.pending[0]
+		if o.reply == nil {
 			return
 		}
-		c.p.held -= len(r.reply)
-		c.w.send(r.reply, true)
-		r.reply = nil
+		c.p.held -= len(o.reply)
+		c.w.send(o.reply, true)
+		o.reply = nil
 		c.pop()
 	}
 	if !c.w.busy {
@@ -534,25 +635,21 @@
 	if !c.closed {
 		c.ended, c.closed = true, true
 		c.conn.Close()
-		delete(c.p.clients, c)
+		delete(c.f.clients, c)
+		c.p.Descriptors(-1)
 	}
 	c.wake()
 }
 
 // gone cleans up after a connection that has ended: nobody waits for what is pending.
 func (c *client) gone() {
-	p := c.p
 	c.close()
 	c.w.failed = true
 	pending := c.pending
 	c.pending = nil
-	for _, r := range pending {
-		p.held -= len(r.reply)
-		r.reply = nil
-		if !r.done {
-			r.done = true
-			p.bal.Expired(p.now, r.id)
-		}
-		p.settle(r)
+	for _, o := range pending {
+		c.p.held -= len(o.reply)
+		o.reply = nil
+		c.p.Withdraw(&o.Request)
 	}
 }
--- a/internal/proxy/client_test.go
+++ b/internal/proxy/redis_test.go
@@ -152,7 +152,7 @@
 	p.eventually("no request is taken any more", func() bool { return p.stopping })
 	busy.send(get("a2", "id2"))
 	p.eventually("the second request is read", func() bool { // its answer waits for its turn
-		for c := range p.clients {
+		for c := range p.redis.clients {
 			if len(c.pending) == 2 {
 				return true
 			}
@@ -176,7 +176,7 @@
 	c.send(words("PING"))
 	c.answer()
 	p.eventually("the client is known as idle", func() bool {
-		for c := range p.clients {
+		for c := range p.redis.clients {
 			if c.asked && c.free() {
 				c.active -= clientIdle
 				return true
@@ -187,7 +187,7 @@
 	if got := c.answer(); got != "" {
 		t.Errorf("told %q, want the end", got)
 	}
-	p.eventually("its place is free", func() bool { return len(p.clients) == 0 })
+	p.eventually("its place is free", func() bool { return len(p.redis.clients) == 0 })
 }
 
 // A write whose bytes may have gone out is not offered again, nor refused.
@@ -257,17 +257,17 @@
 		}
 	}
 	p.eventually("all are idle", func() bool {
-		if len(p.clients) < len(crowd) {
+		if len(p.redis.clients) < len(crowd) {
 			return true // the sweep has begun to close them
 		}
-		for c := range p.clients {
+		for c := range p.redis.clients {
 			if !c.free() {
 				return false
 			}
 			c.active = p.now - 2*leastIdle // as if they stood idle so long
 		}
-		p.closeIdleClients()
-		if n := len(p.clients); n > 0 {
+		p.redis.closeIdleClients()
+		if n := len(p.redis.clients); n > 0 {
 			t.Errorf("%d of %d idle clients hold their places", n, len(crowd))
 		}
 		return true
@@ -275,7 +275,7 @@
 }
 
 func TestIdleAgeFallsWithTheRoomLeft(t *testing.T) {
-	p := &Proxy{cfg: Config{Sockets: 400}}
+	p := &redisFront{p: &Proxy{cfg: Config{Sockets: 400}}}
 	last := p.idleAge(0)
 	if last != clientIdle {
 		t.Errorf("%v with nobody there", last)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -13,32 +13,20 @@
 	"linenloom/logic"
 )
 
-// request is a client's command from its last byte to its answer, and on to the end of its last attempt.
-// A reply that no member has a part in (to PING, or an error) is one too, so that answers keep their order.
-type request struct {
-	command
-	id       logic.RequestID
-	class    int
-	client   *client
-	deadline time.Duration
-	attempts []*attempt // by number
-	out      int        // attempts without outcome
-	done     bool       // the final answer is decided, or nobody waits for it
-	reply    []byte     // the final answer, until it is written
-}
-
 // attempt is one sending of a request to a member.
 type attempt struct {
-	req    *request
-	n      int
-	to     logic.MemberID
-	sentAt time.Duration
-	began  time.Duration // when it was written to a connection; 0: not yet
-	until  time.Duration // it is given up then
-	conn   *upstream     // nil while it waits for one
-	end    int64         // place of its last byte in what the connection sends
-	ended  bool
-	again  bool // a dial for it was refused at once, and one more is made
+	req     *Request
+	n       int
+	to      logic.MemberID
+	sentAt  time.Duration
+	began   time.Duration // when it was written to a connection; 0: not yet
+	until   time.Duration // it is given up then
+	conn    *upstream     // nil while it waits for one
+	end     int64         // place of its last byte in what the connection sends
+	ended   bool
+	carried bool // by a Carrier
+	given   bool // its client has been told of it
+	again   bool // a dial for it was refused at once, and one more is made
 }
 
 // end gives an attempt its outcome; later ones are dropped.
@@ -63,47 +51,12 @@
 
 // settle lets go of a request that is over. Timers still name its attempts for a while, so its value, which
 // may be large, is let go of here.
-func (p *Proxy) settle(r *request) {
+func (p *Proxy) settle(r *Request) {
 	if r.done && r.out == 0 && p.requests[r.id] == r {
 		delete(p.requests, r.id)
-		p.held -= cap(r.value)
-		r.value = nil
-	}
-}
-
-// submit takes a request that has been read whole.
-func (p *Proxy) submit(c *client, cmd command) {
-	r := &request{command: cmd, client: c}
-	c.pending = append(c.pending, r)
-	lr, err := r.describe(p.cfg.Settings)
-	if err == nil && p.ids.used(r.reqID, p.now) {
-		err = errors.New("the id is in use")
+		p.held -= cap(r.Value)
+		r.Value = nil
 	}
-	switch {
-	case err != nil:
-		c.faults++
-		p.turnAway(r, "ERR "+err.Error())
-		return
-	case len(p.requests) >= p.maxRequests() || p.held > p.heldMax || p.stopping:
-		p.turnAway(r, "BUSY")
-		return
-	}
-	p.ids.add(r.reqID, p.now)
-	p.nextID++ // after 2^32 it begins anew, long after the request that had the number
-	r.id = p.nextID
-	lr.ID = r.id
-	r.class = lr.Class
-	lr.Deadline += p.now
-	r.deadline = lr.Deadline
-	p.requests[r.id] = r
-	p.bal.Request(p.now, lr)
-}
-
-// turnAway answers a request that the Balancer has not seen and never will.
-func (p *Proxy) turnAway(r *request, text string) {
-	p.held -= cap(r.value)
-	r.value, r.done = nil, true
-	r.client.answer(r, resp.AppendError(nil, text))
 }
 
 // requestsPerMB bounds the requests in hand by the memory: each takes a few KB with its timers and attempts.
@@ -115,9 +68,9 @@
 // is checked here, once, since members and the Balancer rely on it: a command that no client should send is
 // not passed on, so that it can neither be served nor count against the member that turns it away. It would
 // harm clients that leave out a name of the protocol.
-func (c *command) describe(s logic.Settings) (logic.Request, error) {
-	r := logic.Request{Key: keyOf(c.key), Class: -1, Write: c.write}
-	if !plain(c.key) || !plain(c.reqID) || len(c.attrs) > 0 && !plain(c.attrs) {
+func (c *Command) describe(s *logic.Settings) (logic.Request, error) {
+	r := logic.Request{Key: keyOf(c.Key), Class: -1, Write: c.Write}
+	if !plain(c.Key) || !plain(c.ReqID) || len(c.Attrs) > 0 && !plain(c.Attrs) {
 		return r, errors.New("key, id and list must be given, without spaces")
 	}
 	var wait float64
@@ -212,9 +165,9 @@
 }
 
 // names ranges over the list of names and values.
-func (c *command) names() func(yield func(string, []byte) bool) {
+func (c *Command) names() func(yield func(string, []byte) bool) {
 	return func(yield func(string, []byte) bool) {
-		for rest := c.attrs; len(rest) > 0; {
+		for rest := c.Attrs; len(rest) > 0; {
 			var item []byte
 			item, rest, _ = bytes.Cut(rest, []byte{','})
 			if name, value, ok := bytes.Cut(item, []byte{'='}); ok && !yield(string(name), value) {
@@ -225,8 +178,8 @@
 }
 
 // appendCommand appends the command for a cache: as it came, but for how long the sender waits.
-func (c *command) appendCommand(b []byte, wait time.Duration) []byte {
-	attrs := make([]byte, 0, len(c.attrs)+16)
+func (c *Command) appendCommand(b []byte, wait time.Duration) []byte {
+	attrs := make([]byte, 0, len(c.Attrs)+16)
 	for name, value := range c.names() {
 		if name != "d" {
 			attrs = append(attrs, name...)
@@ -238,16 +191,16 @@
 	attrs = append(attrs, "d="...)
 	attrs = strconv.AppendInt(attrs, max(1, wait.Milliseconds()), 10)
 	name, n := "OBJ.GET", 4
-	if c.write {
+	if c.Write {
 		name, n = "OBJ.SET", 5
 	}
 	b = resp.AppendArray(b, n)
 	b = resp.AppendBulk(b, name)
-	b = resp.AppendBulk(b, c.key)
-	b = resp.AppendBulk(b, c.reqID)
+	b = resp.AppendBulk(b, c.Key)
+	b = resp.AppendBulk(b, c.ReqID)
 	b = resp.AppendBulk(b, attrs)
-	if c.write {
-		b = resp.AppendBulkHead(b, len(c.value))
+	if c.Write {
+		b = resp.AppendBulkHead(b, len(c.Value))
 	}
 	return b
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -202,7 +202,7 @@
 }
 
 // once tells whether a request must never run twice.
-func (p *Proxy) once(r *request) bool { return p.cfg.Settings.Classes[r.class].Effect == logic.Once }
+func (p *Proxy) once(r *Request) bool { return p.cfg.Settings.Classes[r.class].Effect == logic.Once }
 
 // dial opens connections for those that wait, within the bounds.
 func (p *Proxy) dial(m *member) {
@@ -408,13 +408,13 @@
 	}
 	p.scratch = b[:0]
 	u.w.send(b, false)
-	if a.req.write {
+	if a.req.Write {
 		hold := 0
-		if u.m.origin && p.once(a.req) && len(a.req.value) > 0 {
+		if u.m.origin && p.once(a.req) && len(a.req.Value) > 0 {
 			hold = 1
 			p.schedule(due{at: p.now + p.hold, attempt: a, held: true})
 		}
-		u.w.send(a.req.value[:len(a.req.value)-hold], true)
+		u.w.send(a.req.Value[:len(a.req.Value)-hold], true)
 		a.end = u.w.taken + int64(hold)
 		if u.m.origin {
 			return
@@ -428,7 +428,7 @@
 // the attempt never ran.
 func (p *Proxy) release(a *attempt) {
 	if u := a.conn; !a.ended && !u.closed && !u.w.failed && u.silent() {
-		u.w.send(a.req.value[len(a.req.value)-1:], true)
+		u.w.send(a.req.Value[len(a.req.Value)-1:], true)
 	}
 }
 
@@ -449,6 +449,13 @@
 // abandon stops waiting for an attempt, by closing its connection: until then the attempt is out, and a
 // further one would be a second copy.
 func (p *Proxy) abandon(a *attempt, s logic.Status) {
+	if a.carried {
+		if s == logic.StatusTimeout && !a.given {
+			s = logic.StatusConnectFailed
+		}
+		p.end(a, s, 0)
+		return
+	}
 	u := a.conn
 	if u == nil {
 		p.unqueue(a)
@@ -467,9 +474,9 @@
 	p.dialNext()
 }
 
-// result gives the attempt its outcome, with the reply that the client gets if it was served. The connection
+// result gives the attempt its outcome, with the value that the client gets if it was served. The connection
 // is not free yet: see rest.
-func (u *upstream) result(s logic.Status, note int, reply []byte) {
+func (u *upstream) result(s logic.Status, note int, value []byte) {
 	p := u.p
 	p.enter()
 	defer p.leave()
@@ -479,7 +486,7 @@
 	}
 	if r := a.req; s == logic.StatusOK && !r.done {
 		r.done = true
-		r.client.answer(r, reply)
+		r.Taker.Answer(Answer{Kind: Served, Value: value})
 	}
 	p.end(a, s, note)
 }
@@ -701,21 +708,19 @@
 	buf := u.p.buffers.Get().(*[]byte)
 	defer u.p.buffers.Put(buf)
 	status := logic.StatusMiss
-	reply := (*buf)[:0]
+	value := (*buf)[:0]
 	if h.N >= 0 {
 		status = logic.StatusOK
-		reply = resp.AppendBulkHead(slices.Grow(reply, h.N+16), h.N)
-		if reply, err = in.Bulk(reply, h.N); err != nil {
+		if value, err = in.Bulk(slices.Grow(value, h.N), h.N); err != nil {
 			return err
 		}
-		reply = append(reply, "\r\n"...)
-		*buf = reply
+		*buf = value
 	}
 	word, err := readWord(in)
 	if err != nil {
 		return err
 	}
-	u.result(status, noteOf(word), reply)
+	u.result(status, noteOf(word), value)
 	_, err = readWord(in)
 	return err
 }
@@ -738,17 +743,17 @@
 
 // appendHTTP appends the request for an origin, without a write's value; http.Request.Write would copy that
 // too. The texts are a client's: none may end its line and begin another.
-func appendHTTP(b []byte, r *request, addr string) []byte {
+func appendHTTP(b []byte, r *Request, addr string) []byte {
 	method := http.MethodGet
-	if r.write {
+	if r.Write {
 		method = http.MethodPut
 	}
-	path := url.URL{Path: "/" + string(r.key)}
+	path := url.URL{Path: "/" + string(r.Key)}
 	b = fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path.EscapedPath(), addr)
-	b = appendHeader(b, "X-Request-ID", r.reqID)
-	b = appendHeader(b, "X-Attrs", r.attrs)
-	if r.write {
-		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(r.value))
+	b = appendHeader(b, "X-Request-ID", r.ReqID)
+	b = appendHeader(b, "X-Attrs", r.Attrs)
+	if r.Write {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(r.Value))
 	}
 	return append(b, "\r\n"...)
 }
@@ -816,7 +821,7 @@
 	case len(body) > resp.MaxValue:
 		return resp.ErrProtocol
 	}
-	u.result(statusOf(answer), 0, resp.AppendBulk(nil, body))
+	u.result(statusOf(answer), 0, body)
 	if answer.Close {
 		return io.EOF
 	}
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -250,7 +250,7 @@
 	for _, m = range p.members {
 	}
 	var over *attempt
-	r := &request{done: true, command: command{key: []byte("k"), reqID: []byte("i"), attrs: []byte("c=tile-read")}}
+	r := &Request{done: true, Command: Command{Key: []byte("k"), ReqID: []byte("i"), Attrs: []byte("c=tile-read")}}
 	for range cacheSockets + waitingRoom + 1 {
 		over = &attempt{req: r, to: m.id, end: -1, until: p.now + patience}
 		r.attempts, r.out = append(r.attempts, over), r.out+1
@@ -290,7 +290,7 @@
 	gone.send(get("a1", "id1"))
 	<-asks
 	gone.conn.Close()
-	p.eventually("the client is gone", func() bool { return len(p.clients) == 0 })
+	p.eventually("the client is gone", func() bool { return len(p.redis.clients) == 0 })
 	close(release)
 	p.eventually("its request is over", func() bool {
 		for _, m := range p.members {
