--- a/cmd/linenloom/main.go
+++ b/cmd/linenloom/main.go
@@ -3,85 +3,39 @@
 package main
 
 import (
-	"bytes"
-	"context"
 	"fmt"
-	"log/slog"
-	"math"
 	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
+	"path/filepath"
 	"syscall"
 
-	"linenloom/internal/proxy"
-)
-
-const (
-	// collectPercent lets the heap, which is small, grow by this much between collections: on a part of a
-	// core their cost matters more than the memory, which memoryShare bounds.
-	collectPercent = 400
-	memoryShare    = 0.7 // of the memory for the heap; past it the collector runs as often as it must
+	"linenloom/internal/app"
 )
 
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "linenloom:", err)
-		os.Exit(1)
+	g := app.Program{
+		Name: "linenloom", Elsewhere: elsewhere,
+		About: `       linenloom demo                  a fleet of stand-ins, traffic, and what becomes of it
+SIGHUP reads the files again, SIGTERM drains. README.md and docs/ tell the rest.
+`,
+	}
+	if status := g.Main(os.Args[1:]); status != 0 {
+		os.Exit(status)
 	}
 }
 
-func run() error {
-	// From the start, so that none of these ends the process by its default. A log that nobody reads any more
-	// must not do so either.
-	signal.Ignore(syscall.SIGPIPE)
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	cfg, err := loadConfig(os.Getenv)
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
-	debug.SetGCPercent(collectPercent)
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * memoryShare * (1 << 20)))
+// processor is the program with the external processor. It is one of its own, since the libraries that it speaks gRPC
+// with would cost this one megabytes that the platform does not have (docs/extproc.md has the figures).
+const processor = "linenproc"
 
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("proxy", cfg.Name)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	settings, err := cfg.proxy()
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	p, err := proxy.New(settings, log)
+// elsewhere becomes the other program, under the same process id.
+func elsewhere(args []string) error {
+	self, err := os.Executable()
 	if err != nil {
-		return err
+		return fmt.Errorf("[extproc] is served by %s: %w", processor, err)
 	}
-	go func() {
-		for range hangup {
-			reload(p, cfg, log)
-		}
-	}()
-	if err := p.Run(ctx); err != nil {
-		return err
+	path := filepath.Join(filepath.Dir(self), processor)
+	if err := syscall.Exec(path, append([]string{path}, args...), os.Environ()); err != nil {
+		return fmt.Errorf("[extproc] is served by %s, which should stand beside this program (%s): %w", processor, path, err)
 	}
-	log.Info("stopped")
 	return nil
 }
-
-// reload takes over what the configuration file says now, as far as a running proxy can. A file that can't be
-// used changes nothing.
-func reload(p *proxy.Proxy, old *config, log *slog.Logger) {
-	cfg, err := reloadConfig(os.Getenv)
-	if err == nil {
-		_, err = cfg.proxy()
-	}
-	if err != nil {
-		log.Error("reload failed, the old configuration stays in force", "err", err)
-		return
-	}
-	if cfg.Listen != old.Listen || cfg.Limits != old.Limits || !bytes.Equal(cfg.Settings, old.Settings) {
-		log.Warn("reload: changes of listen, limits and settings need a restart")
-	}
-	log.Info("reload", "discovery", cfg.Discovery)
-	p.Follow(cfg.Discovery)
-}
--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,249 @@
+// Package app is what the programs that host a proxy share: the command line, the configuration, signals and reloads.
+// It decides nothing about requests and knows a front only by what the program hands it.
+package app
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"linenloom/internal/operator"
+	"linenloom/internal/proxy"
+)
+
+const (
+	// collectPercent lets the heap, which is small, grow by this much between collections: on a part of a
+	// core their cost matters more than the memory, which memoryShare bounds.
+	collectPercent = 400
+	memoryShare    = 0.7 // of the memory for the heap; past it the collector runs as often as it must
+)
+
+// Exit statuses.
+const (
+	exitFailed = 1
+	exitFaulty = 2 // the command line or the operator's file is at fault; nothing was opened
+)
+
+// Front is a front that a program adds and that takes over new settings while it runs.
+type Front interface {
+	proxy.Front
+	Reload(*operator.File) error
+}
+
+// Program is a program that hosts a proxy.
+type Program struct {
+	Name  string
+	About string // for -h, after the usage
+	// ExtProc makes the external processor's front. A program without one hands over to Elsewhere.
+	ExtProc   func(*proxy.Proxy, *operator.File, *slog.Logger) (Front, error)
+	Elsewhere func(args []string) error
+	// Commands are further commands, by name.
+	Commands map[string]func(args []string) int
+}
+
+// Main runs the program and returns its exit status.
+func (g *Program) Main(args []string) int {
+	command := ""
+	if len(args) > 0 && len(args[0]) > 0 && args[0][0] != '-' {
+		command = args[0]
+	}
+	if run := g.Commands[command]; run != nil {
+		return run(args[1:])
+	}
+	switch command {
+	case "", "check":
+	default:
+		fmt.Fprintf(os.Stderr, "%s: unknown command %q; see %s -h\n", g.Name, command, g.Name)
+		return exitFaulty
+	}
+	flags := flag.NewFlagSet(g.Name, flag.ContinueOnError)
+	path := flags.String("operator", "", "the operator's `FILE`: what is switched on beside the platform's proxy")
+	flags.Usage = func() { g.usage(flags.Output(), flags) }
+	rest := args
+	if command != "" {
+		rest = args[1:]
+	}
+	if err := flags.Parse(rest); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return 0
+		}
+		return exitFaulty
+	}
+	if flags.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "%s: unexpected argument %q; see %s -h\n", g.Name, flags.Arg(0), g.Name)
+		return exitFaulty
+	}
+	file := &operator.File{}
+	if *path != "" {
+		var err error
+		if file, err = operator.Load(*path); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFaulty
+		}
+	}
+	if command == "check" {
+		return g.check(*path, file)
+	}
+	if file.ExtProc != nil && g.ExtProc == nil {
+		// It does not return where it could start the other program.
+		fmt.Fprintf(os.Stderr, "%s: %v\n", g.Name, g.Elsewhere(args))
+		return exitFailed
+	}
+	if err := g.run(file); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", g.Name, err)
+		var faults operator.Faults
+		if errors.As(err, &faults) {
+			return exitFaulty
+		}
+		return exitFailed
+	}
+	return 0
+}
+
+func (g *Program) usage(w io.Writer, flags *flag.FlagSet) {
+	fmt.Fprintf(w, "usage: %s [-operator FILE]        serve, as LB_CONFIG says\n", g.Name)
+	fmt.Fprintf(w, "       %s check -operator FILE    check the operator's file, and open nothing\n", g.Name)
+	fmt.Fprint(w, g.About)
+	flags.PrintDefaults()
+}
+
+// check checks the operator's file. Where LB_CONFIG is set, the classes that the file names must be its classes.
+func (g *Program) check(path string, file *operator.File) int {
+	if path == "" {
+		fmt.Fprintf(os.Stderr, "%s check: -operator FILE is missing\n", g.Name)
+		return exitFaulty
+	}
+	against := "not checked against a configuration: LB_CONFIG is not set"
+	if os.Getenv("LB_CONFIG") != "" {
+		cfg, err := loadConfig(os.Getenv)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "configuration:", err)
+			return exitFailed
+		}
+		settings, err := cfg.proxy()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "configuration:", err)
+			return exitFailed
+		}
+		if err := file.CheckClasses(classNames(settings)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFaulty
+		}
+		against = "its classes are those of LB_CONFIG"
+	}
+	fmt.Printf("%s: no fault found (%s)\n", path, against)
+	return 0
+}
+
+func classNames(c proxy.Config) (names []string) {
+	for _, class := range c.Settings.Classes {
+		names = append(names, class.Name)
+	}
+	return names
+}
+
+func (g *Program) run(file *operator.File) error {
+	// From the start, so that none of these ends the process by its default. A log that nobody reads any more
+	// must not do so either.
+	signal.Ignore(syscall.SIGPIPE)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	cfg, err := loadConfig(os.Getenv)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * memoryShare * (1 << 20)))
+
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("proxy", cfg.Name)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	settings, err := cfg.proxy()
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	if err := file.CheckClasses(classNames(settings)); err != nil {
+		return err
+	}
+	p, err := proxy.New(settings, log)
+	if err != nil {
+		return err
+	}
+	r := reloader{p: p, cfg: cfg, file: file, log: log}
+	if file.ExtProc != nil {
+		if r.extproc, err = g.ExtProc(p, file, log); err != nil {
+			return err
+		}
+		p.AddFront(r.extproc)
+	}
+	go func() {
+		for range hangup {
+			r.reload()
+		}
+	}()
+	if err := p.Run(ctx); err != nil {
+		return err
+	}
+	log.Info("stopped")
+	return nil
+}
+
+// reloader takes over what the files say after SIGHUP.
+type reloader struct {
+	p       *proxy.Proxy
+	cfg     *config
+	file    *operator.File
+	extproc Front
+	log     *slog.Logger
+}
+
+// reload takes over what the configuration file and the operator's file say now, as far as a running proxy can. A
+// file that can't be used changes nothing, and does not keep the other from being taken over.
+func (r *reloader) reload() {
+	if cfg, err := reloadConfig(os.Getenv); err != nil {
+		r.log.Error("reload failed, the old configuration stays in force", "err", err)
+	} else if _, err = cfg.proxy(); err != nil {
+		r.log.Error("reload failed, the old configuration stays in force", "err", err)
+	} else {
+		if cfg.Listen != r.cfg.Listen || cfg.Limits != r.cfg.Limits || !bytes.Equal(cfg.Settings, r.cfg.Settings) {
+			r.log.Warn("reload: changes of listen, limits and settings need a restart")
+		}
+		r.log.Info("reload", "discovery", cfg.Discovery)
+		r.p.Follow(cfg.Discovery)
+	}
+	if r.file.Path != "" {
+		r.reloadOperator()
+	}
+}
+
+func (r *reloader) reloadOperator() {
+	now, err := operator.Load(r.file.Path)
+	if err != nil {
+		r.log.Error("reload failed, the operator's old file stays in force", "err", err)
+		return
+	}
+	fixed, live := r.file.Changed(now)
+	if len(fixed) > 0 {
+		r.log.Warn("reload: these need a restart, the old ones stay in force", "keys", fixed)
+		now.Keep(r.file)
+	}
+	if r.extproc != nil && len(live) > 0 {
+		if err := r.extproc.Reload(now); err != nil {
+			r.log.Error("reload failed, the operator's old file stays in force", "err", err)
+			return
+		}
+	}
+	r.file = now
+	r.log.Info("reload of the operator's file", "changed", live)
+}
--- a/cmd/linenloom/config.go
+++ b/internal/app/config.go
@@ -1,4 +1,4 @@
-package main
+package app
 
 import (
 	"cmp"
--- /dev/null
+++ b/internal/extproc/server/answer.go
@@ -0,0 +1,219 @@
+package server
+
+import (
+	"strconv"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	filterv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
+	"google.golang.org/protobuf/types/known/structpb"
+
+	"linenloom/internal/extproc"
+	"linenloom/internal/proxy"
+	"linenloom/logic"
+)
+
+func setHeader(name, value string) *corev3.HeaderValueOption {
+	return &corev3.HeaderValueOption{
+		Header:       &corev3.HeaderValue{Key: name, RawValue: []byte(value)},
+		AppendAction: corev3.HeaderValueOption_OVERWRITE_IF_EXISTS_OR_ADD,
+	}
+}
+
+// immediate is the final answer to the caller's client. Nothing more is said on the stream.
+func (s *stream) immediate(code int, text, contentType string, headers ...*corev3.HeaderValueOption) error {
+	if contentType == "" {
+		contentType = "text/plain"
+	}
+	details := map[int]string{200: "served", 502: "failed", 503: "refused"}[code]
+	if details == "" {
+		details = "turned_away"
+	}
+	s.f.p.Do(func() {
+		switch code {
+		case 200:
+			s.f.counts.Served++
+		case 502:
+			s.f.counts.Failed++
+		default:
+			s.f.counts.Refused++
+		}
+		if s.call != nil {
+			s.call.settle()
+		}
+	})
+	headers = append(headers, setHeader("content-type", contentType))
+	err := s.send(&extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ImmediateResponse{
+		ImmediateResponse: &extprocv3.ImmediateResponse{
+			Status:  &typev3.HttpStatus{Code: typev3.StatusCode(code)},
+			Headers: &extprocv3.HeaderMutation{SetHeaders: headers},
+			Body:    []byte(text), Details: "linenloom_" + details,
+		}}})
+	if err != nil {
+		return err
+	}
+	return errOver
+}
+
+// refuse says that trying again is harmless, and when. HTTP has whole seconds for that (RFC 9110 section 10.2.3); where
+// the module names no time, the shortest stands.
+func (s *stream) refuse(after time.Duration) error {
+	seconds := max(1, int((after+time.Second-1)/time.Second))
+	return s.immediate(503, "refused: the request never ran\n", "", setHeader("retry-after", strconv.Itoa(seconds)))
+}
+
+// fail promises nothing.
+func (s *stream) fail(why string) error { return s.immediate(502, "failed: "+why+"\n", "") }
+
+func (s *stream) tooLong() error {
+	return s.immediate(413, "the body is over "+strconv.Itoa(maxBody)+" bytes\n", "")
+}
+
+// answer passes the host's final answer on.
+func (s *stream) answer(a *proxy.Answer) error {
+	switch a.Kind {
+	case proxy.Served:
+		return s.immediate(200, string(a.Value), s.cfg.ContentType)
+	case proxy.Refused:
+		return s.refuse(a.RetryAfter)
+	}
+	return s.fail("the request may have run")
+}
+
+// sendTo names the member to the caller, in the header and the metadata that the Gateway API's endpoint pickers use,
+// and asks for no more phases than it needs.
+func (s *stream) sendTo(d decided, body bool) error {
+	h := &s.cfg.Headers
+	set := make([]*corev3.HeaderValueOption, 1, 2)
+	set[0] = setHeader(h.Destination, d.addr)
+	if h.TryTimeout != "" {
+		set = append(set, setHeader(h.TryTimeout, strconv.FormatInt(max(1, d.left.Milliseconds()), 10)))
+	}
+	common := &extprocv3.CommonResponse{HeaderMutation: &extprocv3.HeaderMutation{SetHeaders: set}}
+	r := &extprocv3.ProcessingResponse{DynamicMetadata: &structpb.Struct{Fields: map[string]*structpb.Value{
+		"envoy.lb": structpb.NewStructValue(&structpb.Struct{Fields: map[string]*structpb.Value{
+			h.Destination: structpb.NewStringValue(d.addr),
+		}}),
+	}}}
+	if body {
+		r.Response = &extprocv3.ProcessingResponse_RequestBody{RequestBody: &extprocv3.BodyResponse{Response: common}}
+		return s.send(r)
+	}
+	r.Response = &extprocv3.ProcessingResponse_RequestHeaders{RequestHeaders: &extprocv3.HeadersResponse{Response: common}}
+	// The sooner the caller sends after the pick, the less can have changed: no body, and of the response its head.
+	r.ModeOverride = &filterv3.ProcessingMode{
+		ResponseHeaderMode: filterv3.ProcessingMode_SEND, RequestTrailerMode: filterv3.ProcessingMode_SKIP,
+		ResponseTrailerMode: filterv3.ProcessingMode_SKIP,
+	}
+	return s.send(r)
+}
+
+// attributes is the name under which callers send attributes.
+const attributes = "envoy.filters.http.ext_proc"
+
+// response reads what the response's headers tell of the attempt.
+func (s *stream) response(m *extprocv3.ProcessingRequest) (r extproc.Response, note int, err error) {
+	r.MissStatus = s.cfg.MissStatus
+	for _, v := range m.GetResponseHeaders().GetHeaders().GetHeaders() {
+		switch v.GetKey() {
+		case ":status":
+			if r.Status, err = strconv.Atoi(valueOf(v)); err != nil || r.Status < 100 || r.Status > 599 {
+				return r, 0, s.invalid(":status is no status")
+			}
+		case "x-not-processed":
+			r.NotProcessed = valueOf(v) == "1"
+		case "x-envoy-overloaded":
+			r.Overloaded = true
+		case "x-cache":
+			note = map[string]int{"hit": logic.NoteHit, "miss": logic.NoteMiss, "pending": logic.NoteFetched}[valueOf(v)]
+		}
+	}
+	if r.Status == 0 {
+		return r, 0, s.invalid("response headers without :status")
+	}
+	r.Details = m.GetAttributes()[attributes].GetFields()["response.code_details"].GetStringValue()
+	return r, note, nil
+}
+
+// responseHeaders makes an outcome of the response in mode route, and passes it on, marks it for another attempt, or
+// puts the final answer in its place.
+func (s *stream) responseHeaders(m *extprocv3.ProcessingRequest) error {
+	c := s.call
+	switch {
+	case s.passed || c != nil && c.settled:
+		return s.continueResponse(nil)
+	case c == nil || !s.route():
+		return s.invalid("response headers before the request was answered")
+	}
+	r, note, err := s.response(m)
+	if err != nil {
+		return err
+	}
+	v := r.Verdict()
+	if v == logic.StatusOK {
+		s.delivering, s.note = true, note
+		if s.answerMode == filterv3.ProcessingMode_NONE || m.GetResponseHeaders().GetEndOfStream() {
+			s.deliver()
+		}
+		return s.continueResponse(nil)
+	}
+	var final *proxy.Answer
+	var again bool
+	s.f.p.Do(func() {
+		if a := c.attempt; a != nil && !a.Ended() && a.Given() {
+			r.Origin = a.Origin
+			v = r.Verdict()
+			a.End(v, note)
+			s.f.p.Tell()
+		}
+		switch {
+		case v == logic.StatusRejected:
+			c.settle() // the member finds fault with the request itself, and says best with what
+		case c.final != nil:
+			final = c.final
+		case c.nameless:
+			c.abandon()
+		default:
+			again = true
+			c.stream = nil
+			s.f.calls.Return(c.entry, s.f.p.Now()+s.cfg.ReturnWithin.D())
+		}
+	})
+	switch {
+	case final != nil:
+		return s.answer(final)
+	case again:
+		return s.continueResponse(&extprocv3.CommonResponse{HeaderMutation: &extprocv3.HeaderMutation{
+			SetHeaders: []*corev3.HeaderValueOption{setHeader(s.cfg.Headers.Retry, "1")}}})
+	}
+	return s.continueResponse(nil)
+}
+
+func (s *stream) continueResponse(common *extprocv3.CommonResponse) error {
+	if common == nil && s.route() && !s.passed {
+		// A member must not be able to have the caller ask again.
+		common = &extprocv3.CommonResponse{HeaderMutation: &extprocv3.HeaderMutation{RemoveHeaders: []string{s.cfg.Headers.Retry}}}
+	}
+	return s.send(&extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseHeaders{
+		ResponseHeaders: &extprocv3.HeadersResponse{Response: common}}})
+}
+
+// deliver ends the attempt whose answer the caller has: the request is served.
+func (s *stream) deliver() {
+	s.delivering = false
+	s.f.p.Do(func() {
+		c := s.call
+		if c.settled {
+			return
+		}
+		if c.attempt != nil && c.attempt.Given() {
+			c.attempt.Deliver(s.note)
+		}
+		s.f.counts.Served++
+		c.settle()
+		s.idle = true
+		s.due = s.f.p.Now() + firstMessage
+	})
+}
--- /dev/null
+++ b/internal/extproc/server/server.go
@@ -0,0 +1,384 @@
+// Package server is the front by which other proxies call this program for every request, as an external processor:
+// envoy.service.ext_proc.v3.ExternalProcessor over gRPC (docs/extproc.md).
+//
+// It speaks the protocol, counts what it holds and carries out what the host decides; it never picks a member, never
+// tries anything again by itself and keeps no values. Every stream is one HTTP exchange of a caller's. All state
+// beside a stream's own is guarded by the host's one lock, under which nothing blocks.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/health"
+	healthv1 "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"linenloom/internal/extproc"
+	"linenloom/internal/operator"
+	"linenloom/internal/proxy"
+	"linenloom/internal/resp"
+	"linenloom/logic"
+)
+
+const (
+	// maxMessage bounds one message. A body that is over resp.MaxValue but under this is told 413; what is longer ends
+	// its stream before it is read into memory.
+	maxMessage = 256 << 10
+	maxHeaders = 16 << 10 // of the gRPC call itself
+	// streamCost is what a stream holds beside bodies: its goroutines, buffers and tables.
+	streamCost = 12 << 10
+	// mostConns is how many connections callers may hold. A caller needs one or two, each for many streams.
+	mostConns = 64
+	// firstMessage is how long a stream may stand without its first message; it is one exchange's, so a caller opens
+	// it when it has something to say.
+	firstMessage = 2500 * time.Millisecond
+	// overdue is how long past its request's time a stream may stand.
+	overdue = time.Second
+	// mostCalls is how many request ids are remembered, in hand or over.
+	mostCalls = 16384
+)
+
+// config is what a reload replaces.
+type config struct {
+	*operator.ExtProc
+	mapping *extproc.Mapping
+	classes map[string]int
+}
+
+// Front is the external processor's front.
+type Front struct {
+	extprocv3.UnimplementedExternalProcessorServer
+	p      *proxy.Proxy
+	log    *slog.Logger
+	cfg    atomic.Pointer[config]
+	listen net.Listener
+	grpc   *grpc.Server
+	health *health.Server
+
+	// Under the host's lock.
+	calls   *extproc.Calls
+	streams map[*stream]struct{}
+	conns   int
+	made    uint32 // ids made here
+	counts  Counts
+}
+
+// Counts tells what the front has done and holds.
+type Counts struct {
+	Streams, Calls, Conns       int // in hand
+	Taken, Unavailable, Faulty  int // streams, since the start
+	Served, Refused, Failed     int // final answers, since the start
+	Routed, Returned, Abandoned int // attempts given, calls that came back, calls that were given up
+}
+
+var _ proxy.Front = (*Front)(nil)
+
+// New makes the front and binds its address. The file has been checked; what it says of classes is checked here,
+// against the settings.
+func New(p *proxy.Proxy, file *operator.File, log *slog.Logger) (*Front, error) {
+	f := &Front{p: p, log: log.With("front", "extproc"), streams: map[*stream]struct{}{}}
+	c, err := f.compile(file)
+	if err != nil {
+		return nil, err
+	}
+	f.cfg.Store(c)
+	f.calls = extproc.NewCalls(mostCalls, c.Remember.D())
+	if f.listen, err = bind(c.Listen); err != nil {
+		return nil, fmt.Errorf("extproc.listen: %w", err)
+	}
+	f.grpc = grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxHeaderListSize(maxHeaders),
+		// Twice the bound, so that a stream over it is told so, and doesn't wait at the caller.
+		grpc.MaxConcurrentStreams(uint32(2*c.MaxStreams)),
+		grpc.ConnectionTimeout(firstMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 30 * time.Second, Timeout: 10 * time.Second}),
+	)
+	extprocv3.RegisterExternalProcessorServer(f.grpc, f)
+	f.health = health.NewServer()
+	healthv1.RegisterHealthServer(f.grpc, f.health)
+	return f, nil
+}
+
+func (f *Front) compile(file *operator.File) (*config, error) {
+	c := &config{ExtProc: file.ExtProc, classes: map[string]int{}}
+	var names []string
+	for i, class := range f.p.Settings().Classes {
+		c.classes[class.Name] = i
+		names = append(names, class.Name)
+	}
+	if err := file.CheckClasses(names); err != nil {
+		return nil, err
+	}
+	var err error
+	c.mapping, err = extproc.NewMapping(c.Map)
+	return c, err
+}
+
+// bind listens. A unix socket that a dead process has left is removed; one that is in use is an error.
+func bind(a operator.Address) (net.Listener, error) {
+	network, addr := a.Network()
+	if network == "unix" {
+		if info, err := os.Lstat(addr); err == nil && info.Mode()&os.ModeSocket != 0 {
+			conn, err := net.DialTimeout(network, addr, time.Second)
+			if err == nil {
+				conn.Close()
+				return nil, fmt.Errorf("%s is in use", addr)
+			}
+			os.Remove(addr)
+		}
+	}
+	return net.Listen(network, addr)
+}
+
+// Addr is where the front listens.
+func (f *Front) Addr() net.Addr { return f.listen.Addr() }
+
+// Reload takes over what a checked file says now, as far as a running front can.
+func (f *Front) Reload(file *operator.File) error {
+	c, err := f.compile(file)
+	if err != nil {
+		return err
+	}
+	f.cfg.Store(c)
+	f.p.Do(func() { f.calls.SetRemember(c.Remember.D()) })
+	return nil
+}
+
+// Counts tells what the front has done and holds.
+func (f *Front) Counts() (c Counts) {
+	f.p.Do(func() {
+		c = f.counts
+		c.Streams, c.Calls, c.Conns = len(f.streams), f.calls.Len(), f.conns
+	})
+	return c
+}
+
+// Serve takes calls until StopTaking or Close.
+func (f *Front) Serve() error {
+	f.log.Info("extproc listens", "addr", f.Addr().String(), "mode", f.cfg.Load().Mode)
+	err := f.grpc.Serve(&bounded{Listener: f.listen, f: f})
+	if errors.Is(err, grpc.ErrServerStopped) {
+		return nil
+	}
+	return err
+}
+
+// Drain says in the health service that callers should look elsewhere; streams are still taken.
+func (f *Front) Drain() { f.health.Shutdown() }
+
+// StopTaking sends callers away: what they open from now on goes elsewhere, by HTTP/2's GOAWAY, and never ran here.
+func (f *Front) StopTaking() { go f.grpc.GracefulStop() }
+
+// Owes tells whether a stream still waits for something. One that has nothing in hand is ended.
+func (f *Front) Owes() bool {
+	owed := false
+	for s := range f.streams {
+		if s.idle {
+			s.kick()
+		} else {
+			owed = true
+		}
+	}
+	return owed
+}
+
+// Sweep ends streams that stand for too long, and calls whose caller has not come back.
+func (f *Front) Sweep() {
+	now := f.p.Now()
+	for s := range f.streams {
+		if now >= s.due {
+			s.kick()
+		}
+	}
+	for _, e := range f.calls.Late(now) {
+		e.Owner.(*call).abandon()
+	}
+}
+
+// MakeRoom has nothing to give up: a caller's connection carries many streams.
+func (f *Front) MakeRoom() bool { return false }
+
+// Close ends what is still open. gRPC gives descriptors back under the host's lock, which the caller holds.
+func (f *Front) Close() { go f.grpc.Stop() }
+
+// bounded counts connections, and closes those that there is no room for.
+type bounded struct {
+	net.Listener
+	f *Front
+}
+
+func (l *bounded) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		room := false
+		l.f.p.Do(func() {
+			if room = l.f.conns < mostConns && l.f.p.Room(); room {
+				l.f.conns++
+				l.f.p.Descriptors(1)
+			}
+		})
+		if room {
+			return &counted{Conn: conn, f: l.f}, nil
+		}
+		conn.Close()
+	}
+}
+
+type counted struct {
+	net.Conn
+	f    *Front
+	once sync.Once
+}
+
+func (c *counted) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() {
+		c.f.p.Do(func() {
+			c.f.conns--
+			c.f.p.Descriptors(-1)
+		})
+	})
+	return err
+}
+
+// Process is one exchange of a caller's.
+func (f *Front) Process(rpc extprocv3.ExternalProcessor_ProcessServer) error {
+	s := &stream{f: f, rpc: rpc, cfg: f.cfg.Load(), kicked: make(chan struct{}), in: make(chan received), idle: true}
+	if !f.open(s) {
+		// gRPC's UNAVAILABLE: the call never ran, and can be made elsewhere.
+		return status.Error(codes.Unavailable, "no room for the stream; nothing ran")
+	}
+	defer f.closed(s)
+	ctx, cancel := context.WithCancel(rpc.Context())
+	defer cancel()
+	go s.read(ctx)
+	err := s.run(ctx)
+	if status.Code(err) == codes.InvalidArgument {
+		f.p.Do(func() { f.counts.Faulty++ })
+		f.log.Warn("stream ended", "err", err)
+	}
+	return err
+}
+
+func (f *Front) open(s *stream) (ok bool) {
+	f.p.Do(func() {
+		if len(f.streams) >= s.cfg.MaxStreams || f.p.Stopping() {
+			f.counts.Unavailable++
+			return
+		}
+		if f.p.Hold(streamCost) {
+			f.p.Hold(-streamCost)
+			f.counts.Unavailable++
+			return
+		}
+		ok = true
+		f.counts.Taken++
+		f.streams[s] = struct{}{}
+		s.due = f.p.Now() + firstMessage
+	})
+	return ok
+}
+
+func (f *Front) closed(s *stream) {
+	f.p.Do(func() {
+		delete(f.streams, s)
+		f.p.Hold(-streamCost - cap(s.body))
+		s.body = nil
+		if s.call != nil {
+			s.call.left(s)
+		}
+	})
+}
+
+// call is a request in the host's hands. It outlives a stream in mode route, where the caller comes back on another.
+type call struct {
+	f        *Front
+	req      proxy.Request
+	entry    *extproc.Entry
+	unsafe   bool
+	nameless bool // the caller told no id, so it can't be known when it comes back
+	stream   *stream
+	attempt  *proxy.Attempt // the latest that the host has named; mode route
+	final    *proxy.Answer  // the final answer, its value copied
+	settled  bool           // the caller has the answer, or nobody waits for one
+	ended    chan struct{}  // of one token: something has been decided
+}
+
+// routed is a call whose attempts the caller makes.
+type routed struct{ *call }
+
+var _ proxy.Carrier = routed{}
+
+// Carry takes the member of the next attempt.
+func (c routed) Carry(a *proxy.Attempt) {
+	c.attempt = a
+	c.notify()
+}
+
+// Answer takes the final answer.
+func (c *call) Answer(a proxy.Answer) {
+	if a.Value != nil {
+		a.Value = append([]byte(nil), a.Value...)
+	}
+	c.final = &a
+	c.notify()
+}
+
+func (c *call) notify() {
+	select {
+	case c.ended <- struct{}{}:
+	default:
+	}
+}
+
+// settle notes that the call is over for its caller.
+func (c *call) settle() {
+	if c.settled {
+		return
+	}
+	c.settled = true
+	ran := c.req.MayHaveRun()
+	c.f.p.Withdraw(&c.req)
+	if c.attempt != nil && !c.attempt.Ended() {
+		s := logic.StatusConnectFailed
+		if c.attempt.Given() {
+			s = logic.StatusCancelled
+		}
+		c.attempt.End(s, 0)
+	}
+	c.f.calls.End(c.entry, ran, c.f.p.Now())
+}
+
+// abandon ends a call for which nobody waits any more.
+func (c *call) abandon() {
+	if !c.settled {
+		c.f.counts.Abandoned++
+		c.settle()
+	}
+}
+
+// left is told that a stream has ended.
+func (c *call) left(s *stream) {
+	if c.stream == s && !c.entry.Returning {
+		c.stream = nil
+		c.abandon()
+	}
+}
+
+// maxBody is the longest body of a request: the platform's longest value.
+const maxBody = resp.MaxValue
--- /dev/null
+++ b/internal/extproc/verdict.go
@@ -0,0 +1,46 @@
+package extproc
+
+import (
+	"strings"
+
+	"linenloom/logic"
+)
+
+// Response is what a caller tells of the response to an attempt that it made.
+type Response struct {
+	Status       int
+	NotProcessed bool   // the member says that the request never ran (X-Not-Processed: 1)
+	Overloaded   bool   // the caller itself turned the attempt away (x-envoy-overloaded)
+	Details      string // response.code_details, where the caller sends it as an attribute
+	Origin       bool   // the attempt went to the origin
+	MissStatus   int    // the status by which a cache tells that it lacks the key
+}
+
+// Verdict names the outcome of the attempt. Where a response could stand for an attempt that ran and for one that did
+// not, it counts as one that may have run.
+func (r Response) Verdict() logic.Status {
+	local := r.Details != "" && r.Details != "via_upstream"
+	switch {
+	case r.Overloaded:
+		return logic.StatusNoConn
+	case local && (strings.Contains(r.Details, "no_healthy_upstream") || strings.Contains(r.Details, "overflow") ||
+		strings.Contains(r.Details, "cluster_not_found")):
+		return logic.StatusNoConn
+	case local && strings.Contains(r.Details, "connection_failure"):
+		// "upstream_reset_before_response_started{remote_connection_failure...}": the connection never came up.
+		return logic.StatusConnectFailed
+	case local && strings.Contains(r.Details, "timeout"):
+		return logic.StatusTimeout
+	case local && r.Status >= 500:
+		return logic.StatusReset
+	case r.Status >= 200 && r.Status < 300 || r.Status == 304:
+		return logic.StatusOK
+	case (r.Status == 503 || r.Status == 504) && r.NotProcessed:
+		return logic.StatusFull
+	case r.Status == r.MissStatus && !r.Origin:
+		return logic.StatusMiss
+	case r.Status >= 400 && r.Status < 500:
+		return logic.StatusRejected
+	}
+	return logic.StatusError
+}
--- /dev/null
+++ b/internal/operator/decode.go
@@ -0,0 +1,374 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"reflect"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	toml "github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Fault is one thing that is wrong with a file.
+type Fault struct {
+	File string
+	Line int // from 1
+	What string
+}
+
+func (f Fault) String() string { return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.What) }
+
+// Faults are all that is wrong with a file, by line.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i := range f {
+		lines[i] = f[i].String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// doc is a file while it is read. The library's own decoder stops at its first type error and tells no line of
+// what it has decoded, so its parser is used here and the values are set by hand.
+type doc struct {
+	file   string
+	parser unstable.Parser
+	faults Faults
+	lines  map[string]int // by path: where a table or a key was given
+	elems  map[string]int // elements of arrays of tables so far
+}
+
+func (d *doc) fault(line int, format string, args ...any) {
+	d.faults = append(d.faults, Fault{d.file, max(1, line), fmt.Sprintf(format, args...)})
+}
+
+// at finds fault with what stands at a path; with its table, if the path itself was not given.
+func (d *doc) at(path, format string, args ...any) {
+	line := 0
+	for p := path; line == 0 && p != ""; {
+		line = d.lines[p]
+		i := strings.LastIndexByte(p, '.')
+		p = p[:max(0, i)]
+	}
+	d.fault(line, format, args...)
+}
+
+// given tells whether the file has something at a path.
+func (d *doc) given(path string) bool { return d.lines[path] > 0 }
+
+func (d *doc) err() error {
+	if len(d.faults) == 0 {
+		return nil
+	}
+	sort.SliceStable(d.faults, func(i, j int) bool { return d.faults[i].Line < d.faults[j].Line })
+	return d.faults
+}
+
+// decode sets into's fields, by their toml tags, from the text. What is wrong is noted; the rest is still read.
+func (d *doc) decode(text []byte, into any) {
+	var any map[string]any
+	if err := toml.Unmarshal(text, &any); err != nil { // syntax, and keys given twice
+		var at *toml.DecodeError
+		if errors.As(err, &at) {
+			line, _ := at.Position()
+			d.fault(line, "%s", strings.TrimPrefix(at.Error(), "toml: "))
+		} else {
+			d.fault(1, "%s", strings.TrimPrefix(err.Error(), "toml: "))
+		}
+		return
+	}
+	d.lines, d.elems = map[string]int{}, map[string]int{}
+	d.parser.Reset(text)
+	root := reflect.ValueOf(into).Elem()
+	table, path := root, ""
+	for d.parser.NextExpression() {
+		e := d.parser.Expression()
+		switch e.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			table, path = d.descend(root, "", e.Key(), e.Kind == unstable.ArrayTable)
+		case unstable.KeyValue:
+			if table.IsValid() {
+				d.keyValue(table, path, e)
+			}
+		}
+	}
+}
+
+func (d *doc) line(n *unstable.Node) int {
+	if n == nil || n.Raw.Length == 0 {
+		return 0
+	}
+	return d.parser.Shape(n.Raw).Start.Line
+}
+
+// descend follows a key through the tables that it names; the value is invalid if one is unknown.
+func (d *doc) descend(v reflect.Value, path string, key unstable.Iterator, array bool) (reflect.Value, string) {
+	for key.Next() {
+		n := key.Node()
+		last := key.IsLast()
+		path = join(path, string(n.Data))
+		f, known := field(v, string(n.Data))
+		if !known {
+			d.fault(d.line(n), "unknown table [%s]%s", path, suggest(v, string(n.Data)))
+			return reflect.Value{}, path
+		}
+		if d.lines[path] == 0 {
+			d.lines[path] = d.line(n)
+		}
+		switch {
+		case f.Kind() == reflect.Slice && f.Type().Elem().Kind() == reflect.Struct:
+			if last && array {
+				f.Set(reflect.Append(f, reflect.Zero(f.Type().Elem())))
+				d.elems[path]++
+			}
+			if f.Len() == 0 {
+				d.fault(d.line(n), "%s is an array of tables: write [[%s]]", path, path)
+				return reflect.Value{}, path
+			}
+			v = f.Index(f.Len() - 1)
+			path = fmt.Sprintf("%s[%d]", path, f.Len()-1)
+			if last {
+				d.lines[path] = d.line(n)
+			}
+		case f.Kind() == reflect.Struct && !leaf(f.Type()):
+			if last && array {
+				d.fault(d.line(n), "%s is one table: write [%s]", path, path)
+				return reflect.Value{}, path
+			}
+			v = f
+		default:
+			d.fault(d.line(n), "%s is no table: write %s = ...", path, n.Data)
+			return reflect.Value{}, path
+		}
+	}
+	return v, path
+}
+
+func (d *doc) keyValue(v reflect.Value, path string, e *unstable.Node) {
+	key := e.Key()
+	for key.Next() {
+		n := key.Node()
+		name := string(n.Data)
+		line := d.line(n)
+		f, known := field(v, name)
+		if !known {
+			d.fault(line, "unknown key %s%s", join(path, name), suggest(v, name))
+			return
+		}
+		path = join(path, name)
+		d.lines[path] = line
+		if key.IsLast() {
+			d.set(f, path, line, e.Value())
+			return
+		}
+		if f.Kind() != reflect.Struct || leaf(f.Type()) {
+			d.fault(line, "%s is no table", path)
+			return
+		}
+		v = f
+	}
+}
+
+// set gives a field its value.
+func (d *doc) set(f reflect.Value, path string, line int, n *unstable.Node) {
+	if at := d.line(n); at > 0 {
+		line = at
+	}
+	wrong := func(want string) { d.fault(line, "%s must be %s, not %s", path, want, describe(n)) }
+	if u, ok := f.Addr().Interface().(unit); ok {
+		if n.Kind != unstable.String {
+			wrong(u.want())
+		} else if err := u.parse(string(n.Data)); err != nil {
+			d.fault(line, "%s: %v", path, err)
+		}
+		return
+	}
+	switch f.Kind() {
+	case reflect.String:
+		if n.Kind != unstable.String {
+			wrong("a string")
+			return
+		}
+		f.SetString(string(n.Data))
+	case reflect.Bool:
+		if n.Kind != unstable.Bool {
+			wrong("true or false")
+			return
+		}
+		f.SetBool(string(n.Data) == "true")
+	case reflect.Int:
+		i, err := strconv.ParseInt(strings.ReplaceAll(string(n.Data), "_", ""), 0, 64)
+		if n.Kind != unstable.Integer || err != nil {
+			wrong("a whole number")
+			return
+		}
+		f.SetInt(i)
+	case reflect.Slice:
+		if n.Kind != unstable.Array {
+			wrong("a list")
+			return
+		}
+		f.Set(reflect.MakeSlice(f.Type(), 0, 4))
+		for it, i := n.Children(), 0; it.Next(); i++ {
+			elem := reflect.New(f.Type().Elem()).Elem()
+			d.set(elem, fmt.Sprintf("%s[%d]", path, i), line, it.Node())
+			f.Set(reflect.Append(f, elem))
+		}
+	case reflect.Struct:
+		if n.Kind != unstable.InlineTable {
+			wrong("a table")
+			return
+		}
+		for it := n.Children(); it.Next(); {
+			d.keyValue(f, path, it.Node())
+		}
+	default:
+		panic("operator: no way to read a " + f.Type().String())
+	}
+}
+
+func describe(n *unstable.Node) string {
+	switch n.Kind {
+	case unstable.String:
+		return strconv.Quote(string(n.Data))
+	case unstable.Integer, unstable.Float, unstable.Bool:
+		return string(n.Data)
+	case unstable.Array:
+		return "a list"
+	case unstable.InlineTable:
+		return "a table"
+	}
+	return "a date or time"
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func leaf(t reflect.Type) bool { return reflect.PointerTo(t).Implements(reflect.TypeFor[unit]()) }
+
+func field(v reflect.Value, name string) (reflect.Value, bool) {
+	for i := range v.NumField() {
+		if v.Type().Field(i).Tag.Get("toml") == name && name != "" {
+			return v.Field(i), true
+		}
+	}
+	return reflect.Value{}, false
+}
+
+// suggest names the known key that is closest to one that is not known.
+func suggest(v reflect.Value, name string) string {
+	best, least := "", 3
+	for i := range v.NumField() {
+		known := v.Type().Field(i).Tag.Get("toml")
+		if n := distance(name, known); known != "" && n < least {
+			best, least = known, n
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf(" (did you mean %s?)", best)
+}
+
+// distance is the number of letters to add, drop or change.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		last := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := last
+			if a[i] != b[j] {
+				cost++
+			}
+			last = row[j+1]
+			row[j+1] = min(cost, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
+
+// unit is a value that is written as a string in a form of its own.
+type unit interface {
+	parse(text string) error
+	want() string
+}
+
+// Duration is a time with its unit, like "200ms".
+type Duration time.Duration
+
+func (d *Duration) want() string { return `a time with its unit, like "200ms"` }
+
+func (d *Duration) parse(text string) error {
+	t, err := time.ParseDuration(text)
+	if err != nil || t < 0 {
+		return fmt.Errorf("%q is no %s (ns, us, ms, s, m or h)", text, strings.TrimPrefix(d.want(), "a "))
+	}
+	*d = Duration(t)
+	return nil
+}
+
+// D is the time.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// Size is a number of bytes with its unit, like "64KiB".
+type Size int
+
+func (s *Size) want() string { return `a size with its unit, like "64KiB"` }
+
+func (s *Size) parse(text string) error {
+	for _, u := range []struct {
+		name string
+		n    float64
+	}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}} {
+		number, ok := strings.CutSuffix(text, u.name)
+		if !ok {
+			continue
+		}
+		if n, err := strconv.ParseFloat(strings.TrimSpace(number), 64); err == nil && n >= 0 && n*u.n < math.MaxInt32 {
+			*s = Size(n * u.n)
+			return nil
+		}
+		break
+	}
+	return fmt.Errorf("%q is no %s (B, KiB, MiB or GiB)", text, strings.TrimPrefix(s.want(), "a "))
+}
+
+// Address is where to listen: an IP address and port, or "unix:" and an absolute path.
+type Address string
+
+func (a *Address) want() string { return `an address, like "127.0.0.1:9002" or "unix:/run/x.sock"` }
+
+func (a *Address) parse(text string) error {
+	if path, ok := strings.CutPrefix(text, "unix:"); ok {
+		if !strings.HasPrefix(path, "/") || len(path) > 100 {
+			return fmt.Errorf("%q: the path of a unix socket is absolute and has at most 100 bytes", text)
+		}
+	} else if _, err := netip.ParseAddrPort(text); err != nil {
+		return fmt.Errorf("%q is no %s (names are not looked up)", text, strings.TrimPrefix(a.want(), "an "))
+	}
+	*a = Address(text)
+	return nil
+}
+
+// Network splits the address for net.Listen.
+func (a Address) Network() (network, address string) {
+	if path, ok := strings.CutPrefix(string(a), "unix:"); ok {
+		return "unix", path
+	}
+	return "tcp", string(a)
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,315 @@
+// Package operator reads the operator's file: what an installation switches on beside the platform's proxy. It
+// finds every fault of a file at once, each with its line, and never opens a socket or reads anything else.
+//
+// Without a file nothing that it names exists. The file is TOML: made for settings that people write, with one
+// way to read each line. An unknown key is a fault, so that a slip of the pen never reads as "off".
+package operator
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+)
+
+// File is the operator's file with its defaults filled in.
+type File struct {
+	Path    string
+	ExtProc *ExtProc
+}
+
+// ExtProc sets up the external processor (docs/extproc.md).
+type ExtProc struct {
+	Listen Address `toml:"listen"`
+	// Mode is "answer" (the processor makes the exchange) or "route" (the caller does).
+	Mode string `toml:"mode"`
+	// Unmapped is what becomes of a request that no map entry fits: "pass" or "refuse".
+	Unmapped   string `toml:"unmapped"`
+	MaxStreams int    `toml:"max_streams"`
+	// MessageTimeout is how long the caller waits for an answer to a message, and MaxMessageTimeout what it lets
+	// a processor ask for beyond that; 0: nothing.
+	MessageTimeout    Duration `toml:"message_timeout"`
+	MaxMessageTimeout Duration `toml:"max_message_timeout"`
+	// Margin is kept back of every time that the caller gives, for the way back.
+	Margin Duration `toml:"margin"`
+	// ReturnWithin is how long, in mode route, a caller may take to come back for the next attempt.
+	ReturnWithin Duration `toml:"return_within"`
+	// Remember is how long an order's request id is known after its end.
+	Remember    Duration   `toml:"remember"`
+	ContentType string     `toml:"content_type"`
+	MissStatus  int        `toml:"miss_status"`
+	Headers     Headers    `toml:"headers"`
+	Map         []MapEntry `toml:"map"`
+}
+
+// Headers names the headers that the processor reads and sets.
+type Headers struct {
+	RequestID   string   `toml:"request_id"`
+	Tenant      string   `toml:"tenant"`
+	Key         string   `toml:"idempotency_key"`
+	Attempt     string   `toml:"attempt"`
+	TimeLeft    []string `toml:"time_left"`
+	Destination string   `toml:"destination"`
+	Retry       string   `toml:"retry"`
+	TryTimeout  string   `toml:"try_timeout"`
+}
+
+// MapEntry maps requests to a class and a key.
+type MapEntry struct {
+	Methods []string `toml:"methods"`
+	Path    string   `toml:"path"`
+	Class   string   `toml:"class"`
+	Key     string   `toml:"key"`
+	Write   bool     `toml:"write"`
+	Line    int
+}
+
+// root is the file as it stands; Listen tells whether a table is there.
+type root struct {
+	ExtProc ExtProc `toml:"extproc"`
+}
+
+func defaults() root {
+	return root{ExtProc: ExtProc{
+		Mode: "answer", Unmapped: "refuse", MaxStreams: 256, MessageTimeout: Duration(200 * time.Millisecond),
+		Margin: Duration(10 * time.Millisecond), ReturnWithin: Duration(250 * time.Millisecond),
+		Remember: Duration(30 * time.Second), ContentType: "application/octet-stream", MissStatus: 404,
+		Headers: Headers{
+			RequestID: "x-request-id", Tenant: "x-tenant", Key: "idempotency-key", Attempt: "x-envoy-attempt-count",
+			TimeLeft:    []string{"x-envoy-expected-rq-timeout-ms", "grpc-timeout"},
+			Destination: "x-gateway-destination-endpoint", Retry: "x-linenloom-retry",
+		},
+	}}
+}
+
+// Load reads and checks a file. The error is Faults, unless the file could not be read at all.
+func Load(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse checks a file's text.
+func Parse(path string, text []byte) (*File, error) {
+	d := &doc{file: path}
+	r := defaults()
+	d.decode(text, &r)
+	f := &File{Path: path}
+	if d.given("extproc") {
+		f.ExtProc = &r.ExtProc
+		d.checkExtProc(f.ExtProc)
+	}
+	return f, d.err()
+}
+
+func (d *doc) oneOf(path, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		d.at(path, "%s is %q; it can be %s", path, value, strings.Join(allowed, " or "))
+	}
+}
+
+func (d *doc) within(path string, value, least, most time.Duration) {
+	if value < least || value > most {
+		d.at(path, "%s is %v; it can be from %v to %v", path, value, least, most)
+	}
+}
+
+func (d *doc) checkExtProc(e *ExtProc) {
+	const p = "extproc."
+	if !d.given("extproc.listen") {
+		d.at("extproc", "extproc.listen is missing")
+	}
+	d.oneOf(p+"mode", e.Mode, "answer", "route")
+	d.oneOf(p+"unmapped", e.Unmapped, "pass", "refuse")
+	if e.MaxStreams < 1 || e.MaxStreams > 16384 {
+		d.at(p+"max_streams", "extproc.max_streams is %d; it can be from 1 to 16384", e.MaxStreams)
+	}
+	d.within(p+"message_timeout", e.MessageTimeout.D(), 10*time.Millisecond, time.Minute)
+	d.within(p+"max_message_timeout", e.MaxMessageTimeout.D(), 0, time.Hour)
+	if m := e.MaxMessageTimeout.D(); m > 0 && m < e.MessageTimeout.D() {
+		d.at(p+"max_message_timeout", "extproc.max_message_timeout is %v, less than message_timeout (%v)", m, e.MessageTimeout.D())
+	}
+	d.within(p+"margin", e.Margin.D(), 0, e.MessageTimeout.D()/2)
+	d.within(p+"return_within", e.ReturnWithin.D(), time.Millisecond, 10*time.Second)
+	d.within(p+"remember", e.Remember.D(), 6*time.Second, time.Hour)
+	if e.MissStatus < 200 || e.MissStatus > 599 {
+		d.at(p+"miss_status", "extproc.miss_status is %d; it can be from 200 to 599", e.MissStatus)
+	}
+	h := reflect.ValueOf(e.Headers)
+	for i := range h.NumField() {
+		path := p + "headers." + h.Type().Field(i).Tag.Get("toml")
+		names, ok := h.Field(i).Interface().([]string)
+		if !ok {
+			names = []string{h.Field(i).String()}
+		}
+		for _, name := range names {
+			if !headerName(name) && (name != "" || ok) {
+				d.at(path, "%s: %q is no header name (lower case, RFC 9110 section 5.1)", path, name)
+			}
+		}
+	}
+	for _, must := range []struct{ path, value string }{
+		{"request_id", e.Headers.RequestID}, {"destination", e.Headers.Destination}, {"retry", e.Headers.Retry},
+		{"attempt", e.Headers.Attempt},
+	} {
+		if must.value == "" {
+			d.at(p+"headers."+must.path, "extproc.headers.%s is empty", must.path)
+		}
+	}
+	if len(e.Map) == 0 {
+		d.at("extproc", "no [[extproc.map]]: nothing would reach a class")
+	}
+	for i := range e.Map {
+		d.checkMap(fmt.Sprintf("extproc.map[%d]", i), &e.Map[i])
+	}
+}
+
+func (d *doc) checkMap(path string, m *MapEntry) {
+	m.Line = d.lines[path]
+	if len(m.Methods) == 0 {
+		d.at(path, "%s has no methods", path)
+	}
+	for _, method := range m.Methods {
+		if method == "" || strings.ToUpper(method) != method {
+			d.at(path+".methods", "%s.methods: %q is no method (upper case)", path, method)
+		}
+	}
+	if m.Class == "" {
+		d.at(path, "%s has no class", path)
+	}
+	if m.Key == "" {
+		m.Key = "{key}"
+	}
+	vars, err := Template(m.Path)
+	if err != nil {
+		d.at(path+".path", "%s.path: %v", path, err)
+		return
+	}
+	used, err := Variables(m.Key)
+	if err != nil {
+		d.at(path+".key", "%s.key: %v", path, err)
+		return
+	}
+	if len(used) == 0 {
+		d.at(path+".key", "%s.key has no {variable}: all requests would share one key", path)
+	}
+	for _, v := range used {
+		if !slices.Contains(vars, v) {
+			d.at(path+".key", "%s.key uses {%s}, which the path does not have", path, v)
+		}
+	}
+}
+
+func headerName(name string) bool {
+	return name != "" && strings.Trim(name, "abcdefghijklmnopqrstuvwxyz0123456789-_.") == ""
+}
+
+// Template reads a path's template and returns its variables. A segment is plain text or a {variable}; the last may
+// be {variable...} and take the rest of the path.
+func Template(path string) (vars []string, err error) {
+	if !strings.HasPrefix(path, "/") {
+		return nil, fmt.Errorf("%q does not begin with /", path)
+	}
+	segments := strings.Split(path[1:], "/")
+	for i, s := range segments {
+		name, ok := Segment(s)
+		if !ok {
+			if strings.ContainsAny(s, "{}?#") {
+				return nil, fmt.Errorf("segment %q is neither plain text nor one {variable}", s)
+			}
+			continue
+		}
+		name, rest := strings.CutSuffix(name, "...")
+		switch {
+		case rest && i < len(segments)-1:
+			return nil, fmt.Errorf("{%s...} takes the rest of the path and must stand last", name)
+		case name == "" || strings.ContainsAny(name, "{}./"):
+			return nil, fmt.Errorf("segment %q has no name for its variable", s)
+		case slices.Contains(vars, name):
+			return nil, fmt.Errorf("{%s} stands twice", name)
+		}
+		vars = append(vars, name)
+	}
+	return vars, nil
+}
+
+// Segment tells whether a segment is a variable, and which.
+func Segment(s string) (name string, ok bool) {
+	if len(s) < 2 || s[0] != '{' || s[len(s)-1] != '}' {
+		return "", false
+	}
+	return s[1 : len(s)-1], true
+}
+
+// Variables returns the {variables} of a text.
+func Variables(text string) (vars []string, err error) {
+	for rest := text; rest != ""; {
+		i := strings.IndexAny(rest, "{}")
+		if i < 0 {
+			break
+		}
+		j := strings.IndexByte(rest[i:], '}')
+		if rest[i] == '}' || j < 2 {
+			return nil, fmt.Errorf("%q: braces stand around a variable's name", text)
+		}
+		vars = append(vars, rest[i+1:i+j])
+		rest = rest[i+j+1:]
+	}
+	return vars, nil
+}
+
+// Changed names what differs from a file that is in force and can't change while the program runs, and what can.
+func (f *File) Changed(now *File) (fixed, live []string) {
+	a, b := f.ExtProc, now.ExtProc
+	if (a == nil) != (b == nil) {
+		return []string{"extproc"}, nil
+	}
+	if a == nil {
+		return nil, nil
+	}
+	va, vb := reflect.ValueOf(*a), reflect.ValueOf(*b)
+	for i := range va.NumField() {
+		name := va.Type().Field(i).Tag.Get("toml")
+		if reflect.DeepEqual(va.Field(i).Interface(), vb.Field(i).Interface()) {
+			continue
+		}
+		switch name {
+		case "listen", "mode", "max_streams":
+			fixed = append(fixed, "extproc."+name)
+		default:
+			live = append(live, "extproc."+name)
+		}
+	}
+	return fixed, live
+}
+
+// Keep takes from the file that is in force what can't change while the program runs.
+func (f *File) Keep(old *File) {
+	if f.ExtProc == nil || old.ExtProc == nil {
+		f.ExtProc = old.ExtProc
+		return
+	}
+	f.ExtProc.Listen, f.ExtProc.Mode, f.ExtProc.MaxStreams = old.ExtProc.Listen, old.ExtProc.Mode, old.ExtProc.MaxStreams
+}
+
+// CheckClasses finds fault with classes that the settings don't have.
+func (f *File) CheckClasses(known []string) error {
+	if f.ExtProc == nil {
+		return nil
+	}
+	var faults Faults
+	for i, m := range f.ExtProc.Map {
+		if !slices.Contains(known, m.Class) {
+			faults = append(faults, Fault{f.Path, m.Line,
+				fmt.Sprintf("extproc.map[%d].class is %q; the settings have %s", i, m.Class, strings.Join(known, ", "))})
+		}
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -40,7 +40,7 @@
 	p.schedule(due{at: a.until, attempt: a})
 	if c, ok := r.Taker.(Carrier); ok {
 		a.carried = true
-		c.Carry(&Attempt{p: p, a: a, Addr: m.addr})
+		c.Carry(&Attempt{p: p, a: a, Addr: m.addr, Origin: m.origin})
 		return
 	}
 	p.dispatch(m, a)
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -50,6 +50,7 @@
 	attempts []*attempt // by number
 	out      int        // attempts without outcome
 	done     bool       // the final answer is decided, or nobody waits for it
+	ran      bool       // an attempt that has ended may have run
 }
 
 // Kind is the kind of a final answer.
@@ -82,9 +83,10 @@
 
 // Attempt is an attempt in the hands of a Carrier. Its methods want the host's lock (see Do).
 type Attempt struct {
-	p    *Proxy
-	a    *attempt
-	Addr string // of the member
+	p      *Proxy
+	a      *attempt
+	Addr   string // of the member
+	Origin bool   // it is an origin
 }
 
 // Give notes that the client is being told of the attempt now: from here on it may have run. It tells whether
@@ -102,8 +104,12 @@
 	return true
 }
 
-// Take notes that an attempt that was given has surely not been sent, and is back in the front's hands.
-func (x *Attempt) Take() { x.a.given = false }
+// Recheck makes sure, before the client sends an attempt that it was given but has surely not sent yet, that the
+// attempt still stands; if its member is not ready any more, the attempt ends as one that never ran.
+func (x *Attempt) Recheck() bool { return x.Give() }
+
+// Given tells whether the client has been told of the attempt.
+func (x *Attempt) Given() bool { return x.a.given }
 
 // Ended tells whether the attempt has its outcome.
 func (x *Attempt) Ended() bool { return x.a.ended }
@@ -122,6 +128,19 @@
 	}
 }
 
+// MayHaveRun tells whether an attempt of the request may have run, or may yet.
+func (r *Request) MayHaveRun() bool {
+	if r.ran {
+		return true
+	}
+	for _, a := range r.attempts {
+		if !a.ended && (!a.carried || a.given) {
+			return true
+		}
+	}
+	return false
+}
+
 // ErrBusy tells that the host can't take a request now; it never ran.
 var ErrBusy = errors.New("no room for the request")
 
@@ -172,6 +191,9 @@
 	f()
 }
 
+// Tell tells the Balancer, within Do, of the outcomes so far, so that what it decides on them can be seen.
+func (p *Proxy) Tell() { p.tell() }
+
 // Now is the host's time, under the lock.
 func (p *Proxy) Now() time.Duration { return p.now }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -209,12 +209,16 @@
 // leave tells the Balancer of the outcomes that its own actions have caused, and gives the lock back. Told
 // from inside an action, they would reach it in the middle of its work.
 func (p *Proxy) leave() {
+	p.tell()
+	p.arm()
+	p.mu.Unlock()
+}
+
+func (p *Proxy) tell() {
 	for i := 0; i < len(p.outcomes); i++ {
 		p.bal.Outcome(p.now, p.outcomes[i])
 	}
 	p.outcomes = p.outcomes[:0]
-	p.arm()
-	p.mu.Unlock()
 }
 
 // apply takes a list: first here, then by the Balancer, so that both see the same members.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -37,6 +37,7 @@
 	a.ended = true
 	r := a.req
 	r.out--
+	r.ran = r.ran || !s.NeverRan()
 	// The wait for a connection is this proxy's own: as the member's latency it would cut the member's limit.
 	since := a.sentAt
 	if a.began > 0 {
