--- /dev/null
+++ b/internal/extproc/caller/caller.go
@@ -0,0 +1,390 @@
+// Package caller is a stand-in for a proxy that we don't run and that calls an external processor for every request.
+// It follows the published protocol of Envoy's ext_proc filter as a caller does: a stream for each exchange, a timeout
+// for each message, one extension of it, failure_mode_allow, body modes and mode_override. It serves plain HTTP to
+// clients, and in mode route sends to the member that the processor names. For tests and the rig only.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	filterv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/structpb"
+)
+
+// Caller is the stand-in.
+type Caller struct {
+	MessageTimeout    time.Duration
+	MaxMessageTimeout time.Duration // what a processor may ask for; 0: nothing
+	FailureModeAllow  bool
+	BodyMode          filterv3.ProcessingMode_BodySendMode
+	AllowModeOverride bool
+	Retries           int // further attempts, where the processor marks a response for one
+	// SendAfter is called in mode route between the pick and the send.
+	SendAfter func(addr string)
+
+	conns  []*grpc.ClientConn
+	client *http.Client
+	// Overrides counts the extensions granted.
+	Overrides atomic.Int64
+}
+
+// Dial makes a caller that prefers the first target and goes to the next where one says that a call never ran there.
+func Dial(targets ...string) (*Caller, error) {
+	c := &Caller{MessageTimeout: 200 * time.Millisecond, AllowModeOverride: true, client: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
+	for _, t := range targets {
+		conn, err := grpc.NewClient(t, grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
+				Backoff: backoff.Config{BaseDelay: 20 * time.Millisecond, Multiplier: 1.5, MaxDelay: 100 * time.Millisecond}}))
+		if err != nil {
+			return nil, err
+		}
+		c.conns = append(c.conns, conn)
+	}
+	return c, nil
+}
+
+// Conn is the connection to a target.
+func (c *Caller) Conn(i int) *grpc.ClientConn { return c.conns[i] }
+
+// Close ends the connections.
+func (c *Caller) Close() {
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+	c.client.CloseIdleConnections()
+}
+
+// Request is a client's request.
+type Request struct {
+	Method, Path string
+	Headers      map[string]string
+	Body         []byte
+}
+
+// Result is what the client gets.
+type Result struct {
+	Status   int
+	Headers  map[string]string
+	Body     []byte
+	Attempts int      // calls of the processor
+	Members  []string // in mode route, where it was sent
+	Passed   bool     // it went on untouched
+	Err      error    // why the processor had no part in the answer, if it had none
+}
+
+// ServeHTTP takes a client's request.
+func (c *Caller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	headers := map[string]string{}
+	for name := range r.Header {
+		headers[strings.ToLower(name)] = r.Header.Get(name)
+	}
+	res := c.Do(r.Context(), Request{Method: r.Method, Path: r.URL.RequestURI(), Headers: headers, Body: body})
+	for name, value := range res.Headers {
+		w.Header().Set(name, value)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(res.Body)))
+	w.WriteHeader(res.Status)
+	w.Write(res.Body)
+}
+
+// Do makes a client's request: an exchange, and further ones as the processor marks them.
+func (c *Caller) Do(ctx context.Context, q Request) Result {
+	var members []string
+	for attempt := 1; ; attempt++ {
+		res := c.exchange(ctx, q, attempt)
+		members = append(members, res.Members...)
+		res.Attempts, res.Members = attempt, members
+		if _, marked := res.Headers[retryHeader]; !marked || attempt > c.Retries {
+			delete(res.Headers, retryHeader)
+			return res
+		}
+	}
+}
+
+const (
+	retryHeader = "x-linenloom-retry"
+	destination = "x-gateway-destination-endpoint"
+)
+
+// ErrTimeout tells that the processor did not answer a message in time.
+var ErrTimeout = errors.New("caller: the processor's time for a message is over")
+
+// failed is what the client gets where the processor fails: the request goes on untouched, or ends with 500.
+func (c *Caller) failed(err error) Result {
+	if c.FailureModeAllow {
+		return Result{Status: 204, Passed: true, Err: err}
+	}
+	return Result{Status: 500, Err: err}
+}
+
+// exchange makes one call. It is offered to the next target only where the one before says that it never ran.
+func (c *Caller) exchange(ctx context.Context, q Request, attempt int) Result {
+	var res Result
+	for _, conn := range c.conns {
+		x := &exchange{c: c, q: q, attempt: attempt}
+		res = x.run(ctx, conn)
+		if status.Code(res.Err) != codes.Unavailable || x.began {
+			break
+		}
+	}
+	return res
+}
+
+type exchange struct {
+	c       *Caller
+	q       Request
+	attempt int
+	stream  extprocv3.ExternalProcessor_ProcessClient
+	in      chan received
+	mode    filterv3.ProcessingMode_BodySendMode
+	skip    bool // the response's headers are not wanted
+	began   bool // the processor has answered a message
+	headers map[string]string
+	removed map[string]bool
+}
+
+type received struct {
+	m   *extprocv3.ProcessingResponse
+	err error
+}
+
+// immediate is a processor's answer that ends the exchange.
+type immediate struct{ r *extprocv3.ImmediateResponse }
+
+func (immediate) Error() string { return "an immediate response" }
+
+func (x *exchange) run(ctx context.Context, conn *grpc.ClientConn) Result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var err error
+	if x.stream, err = extprocv3.NewExternalProcessorClient(conn).Process(ctx); err != nil {
+		return x.c.failed(err)
+	}
+	x.in, x.mode = make(chan received), x.c.BodyMode
+	x.headers, x.removed = map[string]string{}, map[string]bool{}
+	go func() {
+		for {
+			m, err := x.stream.Recv()
+			select {
+			case x.in <- received{m, err}:
+			case <-ctx.Done():
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	res, err := x.talk(ctx)
+	var now immediate
+	switch {
+	case errors.As(err, &now):
+		res = Result{Status: int(now.r.GetStatus().GetCode()), Body: now.r.GetBody(), Headers: map[string]string{}, Members: res.Members}
+		for _, h := range now.r.GetHeaders().GetSetHeaders() {
+			res.Headers[h.GetHeader().GetKey()] = string(h.GetHeader().GetRawValue())
+		}
+	case err != nil:
+		members := res.Members
+		res = x.c.failed(err)
+		res.Members = members
+	}
+	x.stream.CloseSend()
+	return res
+}
+
+func headerMap(pairs map[string]string) *corev3.HeaderMap {
+	m := &corev3.HeaderMap{}
+	for name, value := range pairs {
+		m.Headers = append(m.Headers, &corev3.HeaderValue{Key: name, RawValue: []byte(value)})
+	}
+	return m
+}
+
+func (x *exchange) talk(ctx context.Context) (res Result, err error) {
+	pairs := map[string]string{":method": x.q.Method, ":path": x.q.Path, ":scheme": "http", ":authority": "tiles",
+		"x-envoy-attempt-count": strconv.Itoa(x.attempt)}
+	for name, value := range x.q.Headers {
+		pairs[name] = value
+	}
+	bare := len(x.q.Body) == 0
+	config := &extprocv3.ProtocolConfiguration{RequestBodyMode: x.mode}
+	m, err := x.ask(ctx, &extprocv3.ProcessingRequest{ProtocolConfig: config, Request: &extprocv3.ProcessingRequest_RequestHeaders{
+		RequestHeaders: &extprocv3.HttpHeaders{Headers: headerMap(pairs), EndOfStream: bare}}})
+	if err != nil {
+		return res, err
+	}
+	x.apply(m.GetRequestHeaders().GetResponse())
+	if o := m.GetModeOverride(); o != nil && x.c.AllowModeOverride {
+		x.mode, x.skip = o.GetRequestBodyMode(), o.GetResponseHeaderMode() == filterv3.ProcessingMode_SKIP
+	}
+	if !bare && x.mode != filterv3.ProcessingMode_NONE {
+		if err := x.body(ctx); err != nil {
+			return res, err
+		}
+	}
+	addr := x.headers[destination]
+	if addr == "" {
+		return Result{Status: 204, Passed: true}, nil // to the caller's own upstream, which has no part here
+	}
+	if x.c.SendAfter != nil {
+		x.c.SendAfter(addr)
+	}
+	res, attributes := x.send(ctx, addr)
+	res.Members = []string{addr}
+	if x.skip {
+		return res, nil
+	}
+	pairs = map[string]string{":status": strconv.Itoa(res.Status)}
+	for name, value := range res.Headers {
+		pairs[name] = value
+	}
+	m, err = x.ask(ctx, &extprocv3.ProcessingRequest{Attributes: attributes, Request: &extprocv3.ProcessingRequest_ResponseHeaders{
+		ResponseHeaders: &extprocv3.HttpHeaders{Headers: headerMap(pairs), EndOfStream: len(res.Body) == 0}}})
+	if err != nil {
+		return res, err
+	}
+	x.headers = res.Headers
+	x.apply(m.GetResponseHeaders().GetResponse())
+	return res, nil
+}
+
+// body sends the body as the mode says.
+func (x *exchange) body(ctx context.Context) error {
+	chunk := len(x.q.Body)
+	if x.mode == filterv3.ProcessingMode_STREAMED {
+		chunk = max(1, (chunk+2)/3)
+	}
+	for rest := x.q.Body; len(rest) > 0; {
+		part := rest[:min(chunk, len(rest))]
+		rest = rest[len(part):]
+		m, err := x.ask(ctx, &extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_RequestBody{
+			RequestBody: &extprocv3.HttpBody{Body: part, EndOfStream: len(rest) == 0}}})
+		if err != nil {
+			return err
+		}
+		x.apply(m.GetRequestBody().GetResponse())
+	}
+	return nil
+}
+
+func (x *exchange) apply(r *extprocv3.CommonResponse) {
+	for _, name := range r.GetHeaderMutation().GetRemoveHeaders() {
+		delete(x.headers, name)
+		x.removed[name] = true
+	}
+	for _, h := range r.GetHeaderMutation().GetSetHeaders() {
+		x.headers[h.GetHeader().GetKey()] = string(h.GetHeader().GetRawValue())
+	}
+}
+
+// ask sends a message and waits for its answer, for as long as the processor may take.
+func (x *exchange) ask(ctx context.Context, m *extprocv3.ProcessingRequest) (*extprocv3.ProcessingResponse, error) {
+	timer := time.NewTimer(x.c.MessageTimeout)
+	defer timer.Stop()
+	extended := false
+	if err := x.stream.Send(m); err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	for {
+		select {
+		case r := <-x.in:
+			if r.err != nil {
+				return nil, r.err
+			}
+			x.began = true
+			if o := r.m.GetOverrideMessageTimeout(); o != nil {
+				if d := o.AsDuration(); !extended && d >= time.Millisecond && d <= x.c.MaxMessageTimeout {
+					extended = true
+					x.c.Overrides.Add(1)
+					timer.Reset(d)
+				}
+				continue
+			}
+			if now := r.m.GetImmediateResponse(); now != nil {
+				return nil, immediate{now}
+			}
+			if err := x.fits(m, r.m); err != nil {
+				return nil, err
+			}
+			return r.m, nil
+		case <-timer.C:
+			return nil, ErrTimeout
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// fits tells whether a response answers the message; an answer to another is a fault that ends the stream.
+func (x *exchange) fits(q *extprocv3.ProcessingRequest, r *extprocv3.ProcessingResponse) error {
+	ok := false
+	switch q.GetRequest().(type) {
+	case *extprocv3.ProcessingRequest_RequestHeaders:
+		ok = r.GetRequestHeaders() != nil
+	case *extprocv3.ProcessingRequest_RequestBody:
+		ok = r.GetRequestBody() != nil
+	case *extprocv3.ProcessingRequest_ResponseHeaders:
+		ok = r.GetResponseHeaders() != nil
+	}
+	if !ok {
+		return fmt.Errorf("caller: %T answers %T", r.GetResponse(), q.GetRequest())
+	}
+	return nil
+}
+
+// send makes the attempt, and says like a proxy why there is no response where there is none.
+func (x *exchange) send(ctx context.Context, addr string) (Result, map[string]*structpb.Struct) {
+	r, err := http.NewRequestWithContext(ctx, x.q.Method, "http://"+addr+"/"+x.q.Path[strings.LastIndexByte(x.q.Path, '/')+1:], bytes.NewReader(x.q.Body))
+	if err != nil {
+		return Result{Status: 500, Err: err}, nil
+	}
+	for name, value := range x.q.Headers {
+		r.Header.Set(name, value)
+	}
+	r.GetBody = nil // net/http must not send it again by itself
+	answer, err := x.c.client.Do(r)
+	if err != nil {
+		details := "upstream_reset_before_response_started{connection_termination}"
+		if strings.Contains(err.Error(), "connect:") {
+			details = "upstream_reset_before_response_started{remote_connection_failure}"
+		}
+		return Result{Status: 503, Headers: map[string]string{}}, codeDetails(details)
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return Result{Status: 502, Headers: map[string]string{}}, codeDetails("upstream_reset_after_response_started{connection_termination}")
+	}
+	res := Result{Status: answer.StatusCode, Body: body, Headers: map[string]string{}}
+	for name := range answer.Header {
+		res.Headers[strings.ToLower(name)] = answer.Header.Get(name)
+	}
+	return res, codeDetails("via_upstream")
+}
+
+// codeDetails is the attribute response.code_details, as a caller sends it that is told to.
+func codeDetails(text string) map[string]*structpb.Struct {
+	return map[string]*structpb.Struct{"envoy.filters.http.ext_proc": {Fields: map[string]*structpb.Value{
+		"response.code_details": structpb.NewStringValue(text)}}}
+}
--- a/internal/extproc/calls.go
+++ b/internal/extproc/calls.go
@@ -26,6 +26,7 @@
 	Returning bool
 	Over      bool
 	Ran       bool // once over: an attempt may have run
+	Again     bool // the id has been used before, by a request that ended and never ran
 	Attempt   int  // the caller's count with the latest call; 0: not told
 	Until     time.Duration
 	Owner     any // the server's own
@@ -60,7 +61,7 @@
 // Replace, replaced is what the caller has given up.
 func (c *Calls) Begin(id string, attempt int, unsafe bool, now time.Duration) (e, replaced *Entry, d Decision) {
 	c.expire(now)
-	old := c.byID[id]
+	old, again := c.byID[id], false
 	switch {
 	case old == nil && unsafe && attempt > 1:
 		// Whoever had the attempts before (a processor that was killed, or another one) can't be asked any more.
@@ -71,7 +72,7 @@
 		return nil, nil, MayRun
 	case old.Over:
 		c.forget(old)
-		d = Fresh
+		again, d = true, Fresh
 	case old.Returning && (attempt == 0 || attempt > old.Attempt):
 		old.Returning, old.Attempt = false, max(attempt, old.Attempt+1)
 		delete(c.back, old)
@@ -96,7 +97,7 @@
 		}
 		return nil, nil, Crowded
 	}
-	e = &Entry{ID: id, Unsafe: unsafe, Attempt: max(1, attempt)}
+	e = &Entry{ID: id, Unsafe: unsafe, Attempt: max(1, attempt), Again: again}
 	c.byID[id] = e
 	return e, replaced, d
 }
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -479,8 +479,8 @@
 		c.req.Taker = routed{c}
 	}
 	err := s.f.p.Submit(&c.req)
-	if errors.Is(err, proxy.ErrInUse) && !c.unsafe {
-		// A caller may ask again for a read under the same id; members want one of its own for each.
+	if errors.Is(err, proxy.ErrInUse) && (!c.unsafe || c.entry.Again) {
+		// A caller may ask again under the same id where that is harmless; members want one of its own for each.
 		s.f.made++
 		c.req.ReqID = fmt.Appendf(nil, "%s.%x", id, s.f.made)
 		err = s.f.p.Submit(&c.req)
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -240,8 +240,9 @@
 // Tick does what has fallen due, for hosts with a Clock of their own.
 func (p *Proxy) Tick() { p.ring() }
 
-// Load counts, for tests and the rig, what the host has in hand.
-type Load struct{ Requests, Attempts, Held, Descriptors int }
+// Load counts, for tests and the rig, what the host has in hand, and the members that it takes for ready. Busy are
+// connections to members that carry a request or rest after one.
+type Load struct{ Requests, Attempts, Held, Descriptors, Ready, Busy int }
 
 // Load tells what is in hand now.
 func (p *Proxy) Load() (l Load) {
@@ -250,6 +251,16 @@
 		for _, r := range p.requests {
 			l.Attempts += r.out
 		}
+		for _, m := range p.members {
+			if m.state == logic.Ready {
+				l.Ready++
+			}
+			for _, u := range m.conns {
+				if u.current != nil || u.pinged {
+					l.Busy++
+				}
+			}
+		}
 	})
 	return l
 }
--- /dev/null
+++ b/internal/standin/box.go
@@ -0,0 +1,356 @@
+// Package standin holds stand-ins for what the proxy meets on a network: cache boxes, the origin and discovery, on
+// loopback, each with faults that a test sets at a moment of its choice. They are written from the platform's protocol,
+// keep all state in memory, and are never part of what serves real traffic.
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"linenloom/internal/resp"
+)
+
+// Fault is what a member does wrong for as long as it is set.
+type Fault uint8
+
+// The faults.
+const (
+	Healthy Fault = iota
+	Stall         // takes a request and never answers
+	Reset         // takes a request and drops the connection
+	Spoil         // answers with noise
+	Busy          // turns every request away unseen
+	Failing       // answers that it failed
+)
+
+// member is what boxes and the origin share: a listener, its connections and the fault.
+type member struct {
+	ID       string
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	closed   bool
+	fault    Fault
+	service  time.Duration // an answer takes this
+	capacity int           // requests at once; 0: no bound
+	inHand   int
+	began    int // requests begun, of whatever end
+	quit     chan struct{}
+}
+
+func (m *member) listen(serve func(net.Conn)) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	m.listener, m.conns, m.quit = l, map[net.Conn]struct{}{}, make(chan struct{})
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			m.mu.Lock()
+			if m.closed {
+				m.mu.Unlock()
+				conn.Close()
+				return
+			}
+			m.conns[conn] = struct{}{}
+			m.mu.Unlock()
+			go func() {
+				serve(conn)
+				conn.Close()
+				m.mu.Lock()
+				delete(m.conns, conn)
+				m.mu.Unlock()
+			}()
+		}
+	}()
+	return nil
+}
+
+// Addr is where the member listens.
+func (m *member) Addr() string { return m.listener.Addr().String() }
+
+// Close ends the member like a process that dies: its connections are reset.
+func (m *member) Close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return
+	}
+	m.closed = true
+	close(m.quit)
+	m.listener.Close()
+	for c := range m.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// SetFault sets what goes wrong from now on.
+func (m *member) SetFault(f Fault) {
+	m.mu.Lock()
+	m.fault = f
+	m.mu.Unlock()
+}
+
+// SetService sets how long an answer takes, and how many requests are worked on at once; 0: no bound.
+func (m *member) SetService(d time.Duration, capacity int) {
+	m.mu.Lock()
+	m.service, m.capacity = d, capacity
+	m.mu.Unlock()
+}
+
+// Began is how many requests have come whole.
+func (m *member) Began() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.began
+}
+
+// InHand is how many requests are being worked on.
+func (m *member) InHand() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inHand
+}
+
+// begin takes a request in; it tells the fault to play, Busy if there is no room.
+func (m *member) begin() (f Fault, service time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.began++
+	if f = m.fault; f == Healthy && m.capacity > 0 && m.inHand >= m.capacity {
+		f = Busy
+	}
+	m.inHand++
+	return f, m.service
+}
+
+func (m *member) end() {
+	m.mu.Lock()
+	m.inHand--
+	m.mu.Unlock()
+}
+
+// wait takes the service time; false, if the member has ended meanwhile.
+func (m *member) wait(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-m.quit:
+		return false
+	}
+}
+
+// Box is a cache box. It speaks RESP2 as the protocol says, and on the same port HTTP/1.1 for callers that make their
+// exchanges themselves: 200 for a hit, 404 for a miss, 503 with X-Not-Processed for what it turns away.
+type Box struct {
+	member
+	Zone  string
+	since time.Time
+	store map[string][]byte
+	// missed tells the fleet which request found nothing here, so that the value is stored once the origin has it.
+	missed func(id string, b *Box)
+	hits   int
+	misses int
+}
+
+func newBox(id, zone string, missed func(string, *Box)) (*Box, error) {
+	b := &Box{Zone: zone, store: map[string][]byte{}, missed: missed}
+	b.ID = id
+	return b, b.listen(b.serve)
+}
+
+// Put stores a value.
+func (b *Box) Put(key string, value []byte) {
+	b.mu.Lock()
+	b.store[key] = value
+	b.mu.Unlock()
+}
+
+// Drop forgets everything.
+func (b *Box) Drop() {
+	b.mu.Lock()
+	clear(b.store)
+	b.mu.Unlock()
+}
+
+// Reads is how many reads found a value, and how many did not.
+func (b *Box) Reads() (hits, misses int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hits, b.misses
+}
+
+func (b *Box) get(key, id string) (value []byte, ok bool) {
+	b.mu.Lock()
+	value, ok = b.store[key]
+	if ok {
+		b.hits++
+	} else {
+		b.misses++
+	}
+	b.mu.Unlock()
+	if !ok && b.missed != nil {
+		b.missed(id, b)
+	}
+	return value, ok
+}
+
+func (b *Box) serve(conn net.Conn) {
+	in := bufio.NewReader(conn)
+	for {
+		first, err := in.Peek(1)
+		if err != nil {
+			return
+		}
+		if first[0] == '*' {
+			err = b.serveRESP(conn, in)
+		} else {
+			err = b.serveHTTP(conn, in)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// serveRESP answers one command.
+func (b *Box) serveRESP(conn net.Conn, in *bufio.Reader) error {
+	words, err := readWords(in)
+	if err != nil {
+		return err
+	}
+	var out []byte
+	switch {
+	case len(words) >= 1 && string(words[0]) == "PING":
+		out = []byte("+PONG\r\n")
+	case len(words) == 2 && string(words[0]) == "INFO":
+		out = []byte("-NOPERM\r\n")
+	case len(words) >= 1 && (string(words[0]) == "CLIENT" || string(words[0]) == "SELECT"):
+		out = []byte("+OK\r\n")
+	case len(words) == 4 && string(words[0]) == "OBJ.GET":
+		out, err = b.read(string(words[1]), string(words[2]))
+	default:
+		out = []byte("-ERR unknown command\r\n")
+	}
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(out)
+	return err
+}
+
+var errGone = fmt.Errorf("standin: %w", net.ErrClosed)
+
+func (b *Box) read(key, id string) ([]byte, error) {
+	f, service := b.begin()
+	defer b.end()
+	switch f {
+	case Stall:
+		<-b.quit
+		return nil, errGone
+	case Reset:
+		return nil, errGone
+	case Spoil:
+		return []byte("\x8fb2\xf4\r\n"), nil
+	case Busy:
+		return []byte("-BUSY\r\n"), nil
+	case Failing:
+		return []byte("-ERR failed\r\n"), nil
+	}
+	if !b.wait(service) {
+		return nil, errGone
+	}
+	value, ok := b.get(key, id)
+	out := resp.AppendArray(nil, 3)
+	if ok {
+		return append(resp.AppendBulk(resp.AppendBulk(out, value), "hit"), "$-1\r\n"...), nil
+	}
+	return append(resp.AppendBulk(append(out, "$-1\r\n"...), "miss"), "$-1\r\n"...), nil
+}
+
+// readWords reads an array of bulk strings.
+func readWords(in *bufio.Reader) ([][]byte, error) {
+	var n int
+	if err := readNumber(in, '*', &n); err != nil {
+		return nil, err
+	}
+	words := make([][]byte, 0, n)
+	for range n {
+		var size int
+		if err := readNumber(in, '$', &size); err != nil {
+			return nil, err
+		}
+		word := make([]byte, size+2)
+		if _, err := io.ReadFull(in, word); err != nil {
+			return nil, err
+		}
+		words = append(words, word[:size])
+	}
+	return words, nil
+}
+
+func readNumber(in *bufio.Reader, kind byte, n *int) error {
+	line, err := in.ReadSlice('\n')
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Sscanf(string(bytes.TrimSpace(line)), string(kind)+"%d", n); err != nil || *n < 0 || *n > resp.MaxValue {
+		return resp.ErrProtocol
+	}
+	return nil
+}
+
+// serveHTTP answers one request.
+func (b *Box) serveHTTP(conn net.Conn, in *bufio.Reader) error {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return err
+	}
+	f, service := b.begin()
+	defer b.end()
+	switch f {
+	case Stall:
+		<-b.quit
+		return errGone
+	case Reset:
+		return errGone
+	case Spoil:
+		_, err = io.WriteString(conn, "\x8fb2\xf4\r\n")
+		return err
+	case Busy:
+		return writeHTTP(conn, 503, "X-Not-Processed: 1\r\n", nil)
+	case Failing:
+		return writeHTTP(conn, 500, "", nil)
+	}
+	if !b.wait(service) {
+		return errGone
+	}
+	if value, ok := b.get(strings.TrimPrefix(r.URL.Path, "/"), r.Header.Get("X-Request-ID")); ok {
+		return writeHTTP(conn, 200, "X-Cache: hit\r\n", value)
+	}
+	return writeHTTP(conn, 404, "X-Cache: miss\r\n", nil)
+}
+
+func writeHTTP(w io.Writer, status int, headers string, body []byte) error {
+	out := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n", status, http.StatusText(status), headers, len(body))
+	_, err := w.Write(append(out, body...))
+	return err
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,265 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"linenloom/internal/discovery"
+)
+
+// Registry is discovery: the list, and watches on it.
+type Registry struct {
+	server   *http.Server
+	listener net.Listener
+	mu       sync.Mutex
+	revision int64
+	members  []discovery.Member
+	watches  map[chan discovery.List]struct{}
+	quit     chan struct{}
+}
+
+func newRegistry() (*Registry, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Registry{listener: l, revision: 1, watches: map[chan discovery.List]struct{}{}, quit: make(chan struct{})}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	go r.server.Serve(l)
+	return r, nil
+}
+
+// Addr is where discovery listens.
+func (r *Registry) Addr() string { return r.listener.Addr().String() }
+
+// Close ends discovery; watches end with it.
+func (r *Registry) Close() {
+	close(r.quit)
+	r.server.Close()
+}
+
+// List is the whole list.
+func (r *Registry) List() discovery.List {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return discovery.List{Revision: r.revision, Complete: true, Members: slices.Clone(r.members)}
+}
+
+// Tell changes or adds a member and tells every watch.
+func (r *Registry) Tell(m discovery.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision++
+	i := slices.IndexFunc(r.members, func(o discovery.Member) bool { return o.ID == m.ID })
+	switch {
+	case m.Phase == discovery.PhaseTerminated && i >= 0:
+		r.members = slices.Delete(r.members, i, i+1)
+	case i >= 0:
+		r.members[i] = m
+	case m.Phase != discovery.PhaseTerminated:
+		r.members = append(r.members, m)
+	}
+	for c := range r.watches {
+		select {
+		case c <- discovery.List{Revision: r.revision, Members: []discovery.Member{m}}:
+		default: // a watch that does not read: it ends, and asks anew
+			close(c)
+			delete(r.watches, c)
+		}
+	}
+}
+
+func (r *Registry) serve(w http.ResponseWriter, q *http.Request) {
+	out := json.NewEncoder(w)
+	if q.URL.Query().Get("watch") == "" {
+		out.Encode(r.List())
+		return
+	}
+	c := make(chan discovery.List, 1024)
+	r.mu.Lock()
+	r.watches[c] = struct{}{}
+	first := discovery.List{Revision: r.revision, Complete: true, Members: slices.Clone(r.members)}
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		delete(r.watches, c)
+		r.mu.Unlock()
+	}()
+	out.Encode(first)
+	for {
+		w.(http.Flusher).Flush()
+		select {
+		case l, ok := <-c:
+			if !ok {
+				return
+			}
+			out.Encode(l)
+		case <-time.After(beat):
+			io.WriteString(w, "\n")
+		case <-r.quit:
+			return
+		case <-q.Context().Done():
+			return
+		}
+	}
+}
+
+// Zone is the one zone of a Fleet, and Kinds are its kinds of machine.
+const Zone = "lab"
+
+// Kinds are the kinds of machine of a Fleet, in the order of its settings.
+var Kinds = []string{"box", "origin"}
+
+// Fleet is boxes, an origin and discovery that belong together.
+type Fleet struct {
+	Boxes    []*Box
+	Origin   *Origin
+	Registry *Registry
+	value    func(key string) []byte
+	mu       sync.Mutex
+	missed   map[string][]*Box // by request id, until the origin has answered
+	order    []string          // of missed, the oldest first
+}
+
+// mostMissed bounds the requests whose misses are remembered.
+const mostMissed = 4096
+
+// NewFleet starts a fleet of so many boxes, all empty and warm. Values have size bytes.
+func NewFleet(boxes, size int) (*Fleet, error) {
+	f := &Fleet{missed: map[string][]*Box{}, value: func(key string) []byte { return Value(key, size) }}
+	var err error
+	if f.Registry, err = newRegistry(); err != nil {
+		return nil, err
+	}
+	if f.Origin, err = newOrigin("o-1", f.value, f.fetched); err != nil {
+		return nil, err
+	}
+	f.Registry.Tell(f.entry("o-1", f.Origin.Addr(), "origin", time.Time{}))
+	for i := range boxes {
+		if _, err := f.Add(fmt.Sprintf("s-%d", i+1), time.Time{}); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Value is the value of a key: its name and as much filling as it takes.
+func Value(key string, size int) []byte {
+	v := append(make([]byte, 0, size), "value of "+key+" "...)
+	for len(v) < size {
+		v = append(v, '.')
+	}
+	return v
+}
+
+func (f *Fleet) entry(id, addr, kind string, since time.Time) discovery.Member {
+	m := discovery.Member{ID: id, HostPort: addr, Locality: Zone, Flavor: kind, Phase: discovery.PhaseInService, Size: 1}
+	if !since.IsZero() {
+		m.UpSinceMS = float64(since.UnixMilli())
+	}
+	return m
+}
+
+// Add starts a box and tells discovery; since is when it started, zero for long ago.
+func (f *Fleet) Add(id string, since time.Time) (*Box, error) {
+	b, err := newBox(id, Zone, f.miss)
+	if err != nil {
+		return nil, err
+	}
+	b.since = since
+	f.Boxes = append(f.Boxes, b)
+	f.Registry.Tell(f.entry(id, b.Addr(), "box", since))
+	return b, nil
+}
+
+// Drain tells discovery that a box wants nothing new.
+func (f *Fleet) Drain(b *Box) {
+	m := f.entry(b.ID, b.Addr(), "box", b.since)
+	m.Phase = discovery.PhaseTerminating
+	f.Registry.Tell(m)
+}
+
+// Remove tells discovery that a box has gone, and ends it.
+func (f *Fleet) Remove(b *Box) {
+	m := f.entry(b.ID, b.Addr(), "box", b.since)
+	m.Phase = discovery.PhaseTerminated
+	f.Registry.Tell(m)
+	b.Close()
+}
+
+// Fill stores the values of keys on every box.
+func (f *Fleet) Fill(keys ...string) {
+	for _, b := range f.Boxes {
+		for _, k := range keys {
+			b.Put(k, f.value(k))
+		}
+	}
+}
+
+// Close ends all of it.
+func (f *Fleet) Close() {
+	f.Registry.Close()
+	f.Origin.Close()
+	for _, b := range f.Boxes {
+		b.Close()
+	}
+}
+
+func (f *Fleet) miss(id string, b *Box) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.missed[id] == nil {
+		f.order = append(f.order, id)
+	}
+	f.missed[id] = append(f.missed[id], b)
+	for len(f.order) > mostMissed {
+		delete(f.missed, f.order[0])
+		f.order = f.order[1:]
+	}
+}
+
+func (f *Fleet) fetched(id, key string, value []byte) {
+	f.mu.Lock()
+	boxes := f.missed[id]
+	delete(f.missed, id)
+	f.mu.Unlock()
+	for _, b := range boxes {
+		b.Put(key, value)
+	}
+}
+
+// Settings are a platform's settings for a fleet, as its configuration has them.
+func Settings() map[string]any {
+	class := func(name string, aim, deadline float64, repeat string, worth float64) map[string]any {
+		return map[string]any{"name": name, "aim_ms": aim, "deadline_ms": deadline, "dedup_scope": "all",
+			"late_worth": 0.0, "repeat": repeat, "streamed": false, "window_ms": 5000.0, "worth": worth}
+	}
+	return map[string]any{
+		"areas": []string{Zone}, "az": 0, "instances": 1, "self_index": 0,
+		"classes":    []any{class("tile-read", 800, 3000, "repeatable", 5), class("pass-order", 1500, 3000, "once", 15)},
+		"deductions": map[string]any{"cross_zone": 0.06}, "discovery": "automatic",
+		"family_info":    map[string]any{"mode": "aside", "origin_kind": 1, "origin_fall_ms": 3000.0, "origin_fall_multiple": 0.0},
+		"granularity_ms": 2.0, "kinds": Kinds,
+		"limits": map[string]any{"cancel": true, "conn_idle_ms": 5000.0, "connect_timeout_ms": 250.0, "most_held": 20000,
+			"multiplex": 32, "probes": true, "second_copies": false, "try_limit": 4, "retry_after": true, "max_retry_after_ms": 2000.0},
+		"report": map[string]any{"columns": []string{}, "via": "off"},
+		"rules": map[string]any{"cold_from": 0.3, "cold_ms": 8900.0, "drain_grace_ms": 250.0, "fall_multiple": 4.0,
+			"grace_to_answer_ms": 20.0, "must_ask_in_ms": 10000.0, "tip_after_ms": 1500.0},
+		"tenants": []any{}, "weights": "nominal",
+	}
+}
+
+// Config is the configuration of a proxy before the fleet, as LB_CONFIG has it.
+func (f *Fleet) Config(name, listen, seed string, memoryMB, sockets int) ([]byte, error) {
+	return json.MarshalIndent(map[string]any{
+		"name": name, "listen": listen, "discovery": f.Registry.Addr(), "seed": seed,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
+		"known":  f.Registry.List(), "settings": Settings(),
+	}, "", " ")
+}
--- /dev/null
+++ b/internal/standin/origin.go
@@ -0,0 +1,116 @@
+package standin
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Origin is the origin: HTTP/1.1, slow, with few places. It counts how often each write has run.
+type Origin struct {
+	member
+	fetched  func(id, key string, value []byte)
+	make     func(key string) []byte
+	ran      map[string]int // by key: executions of writes
+	fetches  int
+	resetRan bool
+}
+
+func newOrigin(id string, value func(string) []byte, fetched func(id, key string, value []byte)) (*Origin, error) {
+	o := &Origin{make: value, fetched: fetched, ran: map[string]int{}}
+	o.ID = id
+	return o, o.listen(o.serve)
+}
+
+// Executions is how often the write of each key has run.
+func (o *Origin) Executions() map[string]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ran := make(map[string]int, len(o.ran))
+	for k, n := range o.ran {
+		ran[k] = n
+	}
+	return ran
+}
+
+// Fetches is how many reads have been answered.
+func (o *Origin) Fetches() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.fetches
+}
+
+// SetResetAfterRun makes the origin carry writes out and then drop the connection without an answer.
+func (o *Origin) SetResetAfterRun(on bool) {
+	o.mu.Lock()
+	o.resetRan = on
+	o.mu.Unlock()
+}
+
+func (o *Origin) serve(conn net.Conn) {
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if err := o.answer(conn, r); err != nil {
+			return
+		}
+	}
+}
+
+func (o *Origin) answer(conn net.Conn, r *http.Request) error {
+	if strings.HasPrefix(r.URL.Path, "/health/") {
+		return writeHTTP(conn, 200, "", nil)
+	}
+	key := strings.TrimPrefix(r.URL.Path, "/")
+	f, service := o.begin()
+	defer o.end()
+	switch f {
+	case Stall:
+		<-o.quit
+		return errGone
+	case Reset:
+		return errGone
+	case Spoil:
+		_, err := io.WriteString(conn, "\x8fb2\xf4\r\n")
+		return err
+	case Busy:
+		return writeHTTP(conn, 503, "X-Not-Processed: 1\r\n", nil)
+	}
+	if r.Method != http.MethodGet {
+		o.mu.Lock()
+		o.ran[key]++ // from its last byte on, whatever becomes of the answer
+		reset := o.resetRan
+		o.mu.Unlock()
+		if !o.wait(service) || reset {
+			return errGone
+		}
+		if f == Failing {
+			return writeHTTP(conn, 500, "", nil)
+		}
+		return writeHTTP(conn, 200, "", []byte("receipt of "+key))
+	}
+	if !o.wait(service) {
+		return errGone
+	}
+	if f == Failing {
+		return writeHTTP(conn, 500, "", nil)
+	}
+	value := o.make(key)
+	o.mu.Lock()
+	o.fetches++
+	o.mu.Unlock()
+	o.fetched(r.Header.Get("X-Request-ID"), key, value)
+	return writeHTTP(conn, 200, "", value)
+}
+
+// beat is how often a watch hears something while nothing changes.
+const beat = 2 * time.Second
