The processor killed, frozen and reloaded under load; models and fuzzers

Need: a processor that is killed, frozen or sent a faulty file must cost no client its answer and run no order twice.

A stream whose first message is on its way is no longer ended by the drain.

--- /dev/null
+++ b/cmd/linenproc/main_test.go
@@ -0,0 +1,351 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"linenloom/internal/extproc/caller"
+	"linenloom/internal/standin"
+)
+
+// asProgram makes the test's binary be the program, so that signals reach a process of its own.
+const asProgram = "LINENPROC_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const patience = 30 * time.Second
+
+// place is a processor's files and, while it runs, its process.
+type place struct {
+	t                    *testing.T
+	config, file, socket string
+	cmd                  *exec.Cmd
+	lines                chan string
+	fleet                *standin.Fleet
+}
+
+func newPlace(t *testing.T, mode string) *place {
+	t.Helper()
+	fleet, err := standin.NewFleet(3, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	dir, err := os.MkdirTemp("", "lp") // the path of a unix socket is short
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	p := &place{t: t, fleet: fleet, config: filepath.Join(dir, "config.json"), file: filepath.Join(dir, "op.toml"),
+		socket: filepath.Join(dir, "x.sock")}
+	text, err := fleet.Config("n0", "127.0.0.1:0", "8c1f30d27a5be964", 128, 512)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.write(p.config, string(text))
+	p.write(p.file, fmt.Sprintf(`
+[extproc]
+listen = "unix:%s"
+mode = %q
+message_timeout = "2s"
+[[extproc.map]]
+methods = ["GET"]
+path = "/tiles/{key}"
+class = "tile-read"
+[[extproc.map]]
+methods = ["PUT"]
+path = "/orders/{key}"
+class = "pass-order"
+write = true
+`, p.socket, mode))
+	return p
+}
+
+func (p *place) write(path, text string) {
+	p.t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// start starts the program and waits until it listens.
+func (p *place) start() {
+	p.t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.cmd = exec.Command(self, "-operator", p.file)
+	p.cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+p.config)
+	out, err := p.cmd.StderrPipe()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	cmd := p.cmd
+	p.t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	lines := make(chan string, 1000)
+	p.lines = lines
+	go func() {
+		defer close(lines)
+		for in := bufio.NewScanner(out); in.Scan(); {
+			select {
+			case lines <- in.Text():
+			default:
+			}
+		}
+	}()
+	p.await("extproc listens")
+}
+
+func (p *place) await(text string) {
+	p.t.Helper()
+	limit := time.After(patience)
+	for {
+		select {
+		case line, ok := <-p.lines:
+			if !ok {
+				p.t.Fatalf("the program ended before it said %q", text)
+			}
+			if strings.Contains(line, text) {
+				return
+			}
+		case <-limit:
+			p.t.Fatalf("it never said %q", text)
+		}
+	}
+}
+
+func (p *place) caller() *caller.Caller {
+	p.t.Helper()
+	c, err := caller.Dial("unix://" + p.socket)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	c.Retries = 4
+	p.t.Cleanup(c.Close)
+	return c
+}
+
+// clients are eight that ask without end, half of it orders. An order whose caller's processor failed is asked again
+// by the caller's own retry, with the same id.
+type clients struct {
+	served, processorFailed, failed, refused atomic.Int64
+	late                                     atomic.Int64
+	stop                                     chan struct{}
+	g                                        sync.WaitGroup
+}
+
+const clientWaits = 3 * time.Second
+
+func load(c *caller.Caller) *clients {
+	l := &clients{stop: make(chan struct{})}
+	for w := range 8 {
+		l.g.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%d-%d", w, i)
+				q := caller.Request{Method: "GET", Path: fmt.Sprintf("/tiles/k%d", i%50), Headers: map[string]string{"x-request-id": "r" + id}}
+				if i%2 == 1 {
+					q = caller.Request{Method: "PUT", Path: "/orders/o" + id, Headers: map[string]string{"x-request-id": "w" + id}, Body: []byte("one pass")}
+				}
+				l.ask(c, q)
+			}
+		})
+	}
+	return l
+}
+
+func (l *clients) ask(c *caller.Caller, q caller.Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), clientWaits)
+	defer cancel()
+	begun := time.Now()
+	res := c.Do(ctx, q)
+	for n := 2; res.Status == 500 && q.Method == "PUT" && time.Since(begun) < clientWaits/2; n++ {
+		q.Headers["x-envoy-attempt-count"] = fmt.Sprint(n)
+		time.Sleep(time.Millisecond) // a caller's retry backs off
+		res = c.Do(ctx, q)
+	}
+	if ctx.Err() != nil {
+		l.late.Add(1)
+	}
+	switch {
+	case res.Status == 200:
+		l.served.Add(1)
+	case res.Status == 500 || res.Passed:
+		l.processorFailed.Add(1)
+	case res.Status == 502:
+		l.failed.Add(1)
+	default:
+		l.refused.Add(1)
+	}
+}
+
+func (p *place) eventually(what string, ok func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	p.t.Fatalf("never came about: %s", what)
+}
+
+func (p *place) onceEach() {
+	p.t.Helper()
+	ran := p.fleet.Origin.Executions()
+	if len(ran) == 0 {
+		p.t.Error("no order has run")
+	}
+	for key, n := range ran {
+		if n > 1 {
+			p.t.Errorf("order %s ran %d times", key, n)
+		}
+	}
+}
+
+// Killed under load and started again: each request has its one answer in time, and no order runs twice.
+func TestKilledUnderLoad(t *testing.T) {
+	for _, mode := range []string{"answer", "route"} {
+		t.Run(mode, func(t *testing.T) {
+			p := newPlace(t, mode)
+			p.fleet.Origin.SetService(5*time.Millisecond, 0) // most orders in hand at a kill have run
+			p.start()
+			c := p.caller()
+			c.MessageTimeout = time.Second
+			l := load(c)
+			for range 3 {
+				before := l.served.Load()
+				p.eventually("it serves", func() bool { return l.served.Load() > before+100 })
+				p.cmd.Process.Kill()
+				p.cmd.Wait()
+				p.start()
+			}
+			before := l.served.Load()
+			p.eventually("it serves again", func() bool { return l.served.Load() > before+100 })
+			close(l.stop)
+			l.g.Wait()
+			if n := l.late.Load(); n > 0 {
+				t.Errorf("%d clients waited past their time", n)
+			}
+			if l.failed.Load() == 0 {
+				t.Error("no order met the kill")
+			}
+			p.onceEach()
+		})
+	}
+}
+
+// Frozen mid-stream: callers go by their message timeout and failure_mode_allow, no client waits past its time, and once
+// it goes on, it serves as before.
+func TestFrozen(t *testing.T) {
+	for _, allow := range []bool{false, true} {
+		t.Run(fmt.Sprintf("failure_mode_allow %v", allow), func(t *testing.T) {
+			p := newPlace(t, "answer")
+			p.start()
+			c := p.caller()
+			c.MessageTimeout, c.FailureModeAllow = 200*time.Millisecond, allow
+			l := load(c)
+			p.eventually("it serves", func() bool { return l.served.Load() > 100 })
+			p.cmd.Process.Signal(syscall.SIGSTOP)
+			p.eventually("callers give it up", func() bool { return l.processorFailed.Load()+l.failed.Load() >= 16 })
+			p.cmd.Process.Signal(syscall.SIGCONT)
+			before := l.served.Load()
+			p.eventually("it serves again", func() bool { return l.served.Load() > before+100 })
+			close(l.stop)
+			l.g.Wait()
+			if n := l.late.Load(); n > 0 {
+				t.Errorf("%d clients waited past their time", n)
+			}
+			p.onceEach()
+		})
+	}
+}
+
+// SIGHUP takes over what can change and says what can't; a faulty file changes nothing and names its line.
+func TestReload(t *testing.T) {
+	p := newPlace(t, "answer")
+	p.start()
+	c := p.caller()
+	c.MessageTimeout = patience
+	status := func(path string) int {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		return c.Do(ctx, caller.Request{Method: "GET", Path: path, Headers: map[string]string{}}).Status
+	}
+	if a, b := status("/tiles/k"), status("/maps/k"); a != 200 || b != 404 {
+		t.Fatalf("at the start: %d, %d", a, b)
+	}
+	text, err := os.ReadFile(p.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.write(p.file, strings.Replace(string(text), `methods = ["GET"]`, `methods = 3`, 1))
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.await("op.toml:7: extproc.map[0].methods must be a list")
+	if a, b := status("/tiles/k"), status("/maps/k"); a != 200 || b != 404 {
+		t.Errorf("after a faulty file: %d, %d", a, b)
+	}
+	p.write(p.file, strings.NewReplacer("/tiles/", "/maps/", `"answer"`, `"route"`).Replace(string(text)))
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.await("keys=[extproc.mode]")
+	p.await("changed=[extproc.map]")
+	if a, b := status("/tiles/k"), status("/maps/k"); a != 404 || b != 200 {
+		t.Errorf("after the reload: %d, %d", a, b)
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.await("msg=stopped")
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
+
+// A file at fault is named line by line, with status 2, before anything listens.
+func TestFaultyFileAtTheStart(t *testing.T) {
+	p := newPlace(t, "neither")
+	text, _ := os.ReadFile(p.file)
+	p.write(p.file, strings.Replace(string(text), "pass-order", "no-such-class", 1))
+	self, _ := os.Executable()
+	for _, args := range [][]string{{"check", "-operator", p.file}, {"-operator", p.file}} {
+		cmd := exec.Command(self, args...)
+		cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+p.config)
+		out, err := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != 2 || !strings.Contains(string(out), `op.toml:4: extproc.mode is "neither"`) {
+			t.Errorf("%v: %v\n%s", args, err, out)
+		}
+	}
+	p.write(p.file, strings.NewReplacer("neither", "route", "pass-order", "no-such-class").Replace(string(text)))
+	for _, args := range [][]string{{"check", "-operator", p.file}, {"-operator", p.file}} {
+		cmd := exec.Command(self, args...)
+		cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+p.config)
+		out, err := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != 2 || !strings.Contains(string(out), `op.toml:10: extproc.map[1].class is "no-such-class"`) {
+			t.Errorf("%v: %v\n%s", args, err, out)
+		}
+	}
+	if _, err := os.Stat(p.socket); err == nil {
+		t.Error("a socket was opened")
+	}
+}
--- /dev/null
+++ b/internal/extproc/extproc_test.go
@@ -0,0 +1,324 @@
+package extproc
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"linenloom/internal/operator"
+	"linenloom/logic"
+)
+
+func mapping(t testing.TB) *Mapping {
+	t.Helper()
+	m, err := NewMapping([]operator.MapEntry{
+		{Methods: []string{"GET", "HEAD"}, Path: "/tiles/{z}/{x}/{y}", Key: "{z}-{x}-{y}", Class: "tile-read"},
+		{Methods: []string{"GET"}, Path: "/tiles/{key}", Key: "{key}", Class: "tile-read"},
+		{Methods: []string{"PUT"}, Path: "/orders/{key}", Key: "order-{key}", Class: "pass-order", Write: true},
+		{Methods: []string{"GET"}, Path: "/static/{rest...}", Key: "{rest}", Class: "tile-read"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func TestMatch(t *testing.T) {
+	m := mapping(t)
+	for _, c := range []struct {
+		method, path, key string // key "": no match
+		write             bool
+	}{
+		{"GET", "/tiles/7/12/3", "7-12-3", false},
+		{"GET", "/tiles/k", "k", false},
+		{"GET", "/tiles/k?v=1/2", "k", false},
+		{"GET", "/tiles/k#x", "k", false},
+		{"GET", "/tiles/a%2Fb", "a/b", false},
+		{"GET", "/tiles/a%zz", "", false},
+		{"GET", "/tiles/", "", false},
+		{"GET", "/tiles/7/12", "", false},
+		{"GET", "/tiles/7/12/3/4", "", false},
+		{"POST", "/tiles/k", "", false},
+		{"PUT", "/orders/9", "order-9", true},
+		{"GET", "/static/a/b/c", "a/b/c", false},
+		{"GET", "/static/", "", false},
+		{"GET", "tiles/k", "", false},
+		{"GET", "", "", false},
+		{"CONNECT", "*", "", false},
+	} {
+		got, ok := m.Match(c.method, c.path)
+		if ok != (c.key != "") || got.Key != c.key || got.Write != c.write {
+			t.Errorf("%s %s: %+v %v, want key %q", c.method, c.path, got, ok, c.key)
+		}
+	}
+}
+
+func FuzzMatch(f *testing.F) {
+	for _, s := range []string{"/tiles/k", "/tiles/1/2/3?x", "//", "/static/%2e%2e/x", "/tiles/%", "*"} {
+		f.Add("GET", s)
+	}
+	m := mapping(f)
+	f.Fuzz(func(t *testing.T, method, path string) {
+		if target, ok := m.Match(method, path); ok && (target.Key == "" || target.Class == "" || !strings.HasPrefix(path, "/")) {
+			t.Errorf("%q %q: %+v", method, path, target)
+		}
+	})
+}
+
+func TestTimeLeft(t *testing.T) {
+	const h = "x-envoy-expected-rq-timeout-ms"
+	for _, c := range []struct {
+		name, value string
+		want        time.Duration
+		spent, bad  bool
+	}{
+		{h, "250", 250 * time.Millisecond, false, false},
+		{h, "0.5", 500 * time.Microsecond, false, false},
+		{h, "0", 0, true, false},
+		{h, "-3", 0, true, false},
+		{h, "", 0, false, true},
+		{h, "ten", 0, false, true},
+		{h, "NaN", 0, false, true},
+		{h, "Inf", 0, false, true},
+		{h, "1e300", mostLeft, false, false},
+		{"grpc-timeout", "250m", 250 * time.Millisecond, false, false},
+		{"grpc-timeout", "2S", 2 * time.Second, false, false},
+		{"grpc-timeout", "99999999H", mostLeft, false, false},
+		{"grpc-timeout", "0n", 0, true, false},
+		{"grpc-timeout", "-1S", 0, true, false},
+		{"grpc-timeout", "123456789n", 0, false, true},
+		{"grpc-timeout", "5", 0, false, true},
+		{"grpc-timeout", "S", 0, false, true},
+		{"grpc-timeout", "5s", 0, false, true},
+		{"grpc-timeout", "--1S", 0, false, true},
+	} {
+		got, err := TimeLeft(c.name, c.value)
+		if spent := errors.Is(err, ErrSpent); got != c.want || spent != c.spent || (err != nil && !spent) != c.bad {
+			t.Errorf("%s: %s: %v, %v", c.name, c.value, got, err)
+		}
+	}
+}
+
+func FuzzTimeLeft(f *testing.F) {
+	for _, s := range []string{"1", "-1", "5S", "-5S", "0H", "1e9", "0x1p4", "99999999n"} {
+		f.Add("grpc-timeout", s)
+		f.Add("x", s)
+	}
+	f.Fuzz(func(t *testing.T, name, value string) {
+		got, err := TimeLeft(name, value)
+		if err == nil && (got < 0 || got > mostLeft) || err != nil && (got != 0 || len(err.Error()) > 400+len(name)) {
+			t.Errorf("%q %q: %v, %v", name, value, got, err)
+		}
+	})
+}
+
+// Whatever comes, what Order lets through is a sequence that an HTTP exchange can have.
+func FuzzOrder(f *testing.F) {
+	f.Add([]byte{1, 2, 2 + 16, 4, 5, 6})
+	f.Add([]byte{4, 1})
+	f.Fuzz(func(t *testing.T, messages []byte) {
+		var o Order
+		var seen [7]int
+		ended := map[bool]bool{}
+		for _, b := range messages {
+			m, end := Message(b%6+1), b&16 > 0
+			if o.Next(m, end) != nil {
+				return // the stream ends here
+			}
+			response := m >= ResponseHeaders
+			if seen[RequestHeaders] == 0 && m != RequestHeaders {
+				t.Fatalf("%v before request headers", m)
+			}
+			if ended[response] {
+				t.Fatalf("%v after its side's end", m)
+			}
+			if seen[m]++; seen[m] > 1 && m != RequestBody && m != ResponseBody {
+				t.Fatalf("%v twice", m)
+			}
+			for later := m + 1; later <= ResponseTrailers && later >= ResponseHeaders == response; later++ {
+				if seen[later] > 0 {
+					t.Fatalf("%v after %v", m, later)
+				}
+			}
+			ended[response] = end || m == RequestTrailers || m == ResponseTrailers
+		}
+	})
+}
+
+func TestOrderTakesWhatCallersSend(t *testing.T) {
+	type step struct {
+		m   Message
+		end bool
+	}
+	for name, steps := range map[string][]step{
+		"headers only":           {{RequestHeaders, true}, {ResponseHeaders, true}},
+		"bodies":                 {{RequestHeaders, false}, {RequestBody, false}, {RequestBody, true}, {ResponseHeaders, false}, {ResponseBody, true}},
+		"trailers":               {{RequestHeaders, false}, {RequestBody, false}, {RequestTrailers, true}, {ResponseHeaders, false}, {ResponseTrailers, true}},
+		"an early response":      {{RequestHeaders, false}, {RequestBody, false}, {ResponseHeaders, false}, {RequestBody, true}, {ResponseBody, true}},
+		"phases that are spared": {{RequestHeaders, false}, {ResponseHeaders, false}},
+	} {
+		var o Order
+		for _, s := range steps {
+			if err := o.Next(s.m, s.end); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+	}
+}
+
+func TestVerdict(t *testing.T) {
+	for _, c := range []struct {
+		r    Response
+		want logic.Status
+	}{
+		{Response{Status: 200}, logic.StatusOK},
+		{Response{Status: 204}, logic.StatusOK},
+		{Response{Status: 304}, logic.StatusOK},
+		{Response{Status: 404}, logic.StatusMiss},
+		{Response{Status: 404, Origin: true}, logic.StatusRejected},
+		{Response{Status: 400}, logic.StatusRejected},
+		{Response{Status: 503}, logic.StatusError}, // it may have run
+		{Response{Status: 503, NotProcessed: true}, logic.StatusFull},
+		{Response{Status: 504, NotProcessed: true}, logic.StatusFull},
+		{Response{Status: 500, NotProcessed: true}, logic.StatusError}, // not one of the statuses that say so
+		{Response{Status: 500}, logic.StatusError},
+		{Response{Status: 503, Overloaded: true}, logic.StatusNoConn},
+		{Response{Status: 503, Details: "via_upstream"}, logic.StatusError},
+		{Response{Status: 503, Details: "upstream_reset_before_response_started{remote_connection_failure,x}"}, logic.StatusConnectFailed},
+		{Response{Status: 503, Details: "upstream_reset_before_response_started{connection_termination}"}, logic.StatusReset},
+		{Response{Status: 503, Details: "no_healthy_upstream"}, logic.StatusNoConn},
+		{Response{Status: 504, Details: "response_timeout"}, logic.StatusTimeout},
+		{Response{Status: 504, Details: "upstream_per_try_timeout"}, logic.StatusTimeout},
+	} {
+		c.r.MissStatus = 404
+		if got := c.r.Verdict(); got != c.want {
+			t.Errorf("%+v: %v, want %v", c.r, got, c.want)
+		}
+	}
+}
+
+// The table against a model that remembers everything: a request that must not run twice is let through again only if
+// all before it never ran, whatever calls come; and the table keeps its bound.
+func TestCallsAgainstAModel(t *testing.T) {
+	const most, remember = 8, 50 * time.Millisecond
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		c := NewCalls(most, remember)
+		type state struct {
+			e      *Entry
+			ran    bool          // an attempt of an unsafe request may have run
+			ranEnd time.Duration // when that was over
+		}
+		model := map[string]*state{}
+		now := time.Duration(0)
+		for step := range 300 {
+			now += time.Duration(rng.IntN(4)) * time.Millisecond
+			id := fmt.Sprint(rng.IntN(12))
+			m := model[id]
+			if m == nil {
+				m = &state{}
+				model[id] = m
+			}
+			switch op := rng.IntN(5); {
+			case op < 2:
+				attempt := rng.IntN(4)
+				e, replaced, d := c.Begin(id, attempt, true, now)
+				switch d {
+				case Fresh:
+					if m.e != nil {
+						t.Fatalf("seed %d step %d: fresh while in hand", seed, step)
+					}
+					if m.ran && now < m.ranEnd+remember {
+						t.Fatalf("seed %d step %d: fresh although it may have run", seed, step)
+					}
+					if attempt > 1 && !e.Again {
+						t.Fatalf("seed %d step %d: a repeat of something unknown was let through", seed, step)
+					}
+					m.e, m.ran = e, false
+				case Continue:
+					if e != m.e || m.e == nil {
+						t.Fatalf("seed %d step %d: continues another request", seed, step)
+					}
+				case Replace:
+					t.Fatalf("seed %d step %d: %v was replaced", seed, step, replaced)
+				default:
+					if e != nil {
+						t.Fatalf("seed %d step %d: an entry with %v", seed, step, d)
+					}
+				}
+			case op == 2 && m.e != nil && !m.e.Returning:
+				c.Return(m.e, now+5*time.Millisecond)
+			case op == 3 && m.e != nil:
+				ran := rng.IntN(2) == 0
+				c.End(m.e, ran, now)
+				m.e, m.ran, m.ranEnd = nil, ran, now
+			case op == 4:
+				for _, e := range c.Late(now) {
+					if !e.Returning || e.Until > now {
+						t.Fatalf("seed %d step %d: %+v is not late", seed, step, e)
+					}
+					c.End(e, false, now)
+					model[e.ID].e, model[e.ID].ran = nil, false
+				}
+			}
+			if c.Len() > most {
+				t.Fatalf("seed %d step %d: %d entries", seed, step, c.Len())
+			}
+		}
+		for _, m := range model {
+			if m.e != nil {
+				c.End(m.e, false, now)
+			}
+		}
+		c.expire(now + time.Hour)
+		if c.Len() != 0 || len(c.back) != 0 || c.over.Len() != 0 || c.harmless.Len() != 0 {
+			t.Fatalf("seed %d: %d entries are left", seed, c.Len())
+		}
+	}
+}
+
+func TestFullTableForgetsOnlyWhatIsHarmless(t *testing.T) {
+	c := NewCalls(2, time.Minute)
+	for i, ran := range []bool{true, false} {
+		e, _, d := c.Begin(fmt.Sprint(i), 1, true, 0)
+		if d != Fresh {
+			t.Fatal(d)
+		}
+		c.End(e, ran, 0)
+	}
+	if _, _, d := c.Begin("2", 1, true, 0); d != Fresh {
+		t.Errorf("%v with one that never ran to let go of", d)
+	}
+	if _, _, d := c.Begin("3", 1, true, 0); d != Crowded {
+		t.Errorf("%v with no room", d)
+	}
+	if _, _, d := c.Begin("0", 1, true, 0); d != MayRun {
+		t.Errorf("%v for what may have run", d)
+	}
+}
+
+func TestReadsAreReplaced(t *testing.T) {
+	c := NewCalls(4, time.Minute)
+	first, _, _ := c.Begin("r", 1, false, 0)
+	if _, _, d := c.Begin("r", 1, false, 0); d != InUse {
+		t.Errorf("the same id at once: %v", d)
+	}
+	if _, _, d := c.Begin("r", 0, false, 0); d != InUse {
+		t.Errorf("the same id at once, without a count: %v", d)
+	}
+	second, replaced, d := c.Begin("r", 2, false, 0)
+	if d != Replace || replaced != first {
+		t.Errorf("the caller's repeat: %v", d)
+	}
+	c.End(first, true, 0)
+	if _, _, d := c.Begin("r", 2, false, 0); d != InUse {
+		t.Errorf("after the end of what was replaced: %v", d)
+	}
+	c.End(second, true, 0)
+	if c.Len() != 0 {
+		t.Errorf("%d entries for reads that are over", c.Len())
+	}
+}
--- a/internal/extproc/order.go
+++ b/internal/extproc/order.go
@@ -56,3 +56,6 @@
 
 // Answered tells whether the response has begun.
 func (o *Order) Answered() bool { return o.response > 0 }
+
+// Begun tells whether the request has begun.
+func (o *Order) Begun() bool { return o.request > 0 }
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -44,6 +44,8 @@
 	// firstMessage is how long a stream may stand without its first message; it is one exchange's, so a caller opens
 	// it when it has something to say.
 	firstMessage = 2500 * time.Millisecond
+	// passedFor is how long a stream may stand whose request is none of ours.
+	passedFor = 5 * time.Minute
 	// overdue is how long past its request's time a stream may stand.
 	overdue = time.Second
 	// mostCalls is how many request ids are remembered, in hand or over.
@@ -181,7 +183,8 @@
 // StopTaking sends callers away: what they open from now on goes elsewhere, by HTTP/2's GOAWAY, and never ran here.
 func (f *Front) StopTaking() { go f.grpc.GracefulStop() }
 
-// Owes tells whether a stream still waits for something. One that has nothing in hand is ended.
+// Owes tells whether a stream still waits for something. One whose exchange is over is ended; one that has said nothing
+// yet may have its first message on the way, and is waited for as long as any.
 func (f *Front) Owes() bool {
 	owed := false
 	for s := range f.streams {
@@ -258,7 +261,7 @@
 
 // Process is one exchange of a caller's.
 func (f *Front) Process(rpc extprocv3.ExternalProcessor_ProcessServer) error {
-	s := &stream{f: f, rpc: rpc, cfg: f.cfg.Load(), kicked: make(chan struct{}), in: make(chan received), idle: true}
+	s := &stream{f: f, rpc: rpc, cfg: f.cfg.Load(), kicked: make(chan struct{}), in: make(chan received)}
 	if !f.open(s) {
 		// gRPC's UNAVAILABLE: the call never ran, and can be made elsewhere.
 		return status.Error(codes.Unavailable, "no room for the stream; nothing ran")
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -49,7 +49,7 @@
 	call   *call
 	body   []byte
 	due    time.Duration // when it has stood for too long
-	idle   bool          // nothing is in hand
+	idle   bool          // all has been said; more may come, and needs nothing
 	kicks  bool
 	kicked chan struct{}
 }
@@ -93,7 +93,7 @@
 		case <-ctx.Done():
 			return status.FromContextError(ctx.Err()).Err()
 		case <-s.kicked:
-			return status.Error(codes.DeadlineExceeded, "the stream has stood for too long")
+			return s.kickedOff()
 		}
 		if errors.Is(r.err, io.EOF) {
 			s.ended()
@@ -111,6 +111,19 @@
 	}
 }
 
+// kickedOff is the status of a stream that the front ends.
+func (s *stream) kickedOff() error {
+	idle := false
+	s.f.p.Do(func() { idle = s.idle })
+	switch {
+	case idle:
+		return nil // all has been said
+	case !s.order.Begun():
+		return status.Error(codes.Unavailable, "no message came; nothing ran")
+	}
+	return status.Error(codes.DeadlineExceeded, "the stream has stood for too long")
+}
+
 // ended takes a clean end by the caller. Where the rest of a good response was to come but none of it did, the caller
 // has gone by mode_override and sends no more.
 func (s *stream) ended() {
@@ -277,6 +290,7 @@
 			return s.immediate(404, "nothing is served under this method and path", "")
 		}
 		s.passed = true
+		s.f.p.Do(func() { s.idle, s.due = true, s.f.p.Now()+passedFor })
 		return s.pass()
 	}
 	s.target = target
@@ -318,7 +332,7 @@
 // collect asks for a write's body, in one piece where the caller can.
 func (s *stream) collect() error {
 	s.collecting = true
-	s.f.p.Do(func() { s.idle, s.due = false, s.f.p.Now()+time.Until(s.deadline)+overdue })
+	s.f.p.Do(func() { s.due = s.f.p.Now() + time.Until(s.deadline) + overdue })
 	r := &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_RequestHeaders{
 		RequestHeaders: &extprocv3.HeadersResponse{Response: &extprocv3.CommonResponse{}}}}
 	if !s.told || s.bodyMode != filterv3.ProcessingMode_BUFFERED {
@@ -407,7 +421,6 @@
 		if d = decision; replaced != nil {
 			replaced.Owner.(*call).abandon()
 		}
-		s.idle = false
 		s.due = now + max(0, time.Until(s.deadline)) + overdue
 		switch d {
 		case extproc.Fresh, extproc.Replace:
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,200 @@
+package operator
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `[extproc]
+listen = "unix:/run/x.sock"
+mode = "route"
+max_streams = 1_000
+message_timeout = "300ms"
+[extproc.headers]
+time_left = ["x-left"]
+[[extproc.map]]
+methods = ["GET"]
+path = "/tiles/{key}"
+class = "tile-read"
+`
+
+func TestGood(t *testing.T) {
+	f, err := Parse("f", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := f.ExtProc
+	if e.Listen != "unix:/run/x.sock" || e.MaxStreams != 1000 || e.MessageTimeout.D() != 300*time.Millisecond ||
+		e.Margin.D() != 10*time.Millisecond || e.Headers.TimeLeft[0] != "x-left" || e.Headers.RequestID != "x-request-id" ||
+		e.Map[0].Key != "{key}" || e.Map[0].Line != 8 {
+		t.Errorf("%+v", e)
+	}
+	if f, err = Parse("f", nil); err != nil || f.ExtProc != nil {
+		t.Errorf("an empty file switches on %+v, %v", f, err)
+	}
+}
+
+// Each entry breaks the good file in one place; the fault is named with its line, and nothing else is.
+func TestFaultsNameTheirLine(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`listen = "unix:/run/x.sock"`, `listen = "localhost:9"`, `f:2: extproc.listen: "localhost:9" is no address`},
+		{`listen = "unix:/run/x.sock"`, `listen = "unix:x.sock"`, `f:2: extproc.listen: "unix:x.sock": the path`},
+		{`listen = "unix:/run/x.sock"`, `listen = 9`, `f:2: extproc.listen must be an address`},
+		{`listen = "unix:/run/x.sock"`, ``, `f:1: extproc.listen is missing`},
+		{`mode = "route"`, `mode = "both"`, `f:3: extproc.mode is "both"; it can be answer or route`},
+		{`mode = "route"`, `moed = "route"`, `f:3: unknown key extproc.moed (did you mean mode?)`},
+		{`mode = "route"`, `mode = "route"` + "\n" + `mode = "route"`, `f:4: `},
+		{`max_streams = 1_000`, `max_streams = 0`, `f:4: extproc.max_streams is 0`},
+		{`max_streams = 1_000`, `max_streams = 1.5`, `f:4: extproc.max_streams must be a whole number, not 1.5`},
+		{`max_streams = 1_000`, `max_streams = [1]`, `f:4: extproc.max_streams must be a whole number, not a list`},
+		{`message_timeout = "300ms"`, `message_timeout = "300"`, `f:5: extproc.message_timeout: "300" is no time`},
+		{`message_timeout = "300ms"`, `message_timeout = 300`, `f:5: extproc.message_timeout must be a time`},
+		{`message_timeout = "300ms"`, `message_timeout = "-3s"`, `f:5: extproc.message_timeout: "-3s"`},
+		{`message_timeout = "300ms"`, `message_timeout = "1h"`, `f:5: extproc.message_timeout is 1h0m0s; it can be`},
+		{`message_timeout = "300ms"`, `max_message_timeout = "100ms"`, `f:5: extproc.max_message_timeout is 100ms, less than`},
+		{`[extproc.headers]`, `[extproc.header]`, `f:6: unknown table [extproc.header] (did you mean headers?)`},
+		{`time_left = ["x-left"]`, `time_left = ["X Left"]`, `f:7: extproc.headers.time_left: "X Left" is no header name`},
+		{`time_left = ["x-left"]`, `time_left = "x"`, `f:7: extproc.headers.time_left must be a list`},
+		{`time_left = ["x-left"]`, `time_left = ["x", 3]`, `f:7: extproc.headers.time_left[1] must be a string, not 3`},
+		{`time_left = ["x-left"]`, `retry = ""`, `f:7: extproc.headers.retry is empty`},
+		{`[[extproc.map]]`, `[extproc.map]`, `f:8: extproc.map is an array of tables: write [[extproc.map]]`},
+		{`methods = ["GET"]`, ``, `f:8: extproc.map[0] has no methods`},
+		{`methods = ["GET"]`, `methods = ["Get"]`, `f:9: extproc.map[0].methods: "Get" is no method`},
+		{`path = "/tiles/{key}"`, `path = "tiles/{key}"`, `f:10: extproc.map[0].path: "tiles/{key}" does not begin`},
+		{`path = "/tiles/{key}"`, `path = "/tiles/{key...}/x"`, `f:10: extproc.map[0].path: {key...} takes the rest`},
+		{`path = "/tiles/{key}"`, `path = "/tiles/a{key}"`, `f:10: extproc.map[0].path: segment "a{key}"`},
+		{`path = "/tiles/{key}"`, `path = "/{key}/{key}"`, `f:10: extproc.map[0].path: {key} stands twice`},
+		{`path = "/tiles/{key}"`, `path = "/tiles/{id}"`, `f:8: extproc.map[0].key uses {key}, which the path does not have`},
+		{`class = "tile-read"`, `key = "{key"`, `f:11: extproc.map[0].key: "{key": braces`},
+		{`class = "tile-read"`, `key = "x"`, `f:11: extproc.map[0].key has no {variable}`},
+		{`class = "tile-read"`, `class = "tile-read`, `f:11: `},
+		{`class = "tile-read"`, `write = 1`, `f:11: extproc.map[0].write must be true or false, not 1`},
+	} {
+		_, err := Parse("f", []byte(strings.Replace(good, c.old, c.new, 1)))
+		var faults Faults
+		if !errors.As(err, &faults) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v\nwant %s", c.new, err, c.want)
+		}
+	}
+}
+
+func TestAllFaultsAtOnce(t *testing.T) {
+	text := strings.NewReplacer(`"route"`, `"both"`, `1_000`, `"many"`, `300ms`, `300`, `["GET"]`, `[]`).Replace(good)
+	_, err := Parse("f", []byte(text))
+	var faults Faults
+	if !errors.As(err, &faults) || len(faults) != 4 {
+		t.Fatalf("%v, want four faults", err)
+	}
+	for i := 1; i < len(faults); i++ {
+		if faults[i].Line < faults[i-1].Line {
+			t.Errorf("not by line: %v", err)
+		}
+	}
+}
+
+func TestClassesAreTheSettings(t *testing.T) {
+	f, err := Parse("f", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.CheckClasses([]string{"tile-read"}); err != nil {
+		t.Error(err)
+	}
+	if err := f.CheckClasses([]string{"a", "b"}); err == nil || !strings.Contains(err.Error(), `f:8: extproc.map[0].class is "tile-read"; the settings have a, b`) {
+		t.Error(err)
+	}
+}
+
+func TestChanged(t *testing.T) {
+	old, _ := Parse("f", []byte(good))
+	now, err := Parse("f", []byte(strings.NewReplacer(`"route"`, `"answer"`, `300ms`, `250ms`).Replace(good)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fixed, live := old.Changed(now)
+	if strings.Join(fixed, " ") != "extproc.mode" || strings.Join(live, " ") != "extproc.message_timeout" {
+		t.Errorf("fixed %v, live %v", fixed, live)
+	}
+	if now.Keep(old); now.ExtProc.Mode != "route" || now.ExtProc.MessageTimeout.D() != 250*time.Millisecond {
+		t.Errorf("%+v", now.ExtProc)
+	}
+	none, _ := Parse("f", nil)
+	if fixed, _ := old.Changed(none); len(fixed) != 1 || fixed[0] != "extproc" {
+		t.Errorf("switched off: %v", fixed)
+	}
+}
+
+// The example that operators start from has no fault, and names every key that there is.
+func TestExample(t *testing.T) {
+	f, err := Load("../../deploy/operator.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.ExtProc == nil {
+		t.Fatal("the example sets no [extproc]")
+	}
+	if err := f.CheckClasses([]string{"tile-read", "pass-order"}); err != nil {
+		t.Error(err)
+	}
+	text, _ := os.ReadFile("../../deploy/operator.example.toml")
+	for _, key := range keys(root{}) {
+		if !strings.Contains(string(text), key+" = ") {
+			t.Errorf("the example does not show %s", key)
+		}
+	}
+}
+
+func TestMissingFile(t *testing.T) {
+	_, err := Load(filepath.Join(t.TempDir(), "none"))
+	var faults Faults
+	if err == nil || errors.As(err, &faults) {
+		t.Errorf("%v", err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add("[extproc]\nmap = [{path = '/{k}'}]\nheaders = {retry = 'x'}")
+	f.Add("extproc.listen = '1.2.3.4:5'\nextproc = 3")
+	f.Add("[[extproc.map]]\n[extproc.map.x]\n[[extproc]]")
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := Parse("f", []byte(text))
+		var faults Faults
+		if err != nil && !errors.As(err, &faults) {
+			t.Fatalf("%v is no list of faults", err)
+		}
+		lines := strings.Count(text, "\n") + 1
+		for _, fault := range faults {
+			if fault.Line < 1 || fault.Line > lines || fault.What == "" {
+				t.Errorf("%v in a text of %d lines", fault, lines)
+			}
+		}
+	})
+}
+
+// keys are the names of all keys that hold a value.
+func keys(v any) (names []string) {
+	var walk func(t reflect.Type)
+	walk = func(t reflect.Type) {
+		for i := range t.NumField() {
+			f := t.Field(i)
+			tag := f.Tag.Get("toml")
+			switch ft := f.Type; {
+			case tag == "":
+			case ft.Kind() == reflect.Struct:
+				walk(ft)
+			case ft.Kind() == reflect.Slice && ft.Elem().Kind() == reflect.Struct:
+				walk(ft.Elem())
+			default:
+				names = append(names, tag)
+			}
+		}
+	}
+	walk(reflect.TypeOf(v))
+	return names
+}
