--- a/cmd/linenproc/main_test.go
+++ b/cmd/linenproc/main_test.go
@@ -140,13 +140,12 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	c.Retries = 4
+	c.Retries, c.RetryFailed = 4, clientWaits/2
 	p.t.Cleanup(c.Close)
 	return c
 }
 
-// clients are eight that ask without end, half of it orders. An order whose caller's processor failed is asked again
-// by the caller's own retry, with the same id.
+// clients are eight that ask without end, half of it orders.
 type clients struct {
 	served, processorFailed, failed, refused atomic.Int64
 	late                                     atomic.Int64
@@ -181,13 +180,7 @@
 func (l *clients) ask(c *caller.Caller, q caller.Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), clientWaits)
 	defer cancel()
-	begun := time.Now()
 	res := c.Do(ctx, q)
-	for n := 2; res.Status == 500 && q.Method == "PUT" && time.Since(begun) < clientWaits/2; n++ {
-		q.Headers["x-envoy-attempt-count"] = fmt.Sprint(n)
-		time.Sleep(time.Millisecond) // a caller's retry backs off
-		res = c.Do(ctx, q)
-	}
 	if ctx.Err() != nil {
 		l.late.Add(1)
 	}
--- a/internal/extproc/caller/caller.go
+++ b/internal/extproc/caller/caller.go
@@ -35,6 +35,9 @@
 	BodyMode          filterv3.ProcessingMode_BodySendMode
 	AllowModeOverride bool
 	Retries           int // further attempts, where the processor marks a response for one
+	// RetryFailed is for how long the caller's own retry policy repeats, after 5 ms each, what ended because the
+	// processor failed, orders too: it knows no better.
+	RetryFailed time.Duration
 	// SendAfter is called in mode route between the pick and the send.
 	SendAfter func(addr string)
 
@@ -111,11 +114,18 @@
 // Do makes a client's request: an exchange, and further ones as the processor marks them.
 func (c *Caller) Do(ctx context.Context, q Request) Result {
 	var members []string
-	for attempt := 1; ; attempt++ {
+	begun := time.Now()
+	for attempt, marks := 1, 0; ; attempt++ {
 		res := c.exchange(ctx, q, attempt)
 		members = append(members, res.Members...)
 		res.Attempts, res.Members = attempt, members
-		if _, marked := res.Headers[retryHeader]; !marked || attempt > c.Retries {
+		_, marked := res.Headers[retryHeader]
+		switch {
+		case marked && marks < c.Retries:
+			marks++
+		case res.Err != nil && !res.Passed && time.Since(begun) < c.RetryFailed && ctx.Err() == nil:
+			time.Sleep(5 * time.Millisecond)
+		default:
 			delete(res.Headers, retryHeader)
 			return res
 		}
--- a/internal/extproc/server/hard_test.go
+++ b/internal/extproc/server/hard_test.go
@@ -1,14 +1,9 @@
 package server
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"math/rand/v2"
-	"net"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -20,8 +15,6 @@
 	"google.golang.org/grpc/status"
 
 	"linenloom/internal/extproc/caller"
-	"linenloom/internal/proxy"
-	"linenloom/internal/resp"
 	"linenloom/internal/standin"
 	"linenloom/logic"
 )
@@ -370,171 +363,3 @@
 		})
 	}
 }
-
-// redisClient asks one thing at a time over RESP2.
-type redisClient struct {
-	t    *testing.T
-	conn net.Conn
-	in   *bufio.Reader
-}
-
-func (r *rig) redis() *redisClient {
-	conn, err := net.Dial("tcp", r.p.Addr().String())
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	conn.SetDeadline(time.Now().Add(patience))
-	r.t.Cleanup(func() { conn.Close() })
-	return &redisClient{t: r.t, conn: conn, in: bufio.NewReader(conn)}
-}
-
-// ask returns the value, or the error line.
-func (c *redisClient) ask(words ...string) string {
-	c.t.Helper()
-	b := resp.AppendArray(nil, len(words))
-	for _, w := range words {
-		b = resp.AppendBulk(b, w)
-	}
-	c.conn.Write(b)
-	line, err := c.in.ReadString('\n')
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	var n int
-	if k, _ := fmt.Sscanf(line, "$%d", &n); k != 1 {
-		return line
-	}
-	v := make([]byte, n+2)
-	if _, err := io.ReadFull(c.in, v); err != nil {
-		c.t.Fatal(err)
-	}
-	return string(v[:n])
-}
-
-// The same requests, seed and outcomes make the module choose the same members in the same order, whichever front
-// they come by, also when both are used at once: with a cold member, one that fails for a while, one that is full for a
-// while and one that drains.
-func TestFrontsGetTheSameChoices(t *testing.T) {
-	const requests = 400
-	play := func(t *testing.T, mode string, byRedis func(i int) bool) (sends, ends []string) {
-		fleet := newFleet(t, 6)
-		if _, err := fleet.Add("s-cold", time.UnixMilli(time.Hour.Milliseconds()-100)); err != nil {
-			t.Fatal(err)
-		}
-		for i := range 40 {
-			fleet.Fill(fmt.Sprint("k", i)) // on a third of the keys all boxes miss at first
-		}
-		var now atomic.Int64
-		r := newRig(t, fleet, file(mode, ""), func(c *proxy.Config) {
-			c.Clock = func() time.Duration { return time.Duration(now.Load()) }
-		})
-		r.c.Retries = 5
-		r.eventually("the list is known", func() bool { return r.p.Load().Ready == 8 })
-		rc := r.redis()
-		rng := rand.New(rand.NewPCG(1, 2))
-		for i := range requests {
-			now.Add(int64(5 * time.Millisecond))
-			r.p.Tick()
-			switch i {
-			case 100:
-				fleet.Boxes[1].SetFault(standin.Failing)
-			case 150:
-				fleet.Boxes[1].SetFault(standin.Healthy)
-				fleet.Boxes[2].SetFault(standin.Busy)
-			case 200:
-				fleet.Boxes[2].SetFault(standin.Healthy)
-			case 250:
-				fleet.Drain(fleet.Boxes[3])
-				r.eventually("the drain is known", func() bool { return r.p.Load().Ready == 7 })
-			}
-			key := fmt.Sprint("k", int(rng.ExpFloat64()*15)%60)
-			id := fmt.Sprint("id", i)
-			write := i%20 == 19
-			// The last byte of an order is held back for 2 ms; the clock has to move while it is.
-			hold := func() {
-				now.Add(int64(10 * time.Millisecond))
-				r.p.Tick()
-			}
-			r.c.SendAfter = nil
-			if write && mode == "route" && !byRedis(i) {
-				r.c.SendAfter = func(string) { hold() }
-			} else if write {
-				go func() {
-					r.eventually("the order is out", func() bool { return r.p.Load().Busy > 0 })
-					hold()
-				}()
-			}
-			var got string
-			if byRedis(i) {
-				if write {
-					got = rc.ask("OBJ.SET", key, id, "c=pass-order,d=2000", "one pass")
-				} else {
-					got = rc.ask("OBJ.GET", key, id, "c=tile-read,d=2000")
-				}
-			} else {
-				q := read(key, id)
-				if write {
-					q = order(key, id)
-				}
-				q.Headers["x-envoy-expected-rq-timeout-ms"] = "2010" // the margin is 10
-				got = string(r.do(q).Body)
-			}
-			switch {
-			case strings.Contains(got, " of "+key):
-				ends = append(ends, "served")
-			case strings.HasPrefix(got, "-BUSY") || strings.HasPrefix(got, "refused"):
-				ends = append(ends, "refused")
-			default:
-				t.Fatalf("request %d was answered %q", i, got)
-			}
-			r.eventually("nothing is in hand", func() bool {
-				l := r.p.Load()
-				return l.Requests == 0 && l.Busy == 0 && r.f.Counts().Streams == 0
-			})
-		}
-		names := map[logic.MemberID]string{memberID("o-1"): "o-1"}
-		for _, b := range fleet.Boxes {
-			names[memberID(b.ID)] = b.ID
-		}
-		for _, m := range r.sent() {
-			sends = append(sends, names[m])
-		}
-		return sends, ends
-	}
-	want, wantEnds := play(t, "answer", func(int) bool { return true })
-	if n := len(slices.DeleteFunc(slices.Clone(wantEnds), func(e string) bool { return e != "refused" })); n > requests/10 {
-		t.Fatalf("%d of %d refused", n, requests)
-	}
-	if n := len(want); n < requests+20 {
-		t.Fatalf("%d choices for %d requests: nothing was tried again", n, requests)
-	}
-	for _, s := range []string{"s-cold", "o-1", "s-2", "s-3", "s-4"} {
-		if !slices.Contains(want, s) {
-			t.Fatalf("%s was never chosen", s)
-		}
-	}
-	for name, c := range map[string]struct {
-		mode    string
-		byRedis func(int) bool
-	}{
-		"answer":           {"answer", func(int) bool { return false }},
-		"route":            {"route", func(int) bool { return false }},
-		"redis and answer": {"answer", func(i int) bool { return i%2 == 0 }},
-		"redis and route":  {"route", func(i int) bool { return i%3 == 0 }},
-		"redis, once more": {"answer", func(int) bool { return true }},
-	} {
-		t.Run(name, func(t *testing.T) {
-			got, ends := play(t, c.mode, c.byRedis)
-			if !slices.Equal(ends, wantEnds) {
-				t.Error("what was served and what was refused differs")
-			}
-			if !slices.Equal(got, want) {
-				i := 0
-				for i < min(len(got), len(want)) && got[i] == want[i] {
-					i++
-				}
-				t.Errorf("choices differ from the %dth on: %v, want %v", i, got[i:min(i+8, len(got))], want[i:min(i+8, len(want))])
-			}
-		})
-	}
-}
--- /dev/null
+++ b/internal/lab/host_test.go
@@ -0,0 +1,60 @@
+package lab
+
+import (
+	"slices"
+	"testing"
+)
+
+// The same requests, seed and outcomes make the module choose the same members in the same order, whichever front
+// they come by, also when both are used at once.
+func TestFrontsGetTheSameChoices(t *testing.T) {
+	const requests = 400
+	play := func(t *testing.T, mode string, byRedis func(int) bool) Choices {
+		t.Helper()
+		c, err := Play(mode, requests, byRedis)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	want := play(t, "answer", func(int) bool { return true })
+	refused := 0
+	for _, e := range want.Ends {
+		if e == "refused" {
+			refused++
+		}
+	}
+	if len(want.Sends) < requests+20 || refused > requests/10 {
+		t.Fatalf("%d choices and %d refusals for %d requests: too little was tried", len(want.Sends), refused, requests)
+	}
+	for _, s := range []string{"s-cold", "o-1", "s-2", "s-3", "s-4"} {
+		if !slices.Contains(want.Sends, s) {
+			t.Fatalf("%s was never chosen", s)
+		}
+	}
+	for name, c := range map[string]struct {
+		mode    string
+		byRedis func(int) bool
+	}{
+		"answer":           {"answer", func(int) bool { return false }},
+		"route":            {"route", func(int) bool { return false }},
+		"redis and answer": {"answer", func(i int) bool { return i%2 == 0 }},
+		"redis and route":  {"route", func(i int) bool { return i%3 == 0 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got := play(t, c.mode, c.byRedis)
+			if !slices.Equal(got.Ends, want.Ends) {
+				t.Error("what was served and what was refused differs")
+			}
+			if !slices.Equal(got.Sends, want.Sends) {
+				i := 0
+				for i < min(len(got.Sends), len(want.Sends)) && got.Sends[i] == want.Sends[i] {
+					i++
+				}
+				t.Errorf("choices differ from the %dth on: %v, want %v", i, got.Sends[i:min(i+8, len(got.Sends))],
+					want.Sends[i:min(i+8, len(want.Sends))])
+			}
+		})
+	}
+}
