linenlab: scenarios with real processes, the first for the external processor

Need: claims about the processor have to be measured, as ratios inside one run.

Change: internal/lab builds and starts the programs, loads them, kills them and prints claims; a bare processor of the same library and a byte relay are the baselines.

--- /dev/null
+++ b/cmd/linenlab/main.go
@@ -0,0 +1,111 @@
+// Command linenlab stages scenarios with real processes on loopback and says which of the project's claims are kept.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+
+	"linenloom/internal/lab"
+)
+
+// scenarios are what can be staged.
+var scenarios = []struct {
+	name, about string
+	run         func(context.Context, *lab.Env) (*lab.Report, error)
+}{
+	{"extproc", "the external processor: the choices of both fronts, SIGKILL under load, what a call costs", lab.ExtProc},
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func usage() {
+	fmt.Fprint(os.Stderr, `usage: linenlab SCENARIO [-json] [-seconds N]    stage a scenario; status 1 if a claim is not kept
+       linenlab list                             name the scenarios
+Run it in the project's folder: it builds the programs that it measures.
+`)
+}
+
+func run(args []string) int {
+	if what := os.Getenv(lab.ServeVariable); what != "" {
+		fmt.Fprintln(os.Stderr, "linenlab:", lab.Serve(what))
+		return 1
+	}
+	if len(args) == 0 || args[0] == "-h" || args[0] == "--help" {
+		usage()
+		if len(args) == 0 {
+			return 2
+		}
+		return 0
+	}
+	if args[0] == "list" {
+		for _, s := range scenarios {
+			fmt.Printf("%-10s %s\n", s.name, s.about)
+		}
+		return 0
+	}
+	i := slices.IndexFunc(scenarios, func(s struct {
+		name, about string
+		run         func(context.Context, *lab.Env) (*lab.Report, error)
+	}) bool {
+		return s.name == args[0]
+	})
+	if i < 0 {
+		fmt.Fprintf(os.Stderr, "linenlab: unknown scenario %q; see linenlab list\n", args[0])
+		return 2
+	}
+	flags := flag.NewFlagSet("linenlab "+args[0], flag.ContinueOnError)
+	asJSON := flags.Bool("json", false, "print JSON in place of the table")
+	seconds := flags.Int("seconds", 20, "how long the longest part goes on")
+	if err := flags.Parse(args[1:]); err != nil {
+		if err == flag.ErrHelp {
+			return 0
+		}
+		return 2
+	}
+	if *seconds < 5 || *seconds > 3600 || flags.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "linenlab: -seconds is from 5 to 3600, and nothing follows the flags")
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	report, err := stage(ctx, scenarios[i].run, *seconds)
+	if report != nil {
+		if err := report.Print(os.Stdout, *asJSON); err != nil {
+			fmt.Fprintln(os.Stderr, "linenlab:", err)
+			return 1
+		}
+	}
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "linenlab:", err)
+		return 1
+	case !report.Kept():
+		return 1
+	}
+	return 0
+}
+
+func stage(ctx context.Context, run func(context.Context, *lab.Env) (*lab.Report, error), seconds int) (*lab.Report, error) {
+	dir, err := os.MkdirTemp("", "lab")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	e := &lab.Env{Dir: dir, Self: self, Seconds: seconds, Log: func(format string, args ...any) {
+		fmt.Fprintf(os.Stderr, format+"\n", args...)
+	}}
+	e.Log("building")
+	if err := e.Build(ctx); err != nil {
+		return nil, err
+	}
+	return run(ctx, e)
+}
