--- a/internal/extproc/server/answer.go
+++ b/internal/extproc/server/answer.go
@@ -2,15 +2,18 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	filterv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/structpb"
 
 	"linenloom/internal/extproc"
+	"linenloom/internal/operator"
 	"linenloom/internal/proxy"
 	"linenloom/logic"
 )
@@ -82,24 +85,36 @@
 	return s.fail("the request may have run")
 }
 
-// sendTo names the member to the caller, in the header and the metadata that the Gateway API's endpoint pickers use,
-// and asks for no more phases than it needs.
+// sendTo names the member to the caller.
 func (s *stream) sendTo(d decided, body bool) error {
-	h := &s.cfg.Headers
+	if s.cfg.Headers.TryTimeout != "" {
+		return s.send(name(s.cfg.ExtProc, d.addr, d.left, body))
+	}
+	r, err := s.cfg.names.of(s.cfg.ExtProc, d.addr, body)
+	if err != nil {
+		return err
+	}
+	return s.send(r)
+}
+
+// name names the member in the header and the metadata that the Gateway API's endpoint pickers use, and asks for no more
+// phases than are needed.
+func name(c *operator.ExtProc, addr string, left time.Duration, body bool) *extprocv3.ProcessingResponse {
+	h := &c.Headers
 	set := make([]*corev3.HeaderValueOption, 1, 2)
-	set[0] = setHeader(h.Destination, d.addr)
+	set[0] = setHeader(h.Destination, addr)
 	if h.TryTimeout != "" {
-		set = append(set, setHeader(h.TryTimeout, strconv.FormatInt(max(1, d.left.Milliseconds()), 10)))
+		set = append(set, setHeader(h.TryTimeout, strconv.FormatInt(max(1, left.Milliseconds()), 10)))
 	}
 	common := &extprocv3.CommonResponse{HeaderMutation: &extprocv3.HeaderMutation{SetHeaders: set}}
 	r := &extprocv3.ProcessingResponse{DynamicMetadata: &structpb.Struct{Fields: map[string]*structpb.Value{
 		"envoy.lb": structpb.NewStructValue(&structpb.Struct{Fields: map[string]*structpb.Value{
-			h.Destination: structpb.NewStringValue(d.addr),
+			h.Destination: structpb.NewStringValue(addr),
 		}}),
 	}}}
 	if body {
 		r.Response = &extprocv3.ProcessingResponse_RequestBody{RequestBody: &extprocv3.BodyResponse{Response: common}}
-		return s.send(r)
+		return r
 	}
 	r.Response = &extprocv3.ProcessingResponse_RequestHeaders{RequestHeaders: &extprocv3.HeadersResponse{Response: common}}
 	// The sooner the caller sends after the pick, the less can have changed: no body, and of the response its head.
@@ -107,7 +122,65 @@
 		ResponseHeaderMode: filterv3.ProcessingMode_SEND, RequestTrailerMode: filterv3.ProcessingMode_SKIP,
 		ResponseTrailerMode: filterv3.ProcessingMode_SKIP,
 	}
-	return s.send(r)
+	return r
+}
+
+// encoded makes a message of another's bytes, which are written as they are. A few messages make up most of what is
+// said, and to write the metadata's maps anew for each costs as much as the rest of a call.
+func encoded(r *extprocv3.ProcessingResponse) (*extprocv3.ProcessingResponse, error) {
+	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	e := &extprocv3.ProcessingResponse{}
+	e.ProtoReflect().SetUnknown(raw)
+	return e, nil
+}
+
+// mostNames bounds names; members come and go, and the addresses of those gone are forgotten with all others.
+const mostNames = 4096
+
+// names keeps the messages that name members.
+type names struct {
+	mu     sync.RWMutex
+	byAddr [2]map[string]*extprocv3.ProcessingResponse // with the request's headers, or its body
+}
+
+func (n *names) of(c *operator.ExtProc, addr string, body bool) (*extprocv3.ProcessingResponse, error) {
+	k := 0
+	if body {
+		k = 1
+	}
+	n.mu.RLock()
+	r := n.byAddr[k][addr]
+	n.mu.RUnlock()
+	if r != nil {
+		return r, nil
+	}
+	r, err := encoded(name(c, addr, 0, body))
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.byAddr[k] == nil || len(n.byAddr[k]) >= mostNames {
+		n.byAddr[k] = map[string]*extprocv3.ProcessingResponse{}
+	}
+	n.byAddr[k][addr] = r
+	return r, nil
+}
+
+// responseGoesOn lets a response through, marked for another attempt or with such a mark taken off: a member must not be
+// able to have the caller ask again.
+func responseGoesOn(c *operator.ExtProc, again bool) *extprocv3.ProcessingResponse {
+	mutation := &extprocv3.HeaderMutation{}
+	if again {
+		mutation.SetHeaders = []*corev3.HeaderValueOption{setHeader(c.Headers.Retry, "1")}
+	} else {
+		mutation.RemoveHeaders = []string{c.Headers.Retry}
+	}
+	return &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseHeaders{
+		ResponseHeaders: &extprocv3.HeadersResponse{Response: &extprocv3.CommonResponse{HeaderMutation: mutation}}}}
 }
 
 // attributes is the name under which callers send attributes.
@@ -143,7 +216,7 @@
 	c := s.call
 	switch {
 	case s.passed || c != nil && c.settled:
-		return s.continueResponse(nil)
+		return s.continueResponse()
 	case c == nil || !s.route():
 		return s.invalid("response headers before the request was answered")
 	}
@@ -157,7 +230,7 @@
 		if s.answerMode == filterv3.ProcessingMode_NONE || m.GetResponseHeaders().GetEndOfStream() {
 			s.deliver()
 		}
-		return s.continueResponse(nil)
+		return s.continueResponse()
 	}
 	var final *proxy.Answer
 	var again bool
@@ -185,19 +258,18 @@
 	case final != nil:
 		return s.answer(final)
 	case again:
-		return s.continueResponse(&extprocv3.CommonResponse{HeaderMutation: &extprocv3.HeaderMutation{
-			SetHeaders: []*corev3.HeaderValueOption{setHeader(s.cfg.Headers.Retry, "1")}}})
+		return s.send(s.cfg.again)
 	}
-	return s.continueResponse(nil)
+	return s.continueResponse()
 }
 
-func (s *stream) continueResponse(common *extprocv3.CommonResponse) error {
-	if common == nil && s.route() && !s.passed {
-		// A member must not be able to have the caller ask again.
-		common = &extprocv3.CommonResponse{HeaderMutation: &extprocv3.HeaderMutation{RemoveHeaders: []string{s.cfg.Headers.Retry}}}
+// continueResponse lets a response go on.
+func (s *stream) continueResponse() error {
+	if s.passed {
+		return s.send(&extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseHeaders{
+			ResponseHeaders: &extprocv3.HeadersResponse{}}})
 	}
-	return s.send(&extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_ResponseHeaders{
-		ResponseHeaders: &extprocv3.HeadersResponse{Response: common}}})
+	return s.send(s.cfg.going)
 }
 
 // deliver ends the attempt whose answer the caller has: the request is served.
--- /dev/null
+++ b/internal/extproc/server/bench_test.go
@@ -0,0 +1,95 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"google.golang.org/grpc"
+
+	"linenloom/internal/operator"
+	"linenloom/internal/proxy"
+	"linenloom/internal/standin"
+)
+
+// script is a caller's end of a stream without gRPC: what it asks is given, what it is told is dropped.
+type script struct {
+	grpc.ServerStream
+	ctx  context.Context
+	asks []*extprocv3.ProcessingRequest
+	turn chan struct{} // of one token: the next may be asked
+}
+
+func (s *script) Context() context.Context { return s.ctx }
+
+func (s *script) Recv() (*extprocv3.ProcessingRequest, error) {
+	<-s.turn
+	if len(s.asks) == 0 {
+		return nil, io.EOF
+	}
+	m := s.asks[0]
+	s.asks = s.asks[1:]
+	return m, nil
+}
+
+func (s *script) Send(*extprocv3.ProcessingResponse) error {
+	s.turn <- struct{}{}
+	return nil
+}
+
+// BenchmarkRoute is what a call in mode route costs beside gRPC: the front, the host and the module.
+func BenchmarkRoute(b *testing.B) {
+	fleet, err := standin.NewFleet(8, 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer fleet.Close()
+	cfg := proxy.Config{
+		Listen: "127.0.0.1:0", Discovery: fleet.Registry.Addr(), Seed: 7, Settings: settings(b),
+		Zones: []string{standin.Zone}, Kinds: standin.Kinds, ConnIdle: 5 * time.Second, Multiplex: 32, MostHeld: 5000,
+		MemoryMB: 128, Sockets: 512, Known: fleet.Registry.List(),
+	}
+	p, err := proxy.New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		b.Fatal(err)
+	}
+	op, err := operator.Parse("bench", []byte(file("route", "")))
+	if err != nil {
+		b.Fatal(err)
+	}
+	f, err := New(p, op, slog.New(slog.DiscardHandler))
+	if err != nil {
+		b.Fatal(err)
+	}
+	p.AddFront(f)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	for p.Load().Ready < 9 {
+		time.Sleep(time.Millisecond)
+	}
+	config := &extprocv3.ProtocolConfiguration{}
+	response := &extprocv3.ProcessingRequest{Request: &extprocv3.ProcessingRequest_ResponseHeaders{
+		ResponseHeaders: &extprocv3.HttpHeaders{EndOfStream: true, Headers: headerMap(":status", "200", "x-cache", "hit")}}}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		s := &script{ctx: context.Background(), turn: make(chan struct{}, 2)}
+		s.asks = []*extprocv3.ProcessingRequest{{ProtocolConfig: config, Request: &extprocv3.ProcessingRequest_RequestHeaders{
+			RequestHeaders: &extprocv3.HttpHeaders{EndOfStream: true, Headers: headerMap(":method", "GET",
+				":path", "/tiles/k", "x-request-id", fmt.Sprint(i), "x-envoy-attempt-count", "1")}}}, response}
+		s.turn <- struct{}{}
+		if err := f.Process(s); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.StopTimer()
+	if c := f.Counts(); c.Served != b.N {
+		b.Fatalf("%d of %d served", c.Served, b.N)
+	}
+}
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -7,7 +7,6 @@
 package server
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -48,6 +47,8 @@
 	passedFor = 5 * time.Minute
 	// overdue is how long past its request's time a stream may stand.
 	overdue = time.Second
+	// keptGoroutines are kept for further streams, and as many again that read.
+	keptGoroutines = 32
 	// mostCalls is how many request ids are remembered, in hand or over.
 	mostCalls = 16384
 )
@@ -57,6 +58,9 @@
 	*operator.ExtProc
 	mapping *extproc.Mapping
 	classes map[string]int
+	names   names
+	going   *extprocv3.ProcessingResponse // the response goes on as it is
+	again   *extprocv3.ProcessingResponse // marked for another attempt
 }
 
 // Front is the external processor's front.
@@ -75,6 +79,10 @@
 	conns   int
 	made    uint32 // ids made here
 	counts  Counts
+
+	readers chan *stream  // to readers that have nothing to read
+	resting atomic.Int32  // of them
+	quit    chan struct{} // closed at the end
 }
 
 // Counts tells what the front has done and holds.
@@ -90,7 +98,8 @@
 // New makes the front and binds its address. The file has been checked; what it says of classes is checked here,
 // against the settings.
 func New(p *proxy.Proxy, file *operator.File, log *slog.Logger) (*Front, error) {
-	f := &Front{p: p, log: log.With("front", "extproc"), streams: map[*stream]struct{}{}}
+	f := &Front{p: p, log: log.With("front", "extproc"), streams: map[*stream]struct{}{},
+		readers: make(chan *stream), quit: make(chan struct{})}
 	c, err := f.compile(file)
 	if err != nil {
 		return nil, err
@@ -105,6 +114,9 @@
 		// Twice the bound, so that a stream over it is told so, and doesn't wait at the caller.
 		grpc.MaxConcurrentStreams(uint32(2*c.MaxStreams)),
 		grpc.ConnectionTimeout(firstMessage),
+		// Reading and writing protobuf takes deep stacks. A goroutine that has grown one serves the next stream too; when
+		// all are taken, a stream gets a new one.
+		grpc.NumStreamWorkers(keptGoroutines),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 30 * time.Second, Timeout: 10 * time.Second}),
 	)
 	extprocv3.RegisterExternalProcessorServer(f.grpc, f)
@@ -124,7 +136,12 @@
 		return nil, err
 	}
 	var err error
-	c.mapping, err = extproc.NewMapping(c.Map)
+	if c.mapping, err = extproc.NewMapping(c.Map); err != nil {
+		return nil, err
+	}
+	if c.going, err = encoded(responseGoesOn(c.ExtProc, false)); err == nil {
+		c.again, err = encoded(responseGoesOn(c.ExtProc, true))
+	}
 	return c, err
 }
 
@@ -170,6 +187,7 @@
 // Serve takes calls until StopTaking or Close.
 func (f *Front) Serve() error {
 	f.log.Info("extproc listens", "addr", f.Addr().String(), "mode", f.cfg.Load().Mode)
+	defer close(f.quit)
 	err := f.grpc.Serve(&bounded{Listener: f.listen, f: f})
 	if errors.Is(err, grpc.ErrServerStopped) {
 		return nil
@@ -261,16 +279,19 @@
 
 // Process is one exchange of a caller's.
 func (f *Front) Process(rpc extprocv3.ExternalProcessor_ProcessServer) error {
-	s := &stream{f: f, rpc: rpc, cfg: f.cfg.Load(), kicked: make(chan struct{}), in: make(chan received)}
+	s := &stream{f: f, rpc: rpc, cfg: f.cfg.Load(), kicked: make(chan struct{}), in: make(chan received), over: make(chan struct{})}
 	if !f.open(s) {
 		// gRPC's UNAVAILABLE: the call never ran, and can be made elsewhere.
 		return status.Error(codes.Unavailable, "no room for the stream; nothing ran")
 	}
 	defer f.closed(s)
-	ctx, cancel := context.WithCancel(rpc.Context())
-	defer cancel()
-	go s.read(ctx)
-	err := s.run(ctx)
+	defer close(s.over)
+	select {
+	case f.readers <- s:
+	default:
+		go f.read(s)
+	}
+	err := s.run(rpc.Context())
 	if status.Code(err) == codes.InvalidArgument {
 		f.p.Do(func() { f.counts.Faulty++ })
 		f.log.Warn("stream ended", "err", err)
@@ -278,6 +299,23 @@
 	return err
 }
 
+// read reads for a stream, and then for others. Streams end while a Recv is out, and a stream's end ends that.
+func (f *Front) read(s *stream) {
+	for {
+		s.read()
+		if f.resting.Add(1) > keptGoroutines {
+			f.resting.Add(-1)
+			return
+		}
+		select {
+		case s = <-f.readers:
+			f.resting.Add(-1)
+		case <-f.quit:
+			return
+		}
+	}
+}
+
 func (f *Front) open(s *stream) (ok bool) {
 	f.p.Do(func() {
 		if len(f.streams) >= s.cfg.MaxStreams || f.p.Stopping() {
--- a/internal/extproc/server/server_test.go
+++ b/internal/extproc/server/server_test.go
@@ -63,7 +63,7 @@
 	sends []logic.MemberID
 }
 
-func settings(t *testing.T) logic.Settings {
+func settings(t testing.TB) logic.Settings {
 	t.Helper()
 	text, err := json.Marshal(standin.Settings())
 	if err != nil {
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -27,6 +27,7 @@
 	rpc   extprocv3.ExternalProcessor_ProcessServer
 	cfg   *config
 	in    chan received
+	over  chan struct{} // closed when Process returns
 	order extproc.Order
 
 	bodyMode     filterv3.ProcessingMode_BodySendMode // of the request, where the caller tells
@@ -68,12 +69,12 @@
 }
 
 // read hands messages over one at a time; what comes ahead waits in the connection's window.
-func (s *stream) read(ctx context.Context) {
+func (s *stream) read() {
 	for {
 		m, err := s.rpc.Recv()
 		select {
 		case s.in <- received{m, err}:
-		case <-ctx.Done():
+		case <-s.over:
 			return
 		}
 		if err != nil {
--- a/internal/lab/baseline.go
+++ b/internal/lab/baseline.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return err
 	}
-	s := grpc.NewServer(grpc.MaxConcurrentStreams(2048))
+	s := grpc.NewServer(grpc.MaxConcurrentStreams(2048), grpc.NumStreamWorkers(32))
 	extprocv3.RegisterExternalProcessorServer(s, bare{})
 	fmt.Fprintln(os.Stderr, "ready", l.Addr())
 	return s.Serve(l)
