--- a/cmd/linenloom/main.go
+++ b/cmd/linenloom/main.go
@@ -9,11 +9,12 @@
 	"syscall"
 
 	"linenloom/internal/app"
+	"linenloom/internal/demo"
 )
 
 func main() {
 	g := app.Program{
-		Name: "linenloom", Elsewhere: elsewhere,
+		Name: "linenloom", Elsewhere: elsewhere, Commands: map[string]func([]string) int{"demo": demo.Run},
 		About: `       linenloom demo                  a fleet of stand-ins, traffic, and what becomes of it
 SIGHUP reads the files again, SIGTERM drains. README.md and docs/ tell the rest.
 `,
--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -73,6 +73,18 @@
 	return &c, c.check()
 }
 
+// ProxyConfig is a configuration's text in the proxy's terms, for programs that bring their own.
+func ProxyConfig(text []byte) (proxy.Config, error) {
+	var c config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return proxy.Config{}, err
+	}
+	if err := c.check(); err != nil {
+		return proxy.Config{}, err
+	}
+	return c.proxy()
+}
+
 func (c *config) check() error {
 	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
 		if _, err := netip.ParseAddrPort(addr); err != nil {
--- a/internal/extproc/server/bench_test.go
+++ b/internal/extproc/server/bench_test.go
@@ -48,12 +48,7 @@
 		b.Fatal(err)
 	}
 	defer fleet.Close()
-	cfg := proxy.Config{
-		Listen: "127.0.0.1:0", Discovery: fleet.Registry.Addr(), Seed: 7, Settings: settings(b),
-		Zones: []string{standin.Zone}, Kinds: standin.Kinds, ConnIdle: 5 * time.Second, Multiplex: 32, MostHeld: 5000,
-		MemoryMB: 128, Sockets: 512, Known: fleet.Registry.List(),
-	}
-	p, err := proxy.New(cfg, slog.New(slog.DiscardHandler))
+	p, err := proxy.New(hostConfig(b, fleet), slog.New(slog.DiscardHandler))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/extproc/server/server_test.go
+++ b/internal/extproc/server/server_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -19,11 +18,11 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"linenloom/internal/app"
 	"linenloom/internal/extproc/caller"
 	"linenloom/internal/operator"
 	"linenloom/internal/proxy"
 	"linenloom/internal/standin"
-	"linenloom/internal/wire"
 	"linenloom/logic"
 )
 
@@ -63,17 +62,19 @@
 	sends []logic.MemberID
 }
 
-func settings(t testing.TB) logic.Settings {
+// hostConfig is a host's configuration before a fleet.
+func hostConfig(t testing.TB, fleet *standin.Fleet) proxy.Config {
 	t.Helper()
-	text, err := json.Marshal(standin.Settings())
+	text, err := fleet.Config("test", "127.0.0.1:0", "7", 128, 512)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := wire.ParseSettings(text)
+	cfg, err := app.ProxyConfig(text)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return s
+	cfg.AcceptMore = 0
+	return cfg
 }
 
 func newFleet(t *testing.T, boxes int) *standin.Fleet {
@@ -89,15 +90,11 @@
 func newRig(t *testing.T, fleet *standin.Fleet, text string, edit func(*proxy.Config)) *rig {
 	t.Helper()
 	r := &rig{t: t, fleet: fleet, done: make(chan error, 1)}
-	cfg := proxy.Config{
-		Listen: "127.0.0.1:0", Discovery: fleet.Registry.Addr(), Seed: 7, Settings: settings(t),
-		Zones: []string{standin.Zone}, Kinds: standin.Kinds, ConnIdle: 5 * time.Second, Multiplex: 32, MostHeld: 5000,
-		MemoryMB: 128, Sockets: 512, Known: fleet.Registry.List(),
-		OnSend: func(_ logic.RequestID, m logic.MemberID) {
-			r.mu.Lock()
-			r.sends = append(r.sends, m)
-			r.mu.Unlock()
-		},
+	cfg := hostConfig(t, fleet)
+	cfg.OnSend = func(_ logic.RequestID, m logic.MemberID) {
+		r.mu.Lock()
+		r.sends = append(r.sends, m)
+		r.mu.Unlock()
 	}
 	if edit != nil {
 		edit(&cfg)
--- a/internal/lab/host.go
+++ b/internal/lab/host.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -17,13 +16,13 @@
 	"sync/atomic"
 	"time"
 
+	"linenloom/internal/app"
 	"linenloom/internal/extproc/caller"
 	"linenloom/internal/extproc/server"
 	"linenloom/internal/operator"
 	"linenloom/internal/proxy"
 	"linenloom/internal/resp"
 	"linenloom/internal/standin"
-	"linenloom/internal/wire"
 	"linenloom/logic"
 )
 
@@ -65,27 +64,23 @@
 // NewHost starts a host before a fleet.
 func NewHost(fleet *standin.Fleet, mode string) (*Host, error) {
 	h := &Host{Fleet: fleet, done: make(chan error, 1)}
-	text, err := json.Marshal(standin.Settings())
+	text, err := fleet.Config("lab", "127.0.0.1:0", "7", 128, 512)
 	if err != nil {
 		return nil, err
 	}
-	settings, err := wire.ParseSettings(text)
+	cfg, err := app.ProxyConfig(text)
 	if err != nil {
 		return nil, err
 	}
+	cfg.AcceptMore = 0
+	cfg.Clock = func() time.Duration { return time.Duration(h.now.Load()) }
+	cfg.OnSend = func(_ logic.RequestID, m logic.MemberID) {
+		h.mu.Lock()
+		h.sends = append(h.sends, m)
+		h.mu.Unlock()
+	}
 	log := slog.New(slog.DiscardHandler)
-	h.Proxy, err = proxy.New(proxy.Config{
-		Listen: "127.0.0.1:0", Discovery: fleet.Registry.Addr(), Seed: 7, Settings: settings,
-		Zones: []string{standin.Zone}, Kinds: standin.Kinds, ConnIdle: 5 * time.Second, Multiplex: 32, MostHeld: 5000,
-		MemoryMB: 128, Sockets: 512, Known: fleet.Registry.List(),
-		Clock: func() time.Duration { return time.Duration(h.now.Load()) },
-		OnSend: func(_ logic.RequestID, m logic.MemberID) {
-			h.mu.Lock()
-			h.sends = append(h.sends, m)
-			h.mu.Unlock()
-		},
-	}, log)
-	if err != nil {
+	if h.Proxy, err = proxy.New(cfg, log); err != nil {
 		return nil, err
 	}
 	file, err := operator.Parse("lab", []byte(OperatorFile("127.0.0.1:0", mode, "20s")))
