--- a/internal/extproc/calls.go
+++ b/internal/extproc/calls.go
@@ -102,6 +102,20 @@
 	return e, replaced, d
 }
 
+// MayHaveRun tells whether an earlier attempt of a request that must not run twice may have run, for a call that is
+// answered without Begin.
+func (c *Calls) MayHaveRun(id string, attempt int, now time.Duration) bool {
+	c.expire(now)
+	old := c.byID[id]
+	switch {
+	case old == nil:
+		return attempt > 1
+	case old.Over:
+		return old.Ran
+	}
+	return !old.Returning
+}
+
 // Return notes that the caller is expected back until the given time.
 func (c *Calls) Return(e *Entry, until time.Duration) {
 	if !e.Over && c.byID[e.ID] == e {
--- a/internal/extproc/server/answer.go
+++ b/internal/extproc/server/answer.go
@@ -26,7 +26,7 @@
 }
 
 // immediate is the final answer to the caller's client. Nothing more is said on the stream.
-func (s *stream) immediate(code int, text, contentType string, headers ...*corev3.HeaderValueOption) error {
+func (s *stream) immediate(code int, text []byte, contentType string, headers ...*corev3.HeaderValueOption) error {
 	if contentType == "" {
 		contentType = "text/plain"
 	}
@@ -52,7 +52,7 @@
 		ImmediateResponse: &extprocv3.ImmediateResponse{
 			Status:  &typev3.HttpStatus{Code: typev3.StatusCode(code)},
 			Headers: &extprocv3.HeaderMutation{SetHeaders: headers},
-			Body:    []byte(text), Details: "linenloom_" + details,
+			Body:    text, Details: "linenloom_" + details,
 		}}})
 	if err != nil {
 		return err
@@ -64,21 +64,23 @@
 // the module names no time, the shortest stands.
 func (s *stream) refuse(after time.Duration) error {
 	seconds := max(1, int((after+time.Second-1)/time.Second))
-	return s.immediate(503, "refused: the request never ran\n", "", setHeader("retry-after", strconv.Itoa(seconds)))
+	return s.immediate(503, []byte("refused: the request never ran\n"), "", setHeader("retry-after", strconv.Itoa(seconds)))
 }
 
 // fail promises nothing.
-func (s *stream) fail(why string) error { return s.immediate(502, "failed: "+why+"\n", "") }
+func (s *stream) fail(why string) error { return s.immediate(502, []byte("failed: "+why+"\n"), "") }
 
 func (s *stream) tooLong() error {
-	return s.immediate(413, "the body is over "+strconv.Itoa(maxBody)+" bytes\n", "")
+	return s.immediate(413, []byte("the body is over "+strconv.Itoa(maxBody)+" bytes\n"), "")
 }
 
 // answer passes the host's final answer on.
 func (s *stream) answer(a *proxy.Answer) error {
 	switch a.Kind {
 	case proxy.Served:
-		return s.immediate(200, string(a.Value), s.cfg.ContentType)
+		err := s.immediate(200, a.Value, s.cfg.ContentType)
+		s.f.p.Do(s.call.forget)
+		return err
 	case proxy.Refused:
 		return s.refuse(a.RetryAfter)
 	}
--- a/internal/extproc/server/hard_test.go
+++ b/internal/extproc/server/hard_test.go
@@ -60,6 +60,12 @@
 			q = order("o2", "w2")
 			q.Headers["x-envoy-attempt-count"] = "3"
 			r.want(r.do(q), 502, "may have run")
+			// Nor can one be called refused whose time is over.
+			q.Headers["x-envoy-expected-rq-timeout-ms"] = "0"
+			r.want(r.do(q), 502, "may have run")
+			q = order("o3", "w3")
+			q.Headers["x-envoy-expected-rq-timeout-ms"] = "0"
+			r.want(r.do(q), 503, "never ran")
 			if n := fleet.Origin.Began(); n != 1 {
 				t.Errorf("the origin saw %d orders, want 1", n)
 			}
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -375,6 +375,7 @@
 func (c *call) Answer(a proxy.Answer) {
 	if a.Value != nil {
 		a.Value = append([]byte(nil), a.Value...)
+		c.f.p.Hold(len(a.Value))
 	}
 	c.final = &a
 	c.notify()
@@ -410,6 +411,15 @@
 	if !c.settled {
 		c.f.counts.Abandoned++
 		c.settle()
+		c.forget()
+	}
+}
+
+// forget lets go of the final answer's value, once it is written or nobody wants it.
+func (c *call) forget() {
+	if c.final != nil {
+		c.f.p.Hold(-len(c.final.Value))
+		c.final.Value = nil
 	}
 }
 
@@ -421,5 +431,9 @@
 	}
 }
 
-// maxBody is the longest body of a request: the platform's longest value.
-const maxBody = resp.MaxValue
+const (
+	// maxBody is the longest body of a request: the platform's longest value.
+	maxBody = resp.MaxValue
+	// maxText bounds what a request tells beside it, as on the RESP2 front.
+	maxText = 2 << 10
+)
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -155,6 +155,7 @@
 		return s.invalid("%v", err)
 	}
 	if s.observed = s.observed || m.GetObservabilityMode(); s.observed {
+		s.f.p.Do(func() { s.idle, s.due = true, s.f.p.Now()+passedFor })
 		return nil // the caller goes on by itself; a choice made here would book load that nobody sends
 	}
 	switch kind {
@@ -282,13 +283,13 @@
 		if status.Code(err) == codes.InvalidArgument {
 			return err
 		}
-		return s.immediate(400, err.Error(), "")
+		return s.immediate(400, []byte(err.Error()), "")
 	}
 	h := &s.head
 	target, ok := s.cfg.mapping.Match(h.method, h.path)
 	if !ok {
 		if s.cfg.Unmapped != "pass" {
-			return s.immediate(404, "nothing is served under this method and path", "")
+			return s.immediate(404, []byte("nothing is served under this method and path"), "")
 		}
 		s.passed = true
 		s.f.p.Do(func() { s.idle, s.due = true, s.f.p.Now()+passedFor })
@@ -302,7 +303,7 @@
 	}
 	left -= s.cfg.Margin.D()
 	if left <= 0 {
-		return s.immediate(503, extproc.ErrSpent.Error()+"; it never ran", "")
+		return s.spent(class)
 	}
 	s.deadline = s.asOf.Add(left)
 	if h.length > maxBody {
@@ -314,6 +315,23 @@
 	return s.begin(ctx, h.attempt, false)
 }
 
+// spent answers a request whose time is over. It has never run, unless an attempt that came before has.
+func (s *stream) spent(class *logic.Class) error {
+	ran := false
+	if s.unsafe(class) {
+		s.f.p.Do(func() { ran = s.f.calls.MayHaveRun(s.head.id, s.head.attempt, s.f.p.Now()) })
+	}
+	if ran {
+		return s.fail("an earlier attempt may have run, and the time for the request is over")
+	}
+	return s.immediate(503, []byte(extproc.ErrSpent.Error()+"; it never ran"), "")
+}
+
+// unsafe tells whether the request must not run twice.
+func (s *stream) unsafe(class *logic.Class) bool {
+	return class.Effect == logic.Once || class.Effect == logic.ByKey && s.head.key == ""
+}
+
 // pass lets a request go on that is none of ours, and spares its further phases. In mode route the header that names
 // a member is not the client's to set.
 func (s *stream) pass() error {
@@ -409,7 +427,7 @@
 func (s *stream) begin(ctx context.Context, attempt int, body bool) error {
 	f, h := s.f, &s.head
 	class := &f.p.Settings().Classes[s.cfg.classes[s.target.Class]]
-	unsafe := class.Effect == logic.Once || class.Effect == logic.ByKey && h.key == ""
+	unsafe := s.unsafe(class)
 	var d extproc.Decision
 	var fault error
 	f.p.Do(func() {
@@ -438,11 +456,11 @@
 	case fault != nil && errors.Is(fault, proxy.ErrBusy):
 		return s.refuse(0)
 	case fault != nil && errors.Is(fault, proxy.ErrInUse):
-		return s.immediate(409, "the request id is in use", "")
+		return s.immediate(409, []byte("the request id is in use"), "")
 	case fault != nil:
-		return s.immediate(400, fault.Error(), "")
+		return s.immediate(400, []byte(fault.Error()), "")
 	case d == extproc.InUse:
-		return s.immediate(409, "the request id belongs to another request in hand", "")
+		return s.immediate(409, []byte("the request id belongs to another request in hand"), "")
 	case d == extproc.MayRun:
 		return s.fail("an earlier attempt may have run, and the request must not run twice")
 	case d == extproc.Crowded:
@@ -472,6 +490,10 @@
 			return fmt.Errorf("%s must be plain text without commas", v.name)
 		}
 	}
+	if len(s.target.Key)+len(id)+len(h.tenant)+len(h.key) > maxText {
+		s.drop(c)
+		return fmt.Errorf("key, id, tenant and idempotency key together are over %d bytes", maxText)
+	}
 	if left <= 0 {
 		s.drop(c)
 		return proxy.ErrBusy
