linenlab scale: the collapse under many clients, shown on stand-ins of our own

Change: a scenario with 8 to 1,000 closed-loop clients before eight boxes that hold everything, a byte relay beside it; each value is checked to be the one that was asked for.

--- a/cmd/linenlab/main.go
+++ b/cmd/linenlab/main.go
@@ -19,6 +19,7 @@
 	run         func(context.Context, *lab.Env) (*lab.Report, error)
 }{
 	{"extproc", "the external processor: the choices of both fronts, SIGKILL under load, what a call costs", lab.ExtProc},
+	{"scale", "many clients before a healthy fleet: what is served, refused, and a read's cost against a relay", lab.Scale},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -195,9 +195,10 @@
 
 // Fill stores the values of keys on every box.
 func (f *Fleet) Fill(keys ...string) {
-	for _, b := range f.Boxes {
-		for _, k := range keys {
-			b.Put(k, f.value(k))
+	for _, k := range keys {
+		v := f.value(k)
+		for _, b := range f.Boxes {
+			b.Put(k, v)
 		}
 	}
 }
