An attempt waits for a connection where the wait is short, instead of being refused

Need: with more clients than connections a healthy fleet was refused (85% at 300 clients) and goodput fell to a quarter.

Cause: a waiting room of two at a cache; each attempt past it came back as 'no connection', went through the module up to the try limit, and counted each time as a read asked of the caches, so that the throttle refused for a shortage of the proxy's own. Change: an attempt waits where the wait, told from how long a connection is taken lately, is under an eighth of its time and the cache is not stuck; in line are first those whose time ends first. One whose wait ends in vain is the proxy's shortage and no failure of the member, and is not counted as asked.

--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -21,9 +21,18 @@
 const (
 	// nodeSockets is how many connections a cache surely takes from all proxies together; each has its
 	// part of them. A fuller table also takes of what the cache can do, so few are opened.
-	nodeSockets    = 28
-	cacheSockets   = 6
-	waitingRoom    = 2 // attempts that wait at a cache for one of its connections to be free, beside the dials
+	nodeSockets  = 28
+	cacheSockets = 6
+	// waitingRoom is how many attempts may wait at a cache for one of its connections, beside the dials, whatever the
+	// wait. More may where it is short: a place at the right cache, soon, beats a miss elsewhere, and a refusal. The wait
+	// is told from how long a connection is taken for a request lately and may be this part of the attempt's time.
+	waitingRoom = 2
+	waitShare   = 8
+	// stuckTurns is after how many times that long without a request on any connection begun a cache counts as stuck,
+	// and nothing more waits for it. It should exceed what answers vary by.
+	turnOf         = 16 // the latest request counts for one in so many
+	stuckTurns     = 4
+	stuckLeast     = 20 * time.Millisecond
 	originSockets  = 48
 	originShare    = 12 // percent of the descriptors for the origin, at most
 	maxDials       = 64 // at once: a zone that vanished takes its time to fail, and must not take the descriptors
@@ -73,8 +82,9 @@
 	started time.Duration
 	conns   []*upstream // used last stands last
 	dials   int
-	warming bool // a dial is out that no attempt asked for
-	queued  bool // in dialQueue
+	warming bool          // a dial is out that no attempt asked for
+	turn    time.Duration // how long a connection is taken for a request lately; 0: not known
+	queued  bool          // in dialQueue
 	waiting []*attempt
 	backoff time.Duration // the last one, doubled with each dial in a row that failed
 	full    time.Duration // no dials until then, while there are connections
@@ -170,15 +180,40 @@
 	// A long line here would be load that the Balancer takes for the member's own. It is told at once that
 	// there is no more room, and can send elsewhere.
 	more := len(m.conns)+m.dials < p.maxConns(m) && (len(m.conns) == 0 || p.now >= m.full)
-	if !m.origin && !more && len(m.waiting) >= m.dials+waitingRoom {
+	if !m.origin && !more && len(m.waiting) >= m.dials+waitingRoom && !p.mayWait(m, a) {
 		p.end(a, logic.StatusNoConn, 0)
 		return
 	}
-	m.waiting = append(m.waiting, a)
+	m.wait(a)
 	p.schedule(due{at: p.now + p.cfg.Settings.ConnectTimeout, attempt: a, connect: true})
 	p.dial(m)
 }
 
+// mayWait tells whether an attempt has a short wait for a connection to a cache ahead of it.
+func (p *Proxy) mayWait(m *member, a *attempt) bool {
+	if m.turn == 0 || len(m.conns) == 0 {
+		return false
+	}
+	latest := m.conns[0].used
+	for _, u := range m.conns {
+		latest = max(latest, u.used)
+	}
+	if p.now-latest > max(stuckLeast, stuckTurns*m.turn) {
+		return false
+	}
+	wait := m.turn * time.Duration(len(m.waiting)+1) / time.Duration(len(m.conns))
+	return wait <= min((a.until-p.now)/waitShare, p.cfg.Settings.ConnectTimeout/2)
+}
+
+// wait puts an attempt in line, those whose time ends first in front.
+func (m *member) wait(a *attempt) {
+	i := len(m.waiting)
+	for i > 0 && m.waiting[i-1].until > a.until {
+		i--
+	}
+	m.waiting = slices.Insert(m.waiting, i, a)
+}
+
 // pick chooses the free connection used last, so that the others fall idle and close; nil, if there is none.
 // One that has stood so long that the member may be closing it, or that is not silent, is not used again.
 func (p *Proxy) pick(m *member, a *attempt) *upstream {
@@ -375,11 +410,15 @@
 		return
 	}
 	p.unqueue(a)
-	s := logic.StatusConnectFailed
+	p.end(a, p.unconnected(a), 0)
+}
+
+// unconnected is the outcome of an attempt that has waited for a connection in vain.
+func (p *Proxy) unconnected(a *attempt) logic.Status {
 	if m := p.members[a.to]; m != nil && len(m.conns) > 0 {
-		s = logic.StatusNoConn
+		return logic.StatusNoConn
 	}
-	p.end(a, s, 0)
+	return logic.StatusConnectFailed
 }
 
 func (p *Proxy) unqueue(a *attempt) {
@@ -459,8 +498,8 @@
 	u := a.conn
 	if u == nil {
 		p.unqueue(a)
-		if s == logic.StatusTimeout {
-			s = logic.StatusConnectFailed // it was never sent
+		if s == logic.StatusTimeout { // it was never sent
+			s = p.unconnected(a)
 		}
 		p.end(a, s, 0)
 		return
@@ -598,6 +637,9 @@
 	case !u.silent():
 		return errStray
 	}
+	if u.current != nil {
+		u.m.turn += (p.now - u.used - u.m.turn) / turnOf
+	}
 	u.current, u.pinged, u.used = nil, false, p.now
 	u.kept = true
 	p.serveWaiting(u.m)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -737,8 +737,9 @@
 	if o.Status.NeverRan() {
 		f.ran &^= bit
 	}
-	if o.Status == StatusNoConn && f.unsent < b.s.TryLimit {
-		f.unsent++
+	if o.Status == StatusNoConn {
+		b.asked = max(0, b.asked-1) // nobody was asked: the throttle would take this proxy's shortage for the caches'
+		f.unsent = min(f.unsent+1, b.s.TryLimit)
 	}
 	f.done = f.done || o.Final
 	// A fetch that failed goes back in line below; until it is given up, those who wait for it go on waiting.
