Reads travel together where connections to a cache are short; a wheel of timers

Change: where no connection is free and none more may be opened, a read is written behind others at a cache that is quick and has given 32 clean answers; never behind a write, to an origin, or after the same key. A spoilt answer, or one that repeats the one before it, ends the connection; those behind are tried again, are no failure of the cache, and it goes back to one at a time for twice as many clean answers. A rest costs no sleep and no goroutine; timers are a wheel of ticks; requests that are over are let go of by their timers; peeks and deadlines that told nothing are left out. In logic: attempts that found no connection, or whose connection ended for another's sake, are not counted as asked.

Spoilt, doubled and cut answers with 1, 2 and 32 reads outstanding serve nobody a wrong value.

--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -84,7 +84,7 @@
 
 // SetTimer asks for a Timer event.
 func (x actions) SetTimer(at time.Duration, token uint64) {
-	x.p.schedule(due{at: at, token: token})
+	x.p.timers.pushToken(x.p.now, at, token)
 }
 
 // Watch and Fetch ask for the list. Discovery pushes it here, and the watch is always kept up.
--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -201,7 +201,7 @@
 		}
 		p.eventually("the connection is free", func() bool {
 			for _, m := range p.members {
-				return len(m.conns) == 1 && m.conns[0].current == nil
+				return len(m.conns) == 1 && m.conns[0].current == nil && p.now >= m.conns[0].restEnd
 			}
 			return false
 		})
@@ -261,7 +261,7 @@
 		}
 		p.eventually("the connection is free", func() bool {
 			for _, m := range p.members {
-				return len(m.conns) == 1 && m.conns[0].current == nil
+				return len(m.conns) == 1 && m.conns[0].current == nil && p.now >= m.conns[0].restEnd
 			}
 			return false
 		})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -85,10 +85,15 @@
 	upstreams   int // connections to members, those being dialled included
 	dialling    int
 	dialQueue   []*member // they wait for others' dials to end
+	rested      []*member // where attempts wait for connections to rest
+	restedSpare []*member
+	restTimer   *time.Timer
+	restAt      time.Duration
 	ids         ids
 	stopping    bool // no request is taken any more
 	idle        idleTimes
 	hold        time.Duration              // see holdTime
+	slowHead    time.Duration              // see slowHead
 	watches     []*watch                   // the one that counts, and one that has yet to tell its first list
 	startWatch  func(w *watch, whole bool) // nil while the proxy does not run
 	revision    int64                      // of the list
@@ -105,8 +110,8 @@
 	p := &Proxy{
 		cfg: cfg, log: log, started: time.Now(),
 		members: map[logic.MemberID]*member{}, requests: map[logic.RequestID]*Request{},
-		ids:     newIDs(),
-		hold:    holdTime,
+		ids:  newIDs(),
+		hold: holdTime, slowHead: slowHead,
 		idle:    newIdleTimes(cfg.ConnIdle * idleShare / 100),
 		heldMax: int(float64(cfg.MemoryMB) * (1 << 20) * bufferShare),
 	}
@@ -117,6 +122,7 @@
 		p.offset = time.Hour
 	}
 	p.now = p.offset
+	p.timers = newTimers(tickOf(&p.cfg.Settings), p.now)
 	p.buffers.New = func() any { return new([]byte) }
 	bal, err := logic.New(cfg.Settings, cfg.Seed, actions{p})
 	if err != nil {
@@ -140,6 +146,7 @@
 	p.enter()
 	p.timer = time.AfterFunc(time.Hour, p.ring)
 	p.wakeAt = p.now + time.Hour
+	p.restTimer = time.AfterFunc(time.Hour, p.restOver)
 	p.bal.Start(p.now)
 	p.apply(logic.ListCached, p.cfg.Known)
 	p.leave()
@@ -183,6 +190,7 @@
 // closeAll ends what is still open; nothing is owed on it any more.
 func (p *Proxy) closeAll() {
 	p.timer.Stop()
+	p.restTimer.Stop()
 	for _, f := range p.fronts {
 		f.Close()
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -57,6 +57,9 @@
 		delete(p.requests, r.id)
 		p.held -= cap(r.Value)
 		r.Value = nil
+		for _, a := range r.attempts { // timers still name them
+			a.req = nil
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/scale_test.go
@@ -0,0 +1,480 @@
+package proxy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"linenloom/internal/discovery"
+	"linenloom/internal/resp"
+	"linenloom/logic"
+)
+
+// crowd has so many clients ask for so many tiles each, one after another, and counts the answers by kind.
+func crowd(t *testing.T, p *testProxy, clients, each int) (served, refused, failed int64) {
+	t.Helper()
+	var s, b, f atomic.Int64
+	var g sync.WaitGroup
+	for c := range clients {
+		tc := p.dial()
+		g.Go(func() {
+			for i := range each {
+				key := fmt.Sprintf("a%d", (c*7+i)%500)
+				tc.send(get(key, fmt.Sprintf("id%d-%d-%d", clients, c, i)))
+				switch got := tc.answer(); {
+				case got == "value of "+key:
+					s.Add(1)
+				case strings.HasPrefix(got, "-BUSY"):
+					b.Add(1)
+				default:
+					if f.Add(1) < 5 {
+						t.Logf("client %d was answered %q", c, got)
+					}
+				}
+			}
+		})
+	}
+	g.Wait()
+	return s.Load(), b.Load(), f.Load()
+}
+
+// Many clients before few caches that are well: those that find no connection wait, and nobody is refused. One cache of
+// them may be silent, drop connections, or take few of them.
+func TestCrowdIsServedByAHealthyFleet(t *testing.T) {
+	const clients, each, caches = 120, 6, 8
+	healthy := func(a asked) string { return hit("value of " + a.key) }
+	for name, odd := range map[string]func(t *testing.T) string{
+		"all are well": func(t *testing.T) string { return cache(t, healthy) },
+		"one is silent": func(t *testing.T) string {
+			return listen(t, func(conn net.Conn) { readAll(conn) })
+		},
+		"one resets every third connection": func(t *testing.T) string {
+			var n atomic.Int32
+			return listen(t, func(conn net.Conn) {
+				serveCache(conn, healthy, n.Add(1)%3 == 0)
+			})
+		},
+		"one takes four connections": func(t *testing.T) string {
+			var open atomic.Int32
+			return listen(t, func(conn net.Conn) {
+				defer open.Add(-1)
+				if open.Add(1) <= 4 {
+					serveCache(conn, healthy, false)
+				}
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Sockets = 1024
+			cfg.Multiplex = 32
+			cfg.Settings.Classes[0].Aim = 2 * time.Second
+			o := origin(t, func(r *http.Request) string { return page("value of " + r.URL.Path[1:]) })
+			members := []discovery.Member{entry("s-odd", odd(t), "large"), entry("o-1", o, "origin")}
+			for i := range caches - 1 {
+				members = append(members, entry(fmt.Sprint("s-", i), cache(t, healthy), "large"))
+			}
+			p := start(t, cfg, members...)
+			crowd(t, p, 32, 6) // the module learns what the caches take
+			served, refused, failed := crowd(t, p, clients, each)
+			if served != clients*each {
+				t.Errorf("%d served, %d refused, %d failed", served, refused, failed)
+			}
+			p.eventually("nothing is in hand", func() bool {
+				for _, m := range p.members {
+					if len(m.waiting) > 0 {
+						return false
+					}
+				}
+				return len(p.requests) == 0 && p.held == 0
+			})
+		})
+	}
+}
+
+func readAll(conn net.Conn) {
+	b := make([]byte, 4096)
+	for {
+		if _, err := conn.Read(b); err != nil {
+			return
+		}
+	}
+}
+
+// serveCache answers commands; one that breaks does so at its first.
+func serveCache(conn net.Conn, answer func(asked) string, breaks bool) {
+	in := resp.NewReader(conn, 4096)
+	for {
+		w, err := readCommand(in)
+		if err != nil || breaks {
+			return
+		}
+		if w[0] == "PING" {
+			fmt.Fprint(conn, "+PONG\r\n")
+			continue
+		}
+		fmt.Fprint(conn, answer(asked{name: w[0], key: w[1], id: w[2], attrs: w[3]}))
+	}
+}
+
+// Waiting is for a short wait: not at a cache that is stuck, not where the line would take the attempt's time, and not
+// where nothing is known.
+func TestWhoMayWait(t *testing.T) {
+	p := &Proxy{now: time.Hour}
+	p.cfg.Settings.ConnectTimeout = 250 * time.Millisecond
+	at := func(used time.Duration) []*upstream {
+		return []*upstream{{used: p.now - used}, {used: p.now - time.Second}}
+	}
+	line := func(n int) []*attempt { return make([]*attempt, n) }
+	for name, c := range map[string]struct {
+		m    member
+		left time.Duration
+		want bool
+	}{
+		"a short line":          {member{turn: time.Millisecond, conns: at(0), waiting: line(9)}, 400 * time.Millisecond, true},
+		"a long line":           {member{turn: time.Millisecond, conns: at(0), waiting: line(999)}, 400 * time.Millisecond, false},
+		"little time":           {member{turn: time.Millisecond, conns: at(0), waiting: line(9)}, 30 * time.Millisecond, false},
+		"slow answers":          {member{turn: 100 * time.Millisecond, conns: at(0), waiting: line(2)}, 400 * time.Millisecond, false},
+		"stuck":                 {member{turn: time.Millisecond, conns: at(30 * time.Millisecond), waiting: line(2)}, 400 * time.Millisecond, false},
+		"no connection":         {member{turn: time.Millisecond, waiting: line(2)}, 400 * time.Millisecond, false},
+		"nothing known":         {member{conns: at(0), waiting: line(2)}, 400 * time.Millisecond, false},
+		"as long as a dial may": {member{turn: 2 * time.Millisecond, conns: at(0), waiting: line(130)}, time.Hour, false},
+	} {
+		if got := p.mayWait(&c.m, &attempt{until: p.now + c.left}); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+// In line are first those whose time ends first; of the same time, those that came first.
+func TestLineIsOrderedByTime(t *testing.T) {
+	m := &member{}
+	for i, until := range []time.Duration{5, 3, 9, 3, 1, 5} {
+		m.wait(&attempt{until: until, n: i})
+	}
+	var got []int
+	for _, a := range m.waiting {
+		got = append(got, a.n)
+	}
+	if !slices.Equal(got, []int{4, 1, 3, 0, 5, 2}) {
+		t.Errorf("%v", got)
+	}
+}
+
+// A member that drains with a line before it gets nothing of the line.
+func TestDrainEndsTheLine(t *testing.T) {
+	p := &Proxy{cfg: testConfig(), requests: map[logic.RequestID]*Request{}}
+	p.cfg.Settings.ConnectTimeout = time.Second
+	p.timers = newTimers(time.Millisecond, 0)
+	m := &member{state: logic.Draining}
+	for i := range 5 {
+		m.wait(&attempt{req: &Request{out: 1}, n: i})
+	}
+	p.retire(m)
+	if len(m.waiting) != 0 || len(p.outcomes) != 5 {
+		t.Fatalf("%d wait, %d have ended", len(m.waiting), len(p.outcomes))
+	}
+	for _, o := range p.outcomes {
+		if !o.Status.NeverRan() {
+			t.Errorf("%v may have run", o.Status)
+		}
+	}
+}
+
+// The wheel against a list: whatever is set and however time goes on, all fall due in the tick after their time, once,
+// and what lies far ahead as well; and earliest never tells a time after that of a timer.
+func TestTimersAgainstAList(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		tick := time.Duration(1+rng.IntN(5)) * time.Millisecond
+		now := time.Hour + time.Duration(rng.IntN(1e6))
+		w := newTimers(tick, now)
+		type set struct {
+			at     time.Duration
+			module bool
+		}
+		model := map[uint64]set{}
+		next := uint64(0)
+		ran := func(token uint64, module bool) {
+			s, ok := model[token]
+			if !ok || s.module != module {
+				t.Fatalf("seed %d: timer %d ran and was not set", seed, token)
+			}
+			if now < s.at {
+				t.Fatalf("seed %d: timer %d ran %v early", seed, token, s.at-now)
+			}
+			delete(model, token)
+		}
+		for range 2000 {
+			for range rng.IntN(6) {
+				at := now + time.Duration(rng.Int64N(int64(3*time.Second)))
+				switch rng.IntN(20) {
+				case 0:
+					at = now + time.Duration(rng.Int64N(int64(time.Minute)))
+				case 1:
+					at = now - time.Second
+				case 2:
+					at = now
+				}
+				next++
+				model[next] = set{max(at, now), next%3 > 0}
+				if next%3 > 0 {
+					w.pushToken(now, at, next)
+				} else {
+					w.push(now, due{at: at, token: next})
+				}
+			}
+			soonest := time.Duration(1<<62 - 1)
+			for _, s := range model {
+				soonest = min(soonest, s.at)
+			}
+			if at, ok := w.earliest(); ok != (len(model) > 0) || ok && at > max(soonest, now)+2*tick {
+				t.Fatalf("seed %d: earliest is %v %v, a timer at %v, now %v", seed, at, ok, soonest, now)
+			}
+			step := time.Duration(rng.Int64N(int64(40 * time.Millisecond)))
+			if rng.IntN(200) == 0 {
+				step = time.Duration(rng.Int64N(int64(30 * time.Second)))
+			}
+			now += step
+			w.run(now, func(token uint64) { ran(token, true) }, func(d due) { ran(d.token, false) })
+			w.run(now, func(token uint64) { ran(token, true) }, func(d due) { ran(d.token, false) })
+			for token, s := range model {
+				if s.at+2*tick <= now {
+					t.Fatalf("seed %d: timer %d is %v late", seed, token, now-s.at)
+				}
+			}
+		}
+		if w.count != len(model) {
+			t.Fatalf("seed %d: %d counted, %d set", seed, w.count, len(model))
+		}
+	}
+}
+
+func BenchmarkTimers(b *testing.B) {
+	w := newTimers(2*time.Millisecond, time.Hour)
+	now := time.Hour
+	b.ReportAllocs()
+	for i := range b.N {
+		now += 30 * time.Microsecond
+		w.pushToken(now, now+800*time.Millisecond, uint64(i))
+		w.pushToken(now, now+3*time.Second, uint64(i))
+		w.push(now, due{at: now + 480*time.Millisecond, token: uint64(i)})
+		if i%64 == 0 {
+			w.run(now, func(uint64) {}, func(due) {})
+		}
+	}
+}
+
+// lined is a proxy before one cache, with one connection to it on which reads travel together, and an origin.
+func lined(t *testing.T, serve func(conn net.Conn, in *resp.Reader, nth int32)) *testProxy {
+	t.Helper()
+	var conns atomic.Int32
+	node := listen(t, func(conn net.Conn) { serve(conn, resp.NewReader(conn, 4096), conns.Add(1)) })
+	o := origin(t, func(r *http.Request) string { return page("value of " + r.URL.Path[1:]) })
+	cfg := testConfig()
+	cfg.Multiplex, cfg.Settings.Instances = 64, nodeSockets // so that each proxy has one connection to a cache
+	p := start(t, cfg, entry("s-1", node, "large"), entry("o-1", o, "origin"))
+	p.eventually("it is set up", func() bool { p.slowHead = patience; return len(p.members) == 2 })
+	c := p.dial()
+	for i := range cleanFirst + 4 {
+		c.send(get(fmt.Sprint("w", i), fmt.Sprint("w", i)))
+		if got := c.answer(); got != fmt.Sprint("value of w", i) {
+			t.Fatalf("warming up: answered %q", got)
+		}
+	}
+	return p
+}
+
+// nextKey reads a command.
+func nextKey(in *resp.Reader) (string, error) {
+	w, err := readCommand(in)
+	if err != nil {
+		return "", err
+	}
+	return w[1], nil
+}
+
+// With requests outstanding on a connection, an answer that is spoilt, or comes twice, never serves anybody a wrong
+// value, and those behind it get theirs elsewhere.
+func TestSpoiltAnswersWithOthersBehind(t *testing.T) {
+	twice := func(first string) string { return hit("value of "+first) + hit("value of "+first) }
+	for name, spoil := range map[string]func(first string) string{
+		"a second copy":    twice,
+		"noise behind":     func(first string) string { return hit("value of "+first) + "\x8fb2\xf4\r\n" },
+		"noise":            func(string) string { return "\x8fb2\xf4\r\n" },
+		"an endless value": func(string) string { return "*3\r\n$3000000000\r\n" + strings.Repeat("x", 64<<10) },
+		"a short length":   func(first string) string { return "*3\r\n$3\r\nvalue of " + first + "\r\n$3\r\nhit\r\n$-1\r\n" },
+		"half an answer":   func(string) string { return "*3\r\n$40\r\nvalue of" },
+		"a bad word":       func(string) string { return "*3\r\n$6\r\nspoilt\r\n:9\r\n$-1\r\n" },
+		"the end":          nil,
+	} {
+		for _, outstanding := range []int{1, 2, 32} {
+			t.Run(fmt.Sprintf("%s, %d out", name, outstanding), func(t *testing.T) {
+				var most atomic.Int32
+				p := lined(t, func(conn net.Conn, in *resp.Reader, nth int32) {
+					for {
+						key, err := nextKey(in)
+						if err != nil {
+							return
+						}
+						if nth > 1 || key[0] == 'w' {
+							fmt.Fprint(conn, hit("value of "+key))
+							continue
+						}
+						keys := []string{key}
+						for len(keys) < outstanding {
+							if key, err = nextKey(in); err != nil {
+								return
+							}
+							keys = append(keys, key)
+						}
+						most.Store(int32(len(keys)))
+						if spoil == nil {
+							return
+						}
+						out := spoil(keys[0])
+						for _, k := range keys[1:] {
+							out += hit("value of " + k)
+						}
+						fmt.Fprint(conn, out)
+						readAll(conn)
+						return
+					}
+				})
+				c := p.dial()
+				var all strings.Builder
+				for i := range outstanding {
+					all.WriteString(get(fmt.Sprint("a", i), fmt.Sprint("id", i)))
+				}
+				c.send(all.String())
+				for i := range outstanding {
+					if got, want := c.answer(), fmt.Sprint("value of a", i); got != want {
+						t.Errorf("read %d was answered %q, want %q", i, got, want)
+					}
+				}
+				if n := most.Load(); n != int32(outstanding) {
+					t.Errorf("%d were out together, want %d", n, outstanding)
+				}
+				p.eventually("the cache is asked one at a time", func() bool {
+					for _, m := range p.members {
+						if !m.origin {
+							return spoil == nil || m.cleanNeed >= cleanFirst || name == "half an answer"
+						}
+					}
+					return false
+				})
+			})
+		}
+	}
+}
+
+// A slow answer in front: those behind it are not judged, get theirs elsewhere, and the cache's latency is that of what
+// it was asked for and not of the line.
+func TestSlowAnswerInFront(t *testing.T) {
+	release := make(chan struct{})
+	p := lined(t, func(conn net.Conn, in *resp.Reader, nth int32) {
+		for {
+			key, err := nextKey(in)
+			if err != nil {
+				return
+			}
+			if key == "a0" && nth == 1 {
+				<-release
+			}
+			fmt.Fprint(conn, hit("value of "+key))
+		}
+	})
+	var g sync.WaitGroup
+	ask := func(i int) {
+		c := p.dial()
+		c.send(get(fmt.Sprint("a", i), fmt.Sprint("id", i)))
+		g.Go(func() {
+			if got := c.answer(); got != fmt.Sprint("value of a", i) {
+				t.Errorf("read %d was answered %q", i, got)
+			}
+		})
+	}
+	var u *upstream
+	out := func(n int) func() bool {
+		return func() bool {
+			for _, m := range p.members {
+				if !m.origin && len(m.conns) == 1 {
+					u = m.conns[0]
+				}
+			}
+			return u != nil && u.current != nil && len(u.behind) == n
+		}
+	}
+	ask(0)
+	p.eventually("the first is out", out(0))
+	for i := 1; i < 4; i++ {
+		ask(i)
+	}
+	p.eventually("three are behind", out(3))
+	var ended []logic.Outcome
+	p.enter()
+	p.abandon(u.behind[0], logic.StatusTimeout) // as if its time were up
+	ended = append(ended, p.outcomes...)
+	p.leave()
+	if len(ended) != 4 {
+		t.Errorf("%d attempts ended, want all four", len(ended))
+	}
+	for _, o := range ended {
+		if o.Status != logic.StatusCancelled {
+			t.Errorf("attempt of request %d ended with %v, which judges the cache", o.Request, o.Status)
+		}
+	}
+	close(release)
+	g.Wait()
+}
+
+// The same key twice in a row does not travel together: a second copy of the first answer could not be told from the
+// second's. Nor does anything travel behind a write, or to a cache that has yet to show that its answers are clean.
+func TestWhatTravelsAlone(t *testing.T) {
+	p := &Proxy{now: time.Hour, slowHead: time.Second}
+	p.cfg.Multiplex = 4
+	p.cfg.Settings.Classes = []logic.Class{{}, {Effect: logic.Once}}
+	read := func(key string) *attempt { return &attempt{req: &Request{Command: Command{Key: []byte(key)}}} }
+	conn := func() *upstream {
+		return &upstream{kept: true, w: &writer{}, current: read("k1"), headAt: p.now, tail: []byte("k1")}
+	}
+	for name, c := range map[string]struct {
+		edit func(m *member, u *upstream, a *attempt)
+		want bool
+	}{
+		"another key":       {func(*member, *upstream, *attempt) {}, true},
+		"the same key":      {func(_ *member, u *upstream, _ *attempt) { u.tail = []byte("k2") }, false},
+		"a write":           {func(_ *member, _ *upstream, a *attempt) { a.req.Write = true }, false},
+		"behind a write":    {func(_ *member, u *upstream, _ *attempt) { u.alone = true }, false},
+		"an order":          {func(_ *member, _ *upstream, a *attempt) { a.req.class = 1 }, false},
+		"an origin":         {func(m *member, _ *upstream, _ *attempt) { m.origin = true }, false},
+		"an unknown cache":  {func(m *member, _ *upstream, _ *attempt) { m.clean = cleanFirst - 1 }, false},
+		"a spoilt one":      {func(m *member, _ *upstream, _ *attempt) { m.spoilt() }, false},
+		"a full connection": {func(_ *member, u *upstream, _ *attempt) { u.behind = make([]*attempt, 3) }, false},
+		"a slow head":       {func(_ *member, u *upstream, _ *attempt) { u.headAt -= 2 * time.Second }, false},
+		"a new connection":  {func(_ *member, u *upstream, _ *attempt) { u.kept = false }, false},
+		"one that is busy":  {func(_ *member, u *upstream, _ *attempt) { u.w.busy = true }, false},
+		"one that is free":  {func(_ *member, u *upstream, _ *attempt) { u.current = nil }, false},
+	} {
+		m, u, a := &member{clean: cleanFirst}, conn(), read("k2")
+		m.conns = []*upstream{u}
+		c.edit(m, u, a)
+		if got := p.join(m, a) != nil; got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+	m := &member{}
+	for range 20 {
+		m.spoilt()
+	}
+	if m.cleanNeed != cleanMost {
+		t.Errorf("after many spoilt answers %d clean ones are asked for", m.cleanNeed)
+	}
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
@@ -75,37 +76,56 @@
 
 // member is what this package knows of a member: its address and the connections to it.
 type member struct {
-	id      logic.MemberID
-	addr    string
-	origin  bool
-	state   logic.State
-	started time.Duration
-	conns   []*upstream // used last stands last
-	dials   int
-	warming bool          // a dial is out that no attempt asked for
-	turn    time.Duration // how long a connection is taken for a request lately; 0: not known
-	queued  bool          // in dialQueue
-	waiting []*attempt
-	backoff time.Duration // the last one, doubled with each dial in a row that failed
-	full    time.Duration // no dials until then, while there are connections
-}
-
-// upstream is a connection to a member, with one request at a time: a cache that answers in order would let a
-// quick answer wait for a slow one, closes on what it can't read whatever else waits, and bytes that nobody
-// asked for could not be told from the answer to a request that crossed them.
+	id         logic.MemberID
+	addr       string
+	origin     bool
+	state      logic.State
+	started    time.Duration
+	conns      []*upstream // used last stands last
+	dials      int
+	warming    bool          // a dial is out that no attempt asked for
+	turn       time.Duration // how long a connection is taken for a request lately; 0: not known
+	queued     bool          // in dialQueue
+	waiting    []*attempt
+	awaitsRest bool // it is in rested
+	// clean answers since the last that was spoilt, and how many are asked for before requests travel together
+	clean, cleanNeed int
+	backoff          time.Duration // the last one, doubled with each dial in a row that failed
+	full             time.Duration // no dials until then, while there are connections
+}
+
+// upstream is a connection to a member. It carries one request at a time as long as there are connections enough: a
+// cache that answers in order lets a quick answer wait for a slow one, closes on what it can't read whatever else waits,
+// and bytes that nobody asked for can't be told from the answer to a request that crossed them. Where there are not,
+// reads are written behind others at a cache that is quick and has kept its answers clean (join, docs/connections.md).
 type upstream struct {
 	p       *Proxy
 	m       *member
 	conn    *net.TCPConn
 	w       *writer
-	origin  bool     // as the member was when it connected: the reader must not look at the member unlocked
-	current *attempt // sent and not yet answered, or answered and the connection at rest
+	origin  bool          // as the member was when it connected: the reader must not look at the member unlocked
+	current *attempt      // sent and not yet answered
+	behind  []*attempt    // sent after it, and answered after it
+	headAt  time.Duration // when current's turn came
+	last    uint64        // a hash of the value answered last, while others were behind; 0: none
+	alone   bool          // it carries a write
+	tail    []byte        // the key asked for last: the next must be another, or a second copy could not be told from its answer
 	used    time.Duration
-	idle    int  // the span of idle time that the request on it found it in; below 0: the connection was new
-	kept    bool // it has carried an answer
-	pinged  bool // a PING is out, and nothing else may be sent
-	retired bool // nothing new is sent
+	idle    int           // the span of idle time that the request on it found it in; below 0: the connection was new
+	kept    bool          // it has carried an answer
+	pinged  bool          // a PING is out, and nothing else may be sent
+	restEnd time.Duration // when it may carry the next request
+	limited bool          // a deadline is set for the rest of an answer; the reader's own
+	first   bool          // the first read of an answer, which finds something at once; the reader's own
+	retired bool          // nothing new is sent
 	closed  bool
+
+	// peek is the reader's, and saw what it found; glance is under the lock. Closures made anew for each look would be
+	// garbage.
+	peek    func(fd uintptr) bool
+	saw     int
+	glance  func(fd uintptr)
+	glanced int
 }
 
 // update takes a list entry.
@@ -144,7 +164,7 @@
 // retire takes a connection out of use and closes it once nothing is awaited on it.
 func (u *upstream) retire() {
 	u.retired = true
-	if u.current == nil || u.current.ended {
+	if (u.current == nil || u.current.ended) && len(u.behind) == 0 {
 		u.close()
 	}
 }
@@ -180,28 +200,70 @@
 	// A long line here would be load that the Balancer takes for the member's own. It is told at once that
 	// there is no more room, and can send elsewhere.
 	more := len(m.conns)+m.dials < p.maxConns(m) && (len(m.conns) == 0 || p.now >= m.full)
+	if u := p.join(m, a); u != nil && !more {
+		u.start(a)
+		return
+	}
 	if !m.origin && !more && len(m.waiting) >= m.dials+waitingRoom && !p.mayWait(m, a) {
 		p.end(a, logic.StatusNoConn, 0)
 		return
 	}
 	m.wait(a)
+	p.awaitRest(m)
 	p.schedule(due{at: p.now + p.cfg.Settings.ConnectTimeout, attempt: a, connect: true})
 	p.dial(m)
 }
 
-// mayWait tells whether an attempt has a short wait for a connection to a cache ahead of it.
-func (p *Proxy) mayWait(m *member, a *attempt) bool {
-	if m.turn == 0 || len(m.conns) == 0 {
-		return false
+const (
+	// cleanFirst is how many clean answers a cache gives before anything is written behind a request to it; each answer
+	// that it spoils doubles that, up to cleanMost.
+	cleanFirst = 32
+	cleanMost  = 8192
+	// slowHead is how long the request in front may be out at the most before nothing more is written behind it. It
+	// should exceed a quick answer, and harms where all answers take longer: there, one request travels at a time.
+	slowHead = 5 * time.Millisecond
+)
+
+// join finds the connection to a cache behind whose requests a read waits least; nil, if it should not. What is written
+// behind others shares their fate, so it has to be a read, which may be sent again, and the cache quick and clean.
+func (p *Proxy) join(m *member, a *attempt) *upstream {
+	if m.origin || a.req.Write || p.once(a.req) || p.cfg.Multiplex < 2 || m.clean < max(cleanFirst, m.cleanNeed) {
+		return nil
 	}
-	latest := m.conns[0].used
+	var best *upstream
 	for _, u := range m.conns {
-		latest = max(latest, u.used)
+		if u.retired || u.w.failed || u.w.busy || u.pinged || !u.kept || u.current == nil || u.alone ||
+			1+len(u.behind) >= p.cfg.Multiplex || p.now-u.headAt > p.slowHead || bytes.Equal(u.tail, a.req.Key) {
+			continue
+		}
+		if best == nil || len(u.behind) < len(best.behind) {
+			best = u
+		}
 	}
-	if p.now-latest > max(stuckLeast, stuckTurns*m.turn) {
+	return best
+}
+
+// spoilt notes that a member's answer could not be read, or more came than was asked for.
+func (m *member) spoilt() {
+	m.clean, m.cleanNeed = 0, min(max(cleanFirst, 2*m.cleanNeed), cleanMost)
+}
+
+// mayWait tells whether an attempt has a short wait for a connection to a cache ahead of it.
+func (p *Proxy) mayWait(m *member, a *attempt) bool {
+	soon := len(m.conns) + m.dials
+	if m.turn == 0 || soon == 0 {
 		return false
 	}
-	wait := m.turn * time.Duration(len(m.waiting)+1) / time.Duration(len(m.conns))
+	if m.dials == 0 {
+		latest := m.conns[0].used
+		for _, u := range m.conns {
+			latest = max(latest, u.used)
+		}
+		if p.now-latest > max(stuckLeast, stuckTurns*m.turn) {
+			return false
+		}
+	}
+	wait := m.turn * time.Duration(len(m.waiting)+1) / time.Duration(soon)
 	return wait <= min((a.until-p.now)/waitShare, p.cfg.Settings.ConnectTimeout/2)
 }
 
@@ -224,7 +286,7 @@
 	for i := len(m.conns) - 1; i >= 0; i-- {
 		u := m.conns[i]
 		switch {
-		case u.retired || u.w.failed || u.w.busy || u.current != nil || u.pinged:
+		case u.retired || u.w.failed || u.w.busy || u.current != nil || u.pinged || p.now < u.restEnd:
 		case p.now-u.used >= p.idle.limit && u.kept || p.now-u.used >= p.cfg.ConnIdle*idleShare/100 || !u.silent():
 			u.retire()
 		case p.now-u.used < p.cfg.ConnIdle*share/100:
@@ -351,7 +413,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &upstream{p: p, m: m, origin: m.origin, conn: conn, w: w, used: p.now}, nil
+	u := &upstream{p: p, m: m, origin: m.origin, conn: conn, w: w, used: p.now}
+	u.peek = func(fd uintptr) bool {
+		u.saw = peek(fd)
+		return u.saw != peekNothing
+	}
+	u.glance = func(fd uintptr) { u.glanced = peek(fd) }
+	return u, nil
 }
 
 // dialFailed ends the attempt that has waited longest, unless the connections that stand will take it: a cache
@@ -394,6 +462,9 @@
 		a := m.waiting[0]
 		if !a.ended {
 			u := p.pick(m, a)
+			if u == nil {
+				u = p.join(m, a)
+			}
 			if u == nil {
 				return
 			}
@@ -433,12 +504,18 @@
 func (u *upstream) start(a *attempt) {
 	p := u.p
 	a.conn, a.began = u, p.now
-	u.current = a
-	if u.idle = -1; u.kept {
-		u.idle = p.idle.class(p.now - u.used)
-		p.idle.used[u.idle]++
+	if u.current != nil {
+		u.behind = append(u.behind, a)
+		u.tail = append(u.tail[:0], a.req.Key...)
+	} else {
+		u.current, u.headAt, u.alone = a, p.now, a.req.Write
+		u.tail = append(u.tail[:0], a.req.Key...)
+		if u.idle = -1; u.kept {
+			u.idle = p.idle.class(p.now - u.used)
+			p.idle.used[u.idle]++
+		}
+		u.touch()
 	}
-	u.touch()
 	b := p.scratch[:0]
 	if u.m.origin {
 		b = appendHTTP(b, a.req, u.m.addr)
@@ -504,30 +581,73 @@
 		p.end(a, s, 0)
 		return
 	}
-	if u.unsent(a) {
+	switch {
+	case u.unsent(a):
 		s = logic.StatusConnectFailed
+	case a != u.current: // its turn had not come: that tells of those in front
+		s = logic.StatusCancelled
 	}
 	p.end(a, s, 0)
+	if u.current != nil {
+		u.overturn(u.current)
+	}
+	u.overturnBehind()
 	u.close()
 	p.dial(u.m)
 	p.dialNext()
 }
 
+// overturn ends an attempt whose connection ends for something that it has no part in, and that tells nothing of its
+// member. It is a read, unless it stands alone, and may be sent again.
+func (u *upstream) overturn(a *attempt) {
+	if u.unsent(a) {
+		u.p.end(a, logic.StatusNoConn, 0)
+	} else {
+		u.p.end(a, logic.StatusCancelled, 0)
+	}
+}
+
+func (u *upstream) overturnBehind() {
+	for _, a := range u.behind {
+		u.overturn(a)
+	}
+	u.behind = nil
+}
+
+// again tells whether a value is the one that the connection has just answered another key with, while requests were
+// behind that one (requests for the same key never follow one another on a connection). Then it may be a second copy of that answer, which would be taken for the answer to the next request;
+// nothing else tells them apart.
+func (u *upstream) again(value []byte) bool {
+	if u.last == 0 && len(u.behind) == 0 {
+		return false
+	}
+	h := maphash.Bytes(u.p.ids.seed, value) | 1
+	same := h == u.last
+	if u.last = h; len(u.behind) == 0 {
+		u.last = 0
+	}
+	return same
+}
+
 // result gives the attempt its outcome, with the value that the client gets if it was served. The connection
 // is not free yet: see rest.
-func (u *upstream) result(s logic.Status, note int, value []byte) {
+func (u *upstream) result(s logic.Status, note int, value []byte) error {
 	p := u.p
 	p.enter()
 	defer p.leave()
 	a := u.current
 	if a == nil || a.ended { // given up; the connection is closed
-		return
+		return nil
+	}
+	if s == logic.StatusOK && u.again(value) {
+		return errStray
 	}
 	if r := a.req; s == logic.StatusOK && !r.done {
 		r.done = true
 		r.Taker.Answer(Answer{Kind: Served, Value: value})
 	}
 	p.end(a, s, note)
+	return nil
 }
 
 // fail ends a connection and the attempt on it. One whose last byte was not written never ran; else it may have.
@@ -548,6 +668,10 @@
 		}
 		p.end(a, s, 0)
 	}
+	if errors.Is(err, resp.ErrProtocol) || errors.Is(err, errCut) || errors.Is(err, errStray) {
+		u.m.spoilt()
+	}
+	u.overturnBehind()
 	u.close()
 	p.dial(u.m)
 	p.dialNext()
@@ -556,18 +680,18 @@
 // serve reads answers until the connection ends.
 func (u *upstream) serve() error {
 	next := u.reader()
+	buffered := 0
 	for {
-		if err := u.await(); err != nil {
-			return err
+		if buffered == 0 {
+			if err := u.await(); err != nil {
+				return err
+			}
 		}
-		buffered, err := next()
-		if err != nil {
+		var err error
+		if buffered, err = next(); err != nil {
 			return err
 		}
-		if buffered > 0 {
-			return errStray
-		}
-		if err := u.rest(); err != nil {
+		if err := u.rest(buffered); err != nil {
 			return err
 		}
 	}
@@ -593,7 +717,12 @@
 
 // Read reads within an answer, which must not pause for long.
 func (u *upstream) Read(b []byte) (int, error) {
-	u.conn.SetReadDeadline(time.Now().Add(stallTime))
+	if u.first {
+		u.first = false
+	} else {
+		u.limited = true
+		u.conn.SetReadDeadline(time.Now().Add(stallTime))
+	}
 	n, err := u.conn.Read(b)
 	if n == 0 && err != nil {
 		err = fmt.Errorf("%w: %w", errCut, err)
@@ -604,18 +733,18 @@
 // await waits until something can be read, without reading it: as long as it is in the kernel, pick sees it.
 // What comes while no request is out is not an answer.
 func (u *upstream) await() error {
-	u.conn.SetReadDeadline(time.Time{})
-	if err := u.w.raw.Read(func(fd uintptr) bool { return peek(fd) != peekNothing }); err != nil {
-		return err
+	if u.limited {
+		u.limited = false
+		u.conn.SetReadDeadline(time.Time{})
 	}
-	u.p.enter()
-	defer u.p.leave()
-	ended := false
-	if err := u.w.raw.Control(func(fd uintptr) { ended = peek(fd) == peekEnd }); err != nil {
+	if err := u.w.raw.Read(u.peek); err != nil {
 		return err
 	}
+	u.first = true
+	u.p.mu.Lock()
+	defer u.p.mu.Unlock()
 	switch {
-	case ended:
+	case u.saw == peekEnd:
 		return io.EOF
 	case u.current == nil && !u.pinged:
 		return errStray
@@ -623,34 +752,85 @@
 	return nil
 }
 
-// rest lets a connection be used again after an answer, once it has been silent for a while.
-func (u *upstream) rest() error {
-	time.Sleep(restTime)
+// rest lets a connection be used again after an answer, once it has been silent for a while: what comes from now on
+// finds no request on it, and ends it.
+// Where requests are behind the one answered, the next one's turn has come, and what comes is its answer.
+func (u *upstream) rest(buffered int) error {
 	p := u.p
 	p.enter()
 	defer p.leave()
-	switch {
-	case u.closed:
+	if u.closed {
 		return net.ErrClosed
-	case u.retired:
-		return io.EOF
-	case !u.silent():
-		return errStray
 	}
 	if u.current != nil {
-		u.m.turn += (p.now - u.used - u.m.turn) / turnOf
+		u.m.turn += (p.now - u.headAt - u.m.turn) / turnOf
+		u.m.clean = min(u.m.clean+1, cleanMost)
+	}
+	if len(u.behind) > 0 {
+		u.current = u.behind[0]
+		u.behind = slices.Delete(u.behind, 0, 1)
+		u.current.began, u.headAt, u.used, u.kept = p.now, p.now, p.now, true
+		p.serveWaiting(u.m)
+		return nil
+	}
+	switch {
+	case buffered > 0:
+		return errStray
+	case u.retired:
+		return io.EOF
 	}
 	u.current, u.pinged, u.used = nil, false, p.now
 	u.kept = true
-	p.serveWaiting(u.m)
+	u.restEnd = p.now + restTime
+	p.awaitRest(u.m)
 	return nil
 }
 
+// awaitRest has those that wait at a member served once a connection has rested. Rests that end close together share a
+// wake-up.
+func (p *Proxy) awaitRest(m *member) {
+	if len(m.waiting) == 0 || m.awaitsRest {
+		return
+	}
+	wake := p.now + restTime
+	for _, u := range m.conns {
+		if p.now < u.restEnd {
+			wake = min(wake, u.restEnd)
+		}
+	}
+	wake = max(wake, p.now+restTime/4)
+	m.awaitsRest = true
+	if p.rested = append(p.rested, m); len(p.rested) == 1 || wake < p.restAt {
+		p.restAt = wake
+		p.restTimer.Reset(wake - p.now)
+	}
+}
+
+// restOver serves those that have waited for a connection to rest.
+func (p *Proxy) restOver() {
+	p.enter()
+	defer p.leave()
+	rested := p.rested
+	p.rested = p.restedSpare[:0]
+	for i, m := range rested {
+		rested[i], m.awaitsRest = nil, false
+		p.serveWaiting(m)
+		for _, u := range m.conns {
+			if p.now < u.restEnd {
+				p.awaitRest(m)
+				break
+			}
+		}
+	}
+	p.restedSpare = rested[:0]
+}
+
 // silent tells whether nothing has come on the connection, neither bytes nor its end.
 func (u *upstream) silent() bool {
-	saw := peekEnd
-	u.w.raw.Control(func(fd uintptr) { saw = peek(fd) })
-	return saw == peekNothing
+	if err := u.w.raw.Control(u.glance); err != nil {
+		return false
+	}
+	return u.glanced == peekNothing
 }
 
 // What peek can see.
@@ -714,8 +894,7 @@
 		}
 		return nil
 	case h.Kind == '-':
-		u.result(refusal(h.Text), 0, nil)
-		return nil
+		return u.result(refusal(h.Text), 0, nil)
 	case h.Kind == '*' && h.N == answerParts:
 		return u.readArray(in)
 	}
@@ -762,7 +941,9 @@
 	if err != nil {
 		return err
 	}
-	u.result(status, noteOf(word), value)
+	if err := u.result(status, noteOf(word), value); err != nil {
+		return err
+	}
 	_, err = readWord(in)
 	return err
 }
@@ -863,7 +1044,9 @@
 	case len(body) > resp.MaxValue:
 		return resp.ErrProtocol
 	}
-	u.result(statusOf(answer), 0, body)
+	if err := u.result(statusOf(answer), 0, body); err != nil {
+		return err
+	}
 	if answer.Close {
 		return io.EOF
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -737,8 +737,11 @@
 	if o.Status.NeverRan() {
 		f.ran &^= bit
 	}
+	// Nobody was asked, or the connection ended for something else: the throttle would take this for the caches' shortage.
+	if !fetched && (o.Status == StatusNoConn || o.Status == StatusCancelled && !f.done) {
+		b.asked = max(0, b.asked-1)
+	}
 	if o.Status == StatusNoConn {
-		b.asked = max(0, b.asked-1) // nobody was asked: the throttle would take this proxy's shortage for the caches'
 		f.unsent = min(f.unsent+1, b.s.TryLimit)
 	}
 	f.done = f.done || o.Final
@@ -804,7 +807,7 @@
 	switch s {
 	case StatusNoConn:
 		cost = 0
-	case StatusReset, StatusConnectFailed:
+	case StatusReset, StatusConnectFailed, StatusCancelled:
 		cost = brokenCost
 	}
 	if b.retries < cost || b.now >= f.aim || f.sent() >= b.s.TryLimit {
@@ -816,7 +819,7 @@
 		b.enqueue(f)
 		return
 	}
-	if s == StatusReset && len(f.tried) == 1 {
+	if (s == StatusReset || s == StatusCancelled) && len(f.tried) == 1 {
 		f.tried = f.tried[:0] // the connection broke; the member, which has the key, may well be up
 	}
 	f.missAt = nil
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -745,6 +745,35 @@
 	h.check()
 }
 
+// Attempts that found no connection, or whose connection ended for something else, were not asked of the caches: the
+// throttle must not refuse reads for them, and the latter tell nothing of the member either.
+func TestThrottleCountsOnlyWhatWasAsked(t *testing.T) {
+	for _, s := range []Status{StatusNoConn, StatusCancelled} {
+		h := newHost(t, testSettings(), 1)
+		h.members(ListCached, withOrigin(8)...)
+		for id := RequestID(1); id <= 200; id++ {
+			r := h.ask(Request{ID: id, Key: uint64(id)})
+			h.b.retries = 1
+			n := h.b.nodes[r.sent[0].to]
+			h.end(id, 0, s)
+			if n.streak != 0 || n.fails != 0 || n.limit != startLimit {
+				t.Fatalf("%v: the member is held to blame: %+v", s, n.limiter)
+			}
+			if len(r.sent) != 2 {
+				t.Fatalf("%v: read %d was sent %d times, want a further attempt", s, id, len(r.sent))
+			}
+			if h.b.asked > h.b.answered+2 {
+				t.Fatalf("%v: %v asked, %v answered", s, h.b.asked, h.b.answered)
+			}
+			h.end(id, 1, StatusOK)
+			for _, n := range h.b.nodes {
+				n.limit = startLimit
+			}
+		}
+		h.check()
+	}
+}
+
 // A fetch whose connection broke goes back in line, and those who wait for it don't ask the cache meanwhile.
 func TestBrokenFetchKeepsThoseWhoWait(t *testing.T) {
 	h := newHost(t, testSettings(), 1)
