--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -33,7 +33,7 @@
 	// and nothing more waits for it. It should exceed what answers vary by.
 	turnOf         = 16 // the latest request counts for one in so many
 	stuckTurns     = 4
-	stuckLeast     = 20 * time.Millisecond
+	stuckLeast     = 50 * time.Millisecond
 	originSockets  = 48
 	originShare    = 12 // percent of the descriptors for the origin, at most
 	maxDials       = 64 // at once: a zone that vanished takes its time to fail, and must not take the descriptors
