A crowd that comes at once is let in at members that are quick

Need: 1,000 clients before a healthy fleet were refused 3 to 5% of their reads. Cause, counted by reason: all of them in the first 0.3 s, since the module's limits grow by one an answer. Change: a limit that was never lowered is not held against a crowd where the member could do all that is out one by one in a quarter of the target.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,7 @@
 	// attempts as it may have.
 	brokenCost    = 0.25
 	startLimit    = 8               // attempts out at a member that has told nothing yet
+	crowdShare    = 0.25            // of the target: what a quick member may have out, one by one
 	throttleSpan  = 3 * time.Second // over which asked and answered are compared
 	throttleAt    = 2               // a read may be refused when the caches answer less than one in this many
 	throttleSlack = 8               // fewer asked than this tell nothing
@@ -932,7 +933,10 @@
 // proxies, each with a single attempt out, could else be too much together.
 func (b *Balancer) room(n *node) bool {
 	if n.limit >= 1 {
-		return n.out < int(n.limit)
+		// A limit grows by what is answered, too late for a crowd that comes at once. Where a member is so quick that it
+		// could do all that is out one by one in a part of the target, and has not turned work away, the crowd is let in.
+		return n.out < int(n.limit) || n.limit >= startLimit && n.seen >= startLimit &&
+			n.latency*float64(n.out+1) < b.target*crowdShare
 	}
 	return n.out == 0 && b.now-n.sentAt >= seconds(n.latency*(1/n.limit-1))
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -745,6 +745,30 @@
 	h.check()
 }
 
+// A crowd that comes at once is let in at members that are quick, and not at those that are slow, have turned work away
+// or are not known yet.
+func TestCrowdIsLetInAtQuickMembers(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(3)...)
+	n := h.b.caches[0]
+	for name, c := range map[string]struct {
+		limiter limiter
+		want    bool
+	}{
+		"quick":            {limiter{limit: startLimit, latency: 0.0003, seen: 50, out: 100}, true},
+		"slow":             {limiter{limit: startLimit, latency: 0.03, seen: 50, out: 100}, false},
+		"more than it can": {limiter{limit: startLimit, latency: 0.0003, seen: 50, out: 100000}, false},
+		"turned work away": {limiter{limit: startLimit * 0.7, latency: 0.0003, seen: 50, out: 100}, false},
+		"not known":        {limiter{limit: startLimit, out: 100}, false},
+		"within its limit": {limiter{limit: startLimit, latency: 0.3, seen: 50, out: 1}, true},
+	} {
+		n.limiter = c.limiter
+		if got := h.b.room(n); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
 // Attempts that found no connection, or whose connection ended for something else, were not asked of the caches: the
 // throttle must not refuse reads for them, and the latter tell nothing of the member either.
 func TestThrottleCountsOnlyWhatWasAsked(t *testing.T) {
