A call of the processor takes the host's lock once less, and waits on fewer channels

Change: what is decided on handing over is looked at under the same lock; the end of a call comes by its reader alone.

--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -90,9 +90,7 @@
 	for {
 		var r received
 		select {
-		case r = <-s.in:
-		case <-ctx.Done():
-			return status.FromContextError(ctx.Err()).Err()
+		case r = <-s.in: // the call's end comes this way too
 		case <-s.kicked:
 			return s.kickedOff()
 		}
@@ -413,7 +411,7 @@
 	if stands {
 		return s.continueBody(nil)
 	}
-	return s.await(ctx, true)
+	return s.await(ctx, decided{}, true)
 }
 
 // collected hands over a write whose body has come whole.
@@ -430,6 +428,7 @@
 	unsafe := s.unsafe(class)
 	var d extproc.Decision
 	var fault error
+	var first decided
 	f.p.Do(func() {
 		id, nameless := h.id, h.id == ""
 		if nameless {
@@ -451,6 +450,9 @@
 			s.call = entry.Owner.(*call)
 			s.call.stream = s
 		}
+		if s.call != nil && fault == nil {
+			first = s.look()
+		}
 	})
 	switch {
 	case fault != nil && errors.Is(fault, proxy.ErrBusy):
@@ -466,7 +468,7 @@
 	case d == extproc.Crowded:
 		return s.refuse(0)
 	}
-	return s.await(ctx, body)
+	return s.await(ctx, first, body)
 }
 
 // newID makes an id that no other process makes, for a request whose caller has none.
@@ -554,11 +556,13 @@
 
 // await waits until the host has named a member or given the final answer, and passes that on. It asks the caller for
 // more time before its patience ends, and gives the request up in time where the caller has none to give.
-func (s *stream) await(ctx context.Context, body bool) error {
+// d is what is decided already.
+func (s *stream) await(ctx context.Context, d decided, body bool) error {
 	var timer *time.Timer
 	for {
-		var d decided
-		s.f.p.Do(func() { d = s.look() })
+		if d == (decided{}) {
+			s.f.p.Do(func() { d = s.look() })
+		}
 		switch {
 		case d.final != nil:
 			return s.answer(d.final)
