--- a/internal/extproc/server/answer.go
+++ b/internal/extproc/server/answer.go
@@ -248,7 +248,7 @@
 			c.settle() // the member finds fault with the request itself, and says best with what
 		case c.final != nil:
 			final = c.final
-		case c.nameless:
+		case s.head.id == "": // it could not be known when it comes back
 			c.abandon()
 		default:
 			again = true
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -348,16 +348,14 @@
 
 // call is a request in the host's hands. It outlives a stream in mode route, where the caller comes back on another.
 type call struct {
-	f        *Front
-	req      proxy.Request
-	entry    *extproc.Entry
-	unsafe   bool
-	nameless bool // the caller told no id, so it can't be known when it comes back
-	stream   *stream
-	attempt  *proxy.Attempt // the latest that the host has named; mode route
-	final    *proxy.Answer  // the final answer, its value copied
-	settled  bool           // the caller has the answer, or nobody waits for one
-	ended    chan struct{}  // of one token: something has been decided
+	f       *Front
+	req     proxy.Request
+	entry   *extproc.Entry
+	stream  *stream
+	attempt *proxy.Attempt // the latest that the host has named; mode route
+	final   *proxy.Answer  // the final answer, its value copied
+	settled bool           // the caller has the answer, or nobody waits for one
+	ended   chan struct{}  // of one token: something has been decided
 }
 
 // routed is a call whose attempts the caller makes.
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -310,7 +310,7 @@
 	if target.Write && !s.route() && !m.GetEndOfStream() {
 		return s.collect()
 	}
-	return s.begin(ctx, h.attempt, false)
+	return s.begin(ctx, false)
 }
 
 // spent answers a request whose time is over. It has never run, unless an attempt that came before has.
@@ -364,7 +364,7 @@
 func (s *stream) requestBody(ctx context.Context, m *extprocv3.HttpBody) error {
 	s.bodyLen += len(m.GetBody())
 	if s.passed {
-		return s.continueBody(nil)
+		return s.continueBody()
 	}
 	if s.bodyLen > maxBody {
 		return s.tooLong()
@@ -392,12 +392,12 @@
 		// Only now does the caller send. The member may have begun to drain while the body came.
 		return s.again(ctx)
 	}
-	return s.continueBody(nil)
+	return s.continueBody()
 }
 
-func (s *stream) continueBody(common *extprocv3.CommonResponse) error {
+func (s *stream) continueBody() error {
 	return s.send(&extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_RequestBody{
-		RequestBody: &extprocv3.BodyResponse{Response: common}}})
+		RequestBody: &extprocv3.BodyResponse{}}})
 }
 
 // again makes sure of the member that the request's headers were answered with, and names another if it has gone.
@@ -405,11 +405,11 @@
 	stands := true
 	s.f.p.Do(func() {
 		if c := s.call; c.attempt != nil && !c.settled {
-			stands = c.attempt.Recheck()
+			stands = c.attempt.Give()
 		}
 	})
 	if stands {
-		return s.continueBody(nil)
+		return s.continueBody()
 	}
 	return s.await(ctx, decided{}, true)
 }
@@ -417,32 +417,31 @@
 // collected hands over a write whose body has come whole.
 func (s *stream) collected(ctx context.Context) error {
 	s.collecting = false
-	return s.begin(ctx, s.head.attempt, true)
+	return s.begin(ctx, true)
 }
 
 // begin finds out what the call is to those before it, hands over a new request or takes up one in hand, and answers
 // with what is decided.
-func (s *stream) begin(ctx context.Context, attempt int, body bool) error {
+func (s *stream) begin(ctx context.Context, body bool) error {
 	f, h := s.f, &s.head
 	class := &f.p.Settings().Classes[s.cfg.classes[s.target.Class]]
-	unsafe := s.unsafe(class)
 	var d extproc.Decision
 	var fault error
 	var first decided
 	f.p.Do(func() {
-		id, nameless := h.id, h.id == ""
-		if nameless {
+		id := h.id
+		if id == "" {
 			id = f.newID()
 		}
 		now := f.p.Now()
-		entry, replaced, decision := f.calls.Begin(id, attempt, unsafe, now)
+		entry, replaced, decision := f.calls.Begin(id, h.attempt, s.unsafe(class), now)
 		if d = decision; replaced != nil {
 			replaced.Owner.(*call).abandon()
 		}
 		s.due = now + max(0, time.Until(s.deadline)) + overdue
 		switch d {
 		case extproc.Fresh, extproc.Replace:
-			c := &call{f: f, entry: entry, unsafe: unsafe, nameless: nameless, stream: s, ended: make(chan struct{}, 1)}
+			c := &call{f: f, entry: entry, stream: s, ended: make(chan struct{}, 1)}
 			entry.Owner, s.call = c, c
 			fault = s.submit(c, id)
 		case extproc.Continue:
@@ -517,7 +516,7 @@
 		c.req.Taker = routed{c}
 	}
 	err := s.f.p.Submit(&c.req)
-	if errors.Is(err, proxy.ErrInUse) && (!c.unsafe || c.entry.Again) {
+	if errors.Is(err, proxy.ErrInUse) && (!c.entry.Unsafe || c.entry.Again) {
 		// A caller may ask again under the same id where that is harmless; members want one of its own for each.
 		s.f.made++
 		c.req.ReqID = fmt.Appendf(nil, "%s.%x", id, s.f.made)
@@ -635,7 +634,7 @@
 		ran = s.call.req.MayHaveRun()
 		s.call.abandon()
 	})
-	if ran && s.call.unsafe {
+	if ran && s.call.entry.Unsafe {
 		return s.fail("the time for the request is over")
 	}
 	return s.refuse(0)
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -126,7 +126,7 @@
 	}
 }
 
-// ask over a raw connection to a box: the relay passes the box's array through, which dialRedis does not read.
+// readBox is a worker that reads keys from a box, straight or through a relay: the relay passes the box's array through, which dialRedis does not read.
 func readBox(addr string, keys int) func(int) (func(int) error, func(), error) {
 	return func(w int) (func(int) error, func(), error) {
 		conn, err := net.Dial("tcp", addr)
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -90,7 +90,8 @@
 }
 
 // Give notes that the client is being told of the attempt now: from here on it may have run. It tells whether
-// the attempt still stands; one that has ended, or whose member is no longer ready, must not be given.
+// the attempt still stands; one that has ended, or whose member is no longer ready, must not be given. It may be asked
+// again of an attempt that was given and has surely not been sent yet: if its member has gone, that one never ran.
 func (x *Attempt) Give() bool {
 	if m := x.p.members[x.a.to]; !x.a.ended && (m == nil || m.state != logic.Ready || m.addr != x.Addr) {
 		x.p.end(x.a, logic.StatusConnectFailed, 0)
@@ -104,10 +105,6 @@
 	return true
 }
 
-// Recheck makes sure, before the client sends an attempt that it was given but has surely not sent yet, that the
-// attempt still stands; if its member is not ready any more, the attempt ends as one that never ran.
-func (x *Attempt) Recheck() bool { return x.Give() }
-
 // Given tells whether the client has been told of the attempt.
 func (x *Attempt) Given() bool { return x.a.given }
 
@@ -191,9 +188,6 @@
 	f()
 }
 
-// Tell tells the Balancer, within Do, of the outcomes so far, so that what it decides on them can be seen.
-func (p *Proxy) Tell() { p.tell() }
-
 // Now is the host's time, under the lock.
 func (p *Proxy) Now() time.Duration { return p.now }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -217,12 +217,13 @@
 // leave tells the Balancer of the outcomes that its own actions have caused, and gives the lock back. Told
 // from inside an action, they would reach it in the middle of its work.
 func (p *Proxy) leave() {
-	p.tell()
+	p.Tell()
 	p.arm()
 	p.mu.Unlock()
 }
 
-func (p *Proxy) tell() {
+// Tell tells the Balancer, within Do, of the outcomes so far, so that what it decides on them can be seen.
+func (p *Proxy) Tell() {
 	for i := 0; i < len(p.outcomes); i++ {
 		p.bal.Outcome(p.now, p.outcomes[i])
 	}
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -204,10 +204,8 @@
 			return nil, nil
 		}
 	}
-	for p.sockets() >= p.cfg.Sockets-spareSockets {
-		if !p.makeRoom() {
-			return nil, nil
-		}
+	if !p.Room() {
+		return nil, nil
 	}
 	c := &client{p: p, f: f, conn: conn, w: w, active: p.now, limited: true}
 	c.in = resp.NewReader(c, clientBuffer)
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/bits"
-	"slices"
 	"time"
 
 	"linenloom/logic"
@@ -217,7 +216,6 @@
 				do(d.due)
 			}
 		}
-		t.far = slices.Clip(t.far)
 	}
 }
 
