Operators' calls: nodes taken out of use, and a new version that takes over under load

Change: internal/mgmt answers /status and /maintenance/enter and /exit over net/http, 16 calls at once, the oldest silent one giving way; internal/maintenance decides who is out and since when one that is back counts as started; internal/handover keeps the record and the limits over two processes in TMPDIR. The clients' address is shared (SO_REUSEPORT), and a one-instruction BPF program gives the newest listener every new connection, so that the old one closes an empty line. A connection with something unread is answered before it ends, and for 0.1 s at the end of a drain busy connections are still served.

Ruled out: MPTCP, which Go listens with by default, refuses the program (EOPNOTSUPP): it is off for this listener.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -17,6 +17,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"linenloom/internal/mgmt"
 	"linenloom/internal/operator"
 	"linenloom/internal/proxy"
 )
@@ -164,7 +165,7 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetGCPercent(collectPercent)
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * memoryShare * (1 << 20)))
+	debug.SetMemoryLimit(heapLimit(cfg.Limits.MemoryMB))
 
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("proxy", cfg.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -176,10 +177,25 @@
 	if err := file.CheckClasses(classNames(settings)); err != nil {
 		return err
 	}
+	shared, err := share(cfg, &settings, log)
+	if err != nil {
+		return err
+	}
+	defer shared.dir.Close()
 	p, err := proxy.New(settings, log)
 	if err != nil {
 		return err
 	}
+	if cfg.Mgmt != "" {
+		calls, err := mgmt.New(p, cfg.Mgmt, shared.dir, log)
+		if err != nil {
+			return err
+		}
+		p.AddFront(calls)
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	go shared.run(p, ended)
 	r := reloader{p: p, cfg: cfg, file: file, log: log}
 	if file.ExtProc != nil {
 		if r.extproc, err = g.ExtProc(p, file, log); err != nil {
--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -24,6 +24,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Mgmt      string `json:"mgmt"` // where operators call; empty: nowhere
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -70,6 +71,7 @@
 	c.Name = cmp.Or(getenv("LB_NAME"), c.Name)
 	c.Listen = cmp.Or(getenv("LB_LISTEN"), c.Listen)
 	c.Discovery = cmp.Or(discovery, c.Discovery)
+	c.Mgmt = cmp.Or(getenv("LB_MGMT"), c.Mgmt)
 	return &c, c.check()
 }
 
@@ -86,7 +88,10 @@
 }
 
 func (c *config) check() error {
-	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "mgmt": c.Mgmt} {
+		if addr == "" && name == "mgmt" {
+			continue
+		}
 		if _, err := netip.ParseAddrPort(addr); err != nil {
 			return fmt.Errorf("%s address: %w", name, err)
 		}
--- /dev/null
+++ b/internal/app/share.go
@@ -0,0 +1,121 @@
+package app
+
+import (
+	"log/slog"
+	"math"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"runtime/metrics"
+	"time"
+
+	"linenloom/internal/handover"
+	"linenloom/internal/proxy"
+)
+
+const (
+	shareEvery = 50 * time.Millisecond
+	// keptBack is what each of two processes leaves of the descriptors for what the other opens between two looks, and
+	// leastSockets and leastMemoryMB are what each has at the least, as nothing can be served with less.
+	keptBack      = 16
+	leastSockets  = 64
+	leastMemoryMB = 14
+	// outsideHeap is what a process takes beside the memory that its runtime counts.
+	outsideHeap = 4 << 20
+)
+
+// sharing keeps the limits of a proxy over two processes, while one follows the other.
+type sharing struct {
+	dir   *handover.Dir
+	cfg   *config
+	log   *slog.Logger
+	alone bool
+	// what is in force
+	sockets int
+	memory  float64
+}
+
+// share opens the directory that the processes of a proxy share, and takes what stands there into the settings.
+func share(cfg *config, settings *proxy.Config, log *slog.Logger) (*sharing, error) {
+	s := &sharing{cfg: cfg, log: log, sockets: cfg.Limits.Sockets, memory: cfg.Limits.MemoryMB}
+	path := os.Getenv("TMPDIR")
+	if at, err := netip.ParseAddrPort(cfg.Listen); err == nil && at.Port() == 0 {
+		path = "" // nobody can follow at an address that is made up anew
+	}
+	var err error
+	if s.dir, s.alone, err = handover.Open(path, cfg.Name+" "+cfg.Listen); err != nil {
+		log.Warn("no directory to hand over by: members out of use are forgotten at the end of this process", "err", err)
+	}
+	if settings.Out, _, err = s.dir.Look(); err != nil {
+		log.Error("the record of members out of use can't be read", "err", err)
+	}
+	if !s.alone {
+		log.Info("following another process")
+		s.keep(nil)
+		settings.Sockets, settings.MemoryMB = s.sockets, int(s.memory)
+	}
+	return s, nil
+}
+
+// heapLimit is the memory limit of the runtime for a limit of the process.
+func heapLimit(mb float64) int64 { return int64(mb * memoryShare * (1 << 20)) }
+
+// run keeps the limits until the process has nothing left to do.
+func (s *sharing) run(p *proxy.Proxy, quit <-chan struct{}) {
+	tick := time.NewTicker(shareEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-quit:
+			return
+		case <-tick.C:
+		}
+		was := s.alone
+		if !s.alone {
+			alone, err := s.dir.Promote()
+			if err != nil {
+				s.log.Error("handover", "err", err)
+			}
+			if s.alone = alone; alone {
+				s.log.Info("the process before has ended")
+			}
+		}
+		switch {
+		case !s.alone || s.dir.Followed():
+			s.keep(p)
+		case !was || s.sockets != s.cfg.Limits.Sockets: // alone again
+			s.set(p, s.cfg.Limits.Sockets, s.cfg.Limits.MemoryMB)
+		}
+	}
+}
+
+// keep leaves the other process what it holds.
+func (s *sharing) keep(p *proxy.Proxy) {
+	var mine handover.Usage
+	mine.Memory = inUse()
+	if p != nil {
+		mine.Descriptors = int64(p.Load().Descriptors)
+	}
+	theirs, err := s.dir.Share(mine)
+	if err != nil {
+		s.log.Error("handover", "err", err)
+	}
+	// Nobody may take more than half of the memory: what one holds can't be given back at once.
+	left := s.cfg.Limits.MemoryMB - float64(theirs.Memory+outsideHeap)/(1<<20)
+	s.set(p, max(leastSockets, s.cfg.Limits.Sockets-int(theirs.Descriptors)-keptBack),
+		max(leastMemoryMB, math.Floor(min(s.cfg.Limits.MemoryMB*0.6, left))))
+}
+
+func (s *sharing) set(p *proxy.Proxy, sockets int, memory float64) {
+	if s.sockets, s.memory = sockets, memory; p != nil {
+		p.Limit(sockets, int(memory))
+	}
+	debug.SetMemoryLimit(heapLimit(memory))
+}
+
+// inUse is the memory that the runtime has from the system.
+func inUse() int64 {
+	m := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(m)
+	return int64(m[0].Value.Uint64() - m[1].Value.Uint64())
+}
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,276 @@
+// Package handover is what two processes of one proxy share while one takes over from the other: a directory, the
+// process's $TMPDIR, that outlives neither machine nor proxy. In it stand the record of members out of use, two locks
+// that tell who serves and who waits to, and a page on which each notes what it holds of the limits that both have to
+// keep together. It decides nothing about requests and never speaks to the network.
+package handover
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"golang.org/x/sys/unix"
+
+	"linenloom/internal/maintenance"
+)
+
+const (
+	recordName = "maintenance" // JSON; replaced whole
+	lockName   = "lock"        // guards changes of the record
+	servesName = "serves"      // locked by the process that serves
+	followName = "follows"     // locked by the one that is to follow it
+	usageName  = "usage"       // two slots of usageSize: the one that serves, the one that follows
+	usageSize  = 16
+	maxRecord  = 4 << 20
+)
+
+// Usage is what a process holds.
+type Usage struct {
+	Descriptors int64
+	Memory      int64 // bytes
+}
+
+// Dir is a process's view of the directory. Without a path everything is kept in memory, and there is never another
+// process.
+type Dir struct {
+	path string
+
+	mu      sync.Mutex
+	set     maintenance.Set
+	seen    fs.FileInfo // of the record as last read
+	serves  *os.File    // locked; nil: another process serves
+	follows *os.File
+	usage   *os.File
+}
+
+// Open opens the directory of one proxy under path and tells whether another process serves already. The proxies of a
+// machine that share the path are told apart by identity. An error leaves a Dir that works as one without a path.
+func Open(path, identity string) (d *Dir, alone bool, err error) {
+	d = &Dir{}
+	if path == "" {
+		return d, true, nil
+	}
+	name := fnv.New64a()
+	io.WriteString(name, identity)
+	d.path = filepath.Join(path, fmt.Sprintf("linenloom-%016x", name.Sum64()))
+	if err := os.MkdirAll(d.path, 0o700); err != nil {
+		d.path = ""
+		return d, true, fmt.Errorf("handover: %w", err)
+	}
+	defer func() {
+		if err != nil {
+			d.Close()
+			d = &Dir{}
+			alone = true
+		}
+	}()
+	if d.usage, err = d.open(usageName); err != nil {
+		return d, true, err
+	}
+	if d.follows, err = d.open(followName); err != nil {
+		return d, true, err
+	}
+	if alone, err = d.Promote(); err != nil {
+		return d, true, err
+	}
+	if !alone {
+		// Two that follow at once are none of the platform's doing; the later one shares the slot.
+		if _, err = tryLock(d.follows); err != nil {
+			return d, true, err
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	err = d.read()
+	return d, alone, err
+}
+
+func (d *Dir) open(name string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(d.path, name), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return f, nil
+}
+
+// tryLock locks a file, if nobody else has; the kernel gives it back when the process ends, however it ends.
+func tryLock(f *os.File) (bool, error) {
+	switch err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); {
+	case err == nil:
+		return true, nil
+	case errors.Is(err, unix.EWOULDBLOCK):
+		return false, nil
+	default:
+		return false, fmt.Errorf("handover: lock %s: %w", f.Name(), err)
+	}
+}
+
+// Promote tells whether this process serves alone, which it does from when the one before it has ended.
+func (d *Dir) Promote() (bool, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.path == "" || d.serves != nil {
+		return true, nil
+	}
+	f, err := d.open(servesName)
+	if err != nil {
+		return false, err
+	}
+	if ok, err := tryLock(f); !ok || err != nil {
+		f.Close()
+		return false, err
+	}
+	d.serves = f
+	unix.Flock(int(d.follows.Fd()), unix.LOCK_UN)
+	return true, nil
+}
+
+// Followed tells whether another process is there to take over from this one.
+func (d *Dir) Followed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.serves == nil || d.follows == nil {
+		return false
+	}
+	free, err := tryLock(d.follows)
+	if free {
+		unix.Flock(int(d.follows.Fd()), unix.LOCK_UN)
+	}
+	return !free && err == nil
+}
+
+// Share notes what this process holds and tells what the other one noted last.
+func (d *Dir) Share(mine Usage) (theirs Usage, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.usage == nil {
+		return Usage{}, nil
+	}
+	me, other := int64(0), int64(usageSize)
+	if d.serves == nil {
+		me, other = other, me
+	}
+	var b [usageSize]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(mine.Descriptors))
+	binary.LittleEndian.PutUint64(b[8:], uint64(mine.Memory))
+	if _, err := d.usage.WriteAt(b[:], me); err != nil {
+		return Usage{}, fmt.Errorf("handover: %w", err)
+	}
+	b = [usageSize]byte{}
+	d.usage.ReadAt(b[:], other) // short until the other has written: then it holds nothing yet
+	return Usage{int64(binary.LittleEndian.Uint64(b[:])), int64(binary.LittleEndian.Uint64(b[8:]))}, nil
+}
+
+// Change changes the record, and with it every process's: once it returns without an error, one that starts later has
+// the change too. It returns the record as it stands then.
+func (d *Dir) Change(f func(maintenance.Set) (maintenance.Set, error)) (maintenance.Set, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.path == "" {
+		set, err := f(d.set)
+		if err == nil {
+			d.set = set
+		}
+		return d.set, err
+	}
+	lock, err := d.open(lockName)
+	if err != nil {
+		return d.set, err
+	}
+	defer lock.Close()
+	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX); err != nil {
+		return d.set, fmt.Errorf("handover: lock: %w", err)
+	}
+	if err := d.read(); err != nil {
+		return d.set, err
+	}
+	set, err := f(d.set)
+	if err != nil {
+		return d.set, err
+	}
+	if err := d.write(set); err != nil {
+		return d.set, err
+	}
+	d.set = set
+	return set, nil
+}
+
+// Look reads the record again, if another process has changed it, and tells whether it did.
+func (d *Dir) Look() (set maintenance.Set, changed bool, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.path == "" {
+		return d.set, false, nil
+	}
+	was := d.seen
+	err = d.read()
+	return d.set, d.seen != was, err
+}
+
+// read takes in the record, if it is not the one seen last. One that can't be read leaves what is known: a member that
+// is out of use must not come back for it.
+func (d *Dir) read() error {
+	path := filepath.Join(d.path, recordName)
+	info, err := os.Stat(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	if d.seen != nil && os.SameFile(info, d.seen) && info.ModTime().Equal(d.seen.ModTime()) && info.Size() == d.seen.Size() {
+		return nil
+	}
+	if info.Size() > maxRecord {
+		return fmt.Errorf("handover: %s has %d bytes", path, info.Size())
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	var set maintenance.Set
+	if err := json.Unmarshal(text, &set); err != nil {
+		return fmt.Errorf("handover: %s: %w", path, err)
+	}
+	d.set, d.seen = d.set.Merge(set), info
+	return nil
+}
+
+// write replaces the record: whoever reads it finds the old one or the new one. The directory lasts no longer than the
+// machine runs, so nothing is forced to a disk.
+func (d *Dir) write(set maintenance.Set) error {
+	text, err := json.Marshal(set)
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	path := filepath.Join(d.path, recordName)
+	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	if info, err := os.Stat(path); err == nil {
+		d.seen = info
+	}
+	return nil
+}
+
+// Close gives up the locks.
+func (d *Dir) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, f := range []*os.File{d.serves, d.follows, d.usage} {
+		if f != nil {
+			f.Close()
+		}
+	}
+	d.serves, d.follows, d.usage = nil, nil, nil
+}
--- /dev/null
+++ b/internal/mgmt/mgmt_test.go
@@ -0,0 +1,234 @@
+package mgmt_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"linenloom/internal/app"
+	"linenloom/internal/handover"
+	"linenloom/internal/maintenance"
+	"linenloom/internal/mgmt"
+	"linenloom/internal/proxy"
+	"linenloom/internal/resp"
+	"linenloom/internal/standin"
+)
+
+const patience = 20 * time.Second
+
+type rig struct {
+	t     *testing.T
+	fleet *standin.Fleet
+	p     *proxy.Proxy
+	calls string
+	in    *bufio.Reader
+	conn  net.Conn
+	n     int
+}
+
+func start(t *testing.T, path string) *rig {
+	t.Helper()
+	fleet, err := standin.NewFleet(2, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	text, err := fleet.Config("m", "127.0.0.1:0", "7", 64, 256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := app.ProxyConfig(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.AcceptMore = 0
+	dir, _, err := handover.Open(path, "m")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := proxy.New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := mgmt.New(p, "127.0.0.1:0", dir, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.AddFront(f)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+		dir.Close()
+	})
+	conn, err := net.Dial("tcp", p.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(patience))
+	t.Cleanup(func() { conn.Close() })
+	return &rig{t: t, fleet: fleet, p: p, calls: f.Addr().String(), conn: conn, in: bufio.NewReader(conn)}
+}
+
+func (r *rig) call(method, path, body string) int {
+	r.t.Helper()
+	q, err := http.NewRequest(method, "http://"+r.calls+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	q.Close = true
+	c := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := c.Do(q)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	a.Body.Close()
+	return a.StatusCode
+}
+
+// read asks for a key and waits for the value.
+func (r *rig) read(key string) {
+	r.t.Helper()
+	r.n++
+	b := resp.AppendArray(nil, 4)
+	for _, w := range []string{"OBJ.GET", key, fmt.Sprintf("%016x", r.n), "c=tile-read,d=3000"} {
+		b = resp.AppendBulk(b, w)
+	}
+	if _, err := r.conn.Write(b); err != nil {
+		r.t.Fatal(err)
+	}
+	line, err := r.in.ReadString('\n')
+	if err != nil || line[0] != '$' {
+		r.t.Fatalf("%q %v", line, err)
+	}
+	if _, err := io.CopyN(io.Discard, r.in, 102); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// sent is how many requests each box has begun after a number of reads of different keys.
+func (r *rig) sent(reads int) (n [2]int) {
+	r.t.Helper()
+	for i := range n {
+		n[i] = -r.fleet.Boxes[i].Began()
+	}
+	for i := range reads {
+		r.read(fmt.Sprintf("%x", 0x1000+i))
+	}
+	for i := range n {
+		n[i] += r.fleet.Boxes[i].Began()
+	}
+	return n
+}
+
+func TestCalls(t *testing.T) {
+	r := start(t, t.TempDir())
+	for _, c := range []struct {
+		method, path, body string
+		want               int
+	}{
+		{"GET", "/status", "", 200},
+		{"PUT", "/maintenance/enter", "nobody", 404},
+		{"PUT", "/maintenance/exit", "nobody", 404},
+		{"PUT", "/maintenance/enter", "", 400},
+		{"PUT", "/maintenance/enter", "s-1 s-2", 400},
+		{"PUT", "/maintenance/enter", strings.Repeat("x", 5000), 400},
+		{"POST", "/maintenance/enter", "s-1", 405},
+		{"PUT", "/status", "", 405},
+		{"GET", "/else", "", 404},
+		{"PUT", "/maintenance/exit", "s-1", 200}, // it is in use already
+	} {
+		if got := r.call(c.method, c.path, c.body); got != c.want {
+			t.Errorf("%s %s %.10q: %d, want %d", c.method, c.path, c.body, got, c.want)
+		}
+	}
+	if n := r.sent(60); n[0] == 0 || n[1] == 0 {
+		t.Fatalf("before: %v", n)
+	}
+	for range 2 { // two calls out
+		if got := r.call("PUT", "/maintenance/enter", "s-1\n"); got != 200 {
+			t.Fatalf("enter: %d", got)
+		}
+	}
+	if n := r.sent(60); n[0] != 0 || n[1] == 0 {
+		t.Errorf("s-1 is out: %v", n)
+	}
+	// Whatever discovery says: it drains, is gone, and comes back at its place.
+	r.fleet.Drain(r.fleet.Boxes[0])
+	if _, err := r.fleet.Add("s-3", time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	r.fleet.Registry.Tell(r.fleet.Registry.List().Members[1])
+	member := r.fleet.Registry.List().Members[1]
+	member.Phase = "in_service"
+	r.fleet.Registry.Tell(member)
+	for !r.p.Knows("s-3") {
+		time.Sleep(time.Millisecond)
+	}
+	if n := r.sent(60); n[0] != 0 {
+		t.Errorf("discovery has called s-1 back: %v", n)
+	}
+	if got := r.call("PUT", "/maintenance/exit", "s-1"); got != 200 { // and one back
+		t.Fatalf("exit: %d", got)
+	}
+	if n := r.sent(90); n[0] == 0 {
+		t.Errorf("s-1 is back and unused: %v", n)
+	}
+}
+
+// A call at another process of this proxy binds this one.
+func TestAnothersRecord(t *testing.T) {
+	path := t.TempDir()
+	r := start(t, path)
+	r.sent(10)
+	other, alone, err := handover.Open(path, "m")
+	if err != nil || alone {
+		t.Fatalf("alone %t %v", alone, err)
+	}
+	defer other.Close()
+	if _, err := other.Change(func(s maintenance.Set) (maintenance.Set, error) { return s.Enter("s-2", 1) }); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); r.p.Load().Ready != 2; time.Sleep(time.Millisecond) { // a box and the origin
+		if time.Now().After(end) {
+			t.Fatal("s-2 is still in use")
+		}
+	}
+	if n := r.sent(60); n[1] != 0 {
+		t.Errorf("s-2 is out: %v", n)
+	}
+}
+
+// Callers that say nothing, or half a call, hold up nobody.
+func TestSilentCallers(t *testing.T) {
+	r := start(t, "")
+	for i := range 60 {
+		conn, err := net.Dial("tcp", r.calls)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if i%2 == 0 {
+			io.WriteString(conn, "PUT /maintenance/enter HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\ns")
+		}
+		if i%10 == 9 {
+			if got := r.call("GET", "/status", ""); got != 200 {
+				t.Errorf("%d", got)
+			}
+		}
+	}
+	if got := r.call("PUT", "/maintenance/enter", "s-1"); got != 200 {
+		t.Errorf("%d", got)
+	}
+}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -7,6 +7,7 @@
 	// resets the rest.
 	backlogTime = 50 * time.Millisecond
 	owedEvery   = 10 * time.Millisecond
+	lastTakes   = 100 * time.Millisecond
 	// lingerTime is how long clients have to hear that their connections end. Closed at once, with
 	// something unread, a connection is reset, and the client can lose its last answer.
 	lingerTime = 100 * time.Millisecond
@@ -22,8 +23,12 @@
 	for _, f := range p.fronts {
 		f.StopTaking()
 	}
-	// What still comes on connections that are busy is turned away: answered in full, it could take longer
-	// than there is time for.
+	// Connections end where nothing is on its way on them. For a moment what still comes on busy ones is taken: a client
+	// that asks again as soon as it is answered is free only in between.
+	for end := time.Now().Add(lastTakes); time.Now().Before(end) && p.owes(); {
+		time.Sleep(owedEvery / 2)
+	}
+	// What comes later is turned away: answered in full, it could take longer than there is time for.
 	p.enter()
 	p.stopping = true
 	p.leave()
--- /dev/null
+++ b/internal/proxy/listen.go
@@ -0,0 +1,73 @@
+package proxy
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// newest is the place of the listener that joined last, while two processes listen: the kernel numbers the sockets of
+// an address in the order in which they came, and closes the gap that one leaves.
+const newest = 1
+
+// listenShared listens at an address at which another process of this proxy may listen too, and has the kernel give all
+// new connections to whichever process came last. The other's line is then empty when it closes its listener; closed
+// with connections in it, those would be reset. With a single listener the choice names nobody, and the kernel falls
+// back to that one. Where the choice is not to be had, connections are spread over both.
+func listenShared(addr string, log *slog.Logger) (*net.TCPListener, error) {
+	lc := net.ListenConfig{
+		// Keep-alive probes don't notice a peer that has vanished here, and each costs system calls.
+		KeepAlive: -1,
+		Control: func(_, _ string, c syscall.RawConn) (err error) {
+			if e := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+			}); e != nil {
+				return e
+			}
+			return err
+		},
+	}
+	lc.SetMultipathTCP(false) // such a socket can't be given the choice below
+	l, err := lc.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	listener := l.(*net.TCPListener)
+	raw, err := listener.SyscallConn()
+	if err == nil {
+		choice := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: newest}}
+		program := unix.SockFprog{Len: uint16(len(choice)), Filter: &choice[0]}
+		if e := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF, &program)
+		}); e != nil {
+			err = e
+		}
+	}
+	if err != nil {
+		log.Warn("new connections will be spread over two processes while both listen", "err", err)
+	}
+	return listener, nil
+}
+
+// taken tells whether somebody listens at an address already. It binds the address without sharing it, and lets it go.
+func taken(addr string) bool {
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil || at.Port() == 0 {
+		return false
+	}
+	family, sa := unix.AF_INET6, unix.Sockaddr(&unix.SockaddrInet6{Port: int(at.Port()), Addr: at.Addr().As16()})
+	if at.Addr().Is4() {
+		family, sa = unix.AF_INET, &unix.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()}
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return false
+	}
+	defer unix.Close(fd)
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	return unix.Bind(fd, sa) == unix.EADDRINUSE
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -23,6 +24,7 @@
 	"time"
 
 	"linenloom/internal/discovery"
+	"linenloom/internal/maintenance"
 	"linenloom/internal/reasons"
 	"linenloom/logic"
 )
@@ -41,7 +43,8 @@
 	MemoryMB   int
 	Sockets    int // file descriptors
 	Known      discovery.List
-	AcceptMore time.Duration // after the stop signal, new connections still come for this long
+	AcceptMore time.Duration   // after the stop signal, new connections still come for this long
+	Out        maintenance.Set // the members out of use at the start
 
 	// Clock, if set, is the time since the start in place of the system's, and Tick has to be called once it has
 	// moved. OnSend, if set, is told of each choice of the module's, under the lock. Both are for tests and the rig.
@@ -92,10 +95,12 @@
 	restTimer   *time.Timer
 	restAt      time.Duration
 	ids         ids
+	serving     bool // clients are taken
 	stopping    bool // no request is taken any more
 	idle        idleTimes
 	hold        time.Duration              // see holdTime
 	slowHead    time.Duration              // see slowHead
+	out         maintenance.Set            // members out of use, whatever the list says
 	watches     []*watch                   // the one that counts, and one that has yet to tell its first list
 	startWatch  func(w *watch, whole bool) // nil while the proxy does not run
 	revision    int64                      // of the list
@@ -109,7 +114,10 @@
 	shortOfRoom bool
 }
 
-// New makes a Proxy and binds its address; clients that connect from then on wait for Run.
+func heldMax(memoryMB int) int { return int(float64(memoryMB) * (1 << 20) * bufferShare) }
+
+// New makes a Proxy and binds its address; clients that connect from then on wait for Run. Where another process of
+// this proxy listens there already, clients go on going to that one until this one is ready.
 func New(cfg Config, log *slog.Logger) (*Proxy, error) {
 	p := &Proxy{
 		cfg: cfg, log: log, started: time.Now(),
@@ -117,7 +125,7 @@
 		ids:  newIDs(),
 		hold: holdTime, slowHead: slowHead,
 		idle:    newIdleTimes(cfg.ConnIdle * idleShare / 100),
-		heldMax: int(float64(cfg.MemoryMB) * (1 << 20) * bufferShare),
+		heldMax: heldMax(cfg.MemoryMB), out: cfg.Out,
 	}
 	// The module's clock is monotonic and begins at the wall's time, so that start times, which members
 	// tell by the wall, are positive on it.
@@ -142,7 +150,7 @@
 }
 
 // Addr is the address that clients connect to.
-func (p *Proxy) Addr() net.Addr { return p.redis.listen.Addr() }
+func (p *Proxy) Addr() net.Addr { return p.redis.addr() }
 
 // Run serves until the context ends and everything taken until then is answered.
 func (p *Proxy) Run(ctx context.Context) error {
@@ -170,8 +178,18 @@
 	case <-time.After(readyWithin):
 	case <-ctx.Done():
 	}
-	p.log.Info("ready", "listen", p.Addr().String(), "members", len(p.cfg.Known.Members))
+	if err := p.redis.open(); err != nil {
+		stop()
+		p.enter()
+		p.startWatch = nil
+		p.closeAll()
+		p.mu.Unlock()
+		g.Wait()
+		return err
+	}
+	p.log.Info("ready", "listen", p.Addr().String(), "out_of_use", p.cfg.Out.Outs(), "members", len(p.cfg.Known.Members))
 	served := make(chan error, len(p.fronts))
+	p.Do(func() { p.serving = true })
 	for _, f := range p.fronts {
 		g.Go(func() { served <- f.Serve() })
 	}
@@ -245,7 +263,7 @@
 		m := p.member(e)
 		members = append(members, m)
 		listed[m.ID] = true
-		p.update(m, e.HostPort)
+		p.update(m, e)
 	}
 	if kind != logic.ListDelta {
 		for id, m := range p.members {
@@ -271,9 +289,51 @@
 	case discovery.PhaseTerminating:
 		m.State = logic.Draining
 	}
+	// Nothing new goes to a member out of use, as if the list said that it drains.
+	if m.State == logic.Ready && p.out.Out(e.ID) {
+		m.State = logic.Draining
+	}
+	m.StartedAt = time.Duration(p.out.UpSince(e.ID, e.UpSinceMS) * float64(time.Millisecond))
 	return m
 }
 
+// Maintain takes over which members are out of use. What waits to be sent to one that goes out is not sent.
+func (p *Proxy) Maintain(out maintenance.Set) {
+	p.enter()
+	defer p.leave()
+	p.out = out
+	var changed []discovery.Member
+	for _, m := range p.members {
+		if e := p.member(m.listed); m.state != logic.Gone && (e.State != m.state || e.StartedAt != m.started) {
+			changed = append(changed, m.listed)
+		}
+	}
+	slices.SortFunc(changed, func(a, b discovery.Member) int { return cmp.Compare(a.ID, b.ID) })
+	if len(changed) > 0 {
+		p.apply(logic.ListDelta, discovery.List{Members: changed})
+	}
+}
+
+// Knows tells whether the list names a member, or it is out of use.
+func (p *Proxy) Knows(id string) (known bool) {
+	p.Do(func() {
+		m := p.members[MemberID(id)]
+		known = m != nil && m.listed.ID == id && m.state != logic.Gone || p.out.Out(id)
+	})
+	return known
+}
+
+// Serving tells whether clients are taken.
+func (p *Proxy) Serving() (yes bool) {
+	p.Do(func() { yes = p.serving && !p.stopping })
+	return yes
+}
+
+// Limit changes how many descriptors and how much memory this process may use, while another one shares the limits.
+func (p *Proxy) Limit(descriptors, memoryMB int) {
+	p.Do(func() { p.cfg.Sockets, p.cfg.MemoryMB, p.heldMax = descriptors, memoryMB, heldMax(memoryMB) })
+}
+
 // MemberID is the module's number for a member's id.
 func MemberID(id string) logic.MemberID { return logic.MemberID(hash(id)) }
 
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -95,7 +94,8 @@
 // redisFront takes RESP2 clients. It is always there: the platform's clients speak nothing else.
 type redisFront struct {
 	p       *Proxy
-	listen  *net.TCPListener
+	address string
+	listen  *net.TCPListener // nil until the process that is followed can do without the address
 	clients map[*client]struct{}
 	taken   chan error // the end of accept
 }
@@ -103,13 +103,33 @@
 var _ Front = (*redisFront)(nil)
 
 func newRedisFront(p *Proxy, addr string) (*redisFront, error) {
-	// Keep-alive probes don't notice a peer that has vanished here, and each costs system calls.
-	lc := net.ListenConfig{KeepAlive: -1}
-	l, err := lc.Listen(context.Background(), "tcp", addr)
+	f := &redisFront{p: p, address: addr, clients: map[*client]struct{}{}, taken: make(chan error, 1)}
+	if taken(addr) {
+		p.log.Info("another process listens here, to be followed", "listen", addr)
+		return f, nil
+	}
+	return f, f.open()
+}
+
+// open listens, if the front does not yet.
+func (f *redisFront) open() error {
+	if f.listen != nil {
+		return nil
+	}
+	l, err := listenShared(f.address, f.p.log)
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		return fmt.Errorf("listen: %w", err)
+	}
+	f.listen = l
+	return nil
+}
+
+// addr is the address that clients connect to; nil, as long as another process has it.
+func (f *redisFront) addr() net.Addr {
+	if f.listen == nil {
+		return nil
 	}
-	return &redisFront{p: p, listen: l.(*net.TCPListener), clients: map[*client]struct{}{}, taken: make(chan error, 1)}, nil
+	return f.listen.Addr()
 }
 
 // Serve takes connections until StopTaking or Close.
@@ -149,7 +169,9 @@
 
 // Close ends what is still open.
 func (f *redisFront) Close() {
-	f.listen.Close()
+	if f.listen != nil {
+		f.listen.Close()
+	}
 	for c := range f.clients {
 		c.close()
 	}
@@ -326,13 +348,20 @@
 // hangUp ends the sending side once everything pending is answered. The client sees the end and closes.
 func (c *client) hangUp(final bool) {
 	c.ended = c.ended || final
-	if c.free() && !c.w.failed && !c.hung {
+	if c.free() && !c.w.failed && !c.hung && (c.ended || c.quiet()) {
 		c.ended, c.hung = true, true
 		c.conn.CloseWrite()
 		c.wake()
 	}
 }
 
+// quiet tells whether nothing has come that was not read yet: a command that has is answered before its connection ends.
+func (c *client) quiet() bool {
+	saw := peekEnd
+	c.w.raw.Control(func(fd uintptr) { saw = peek(fd) })
+	return saw != peekBytes
+}
+
 // read reads commands and submits them.
 func (c *client) read() error {
 	p := c.p
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"linenloom/internal/discovery"
 	"linenloom/internal/resp"
 	"linenloom/logic"
 )
@@ -77,6 +78,7 @@
 // member is what this package knows of a member: its address and the connections to it.
 type member struct {
 	id         logic.MemberID
+	listed     discovery.Member // as the list has it
 	addr       string
 	origin     bool
 	state      logic.State
@@ -129,7 +131,8 @@
 }
 
 // update takes a list entry.
-func (p *Proxy) update(e logic.Member, addr string) {
+func (p *Proxy) update(e logic.Member, listed discovery.Member) {
+	addr := listed.HostPort
 	m := p.members[e.ID]
 	if m == nil {
 		if e.State == logic.Gone {
@@ -139,6 +142,7 @@
 		p.members[e.ID] = m
 	}
 	m.origin = e.Kind == p.cfg.Settings.OriginKind && p.cfg.Settings.Mode == logic.Aside
+	m.listed = listed
 	moved := m.addr != addr || m.started != e.StartedAt
 	m.addr, m.started, m.state = addr, e.StartedAt, e.State
 	if moved || e.State != logic.Ready {
