Classes and attempts are retuned on SIGHUP, and a faulty file is turned down whole

Need: the operators' files bring other settings while the proxy serves.

Change: internal/retune checks that a file has every key that the one in force has and tells all that is wrong; for 1.5 s after SIGHUP classes are what both files allow, then the new ones. The module's Retune replaces classes and attempts; requests in hand keep the class and the number of attempts they came with, and the counts of reasons follow the classes by name.

Weighed: a fixed list of keys instead of those in force (it would have to follow the platform's; refused).

Every cut and every lacking key of the example configuration is turned down (test).

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -3,7 +3,6 @@
 package app
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -196,7 +195,7 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go shared.run(p, ended)
-	r := reloader{p: p, cfg: cfg, file: file, log: log}
+	r := reloader{p: p, cfg: cfg, classes: settings.Settings.Classes, tries: settings.Settings.TryLimit, file: file, log: log}
 	if file.ExtProc != nil {
 		if r.extproc, err = g.ExtProc(p, file, log); err != nil {
 			return err
@@ -214,52 +213,3 @@
 	log.Info("stopped")
 	return nil
 }
-
-// reloader takes over what the files say after SIGHUP.
-type reloader struct {
-	p       *proxy.Proxy
-	cfg     *config
-	file    *operator.File
-	extproc Front
-	log     *slog.Logger
-}
-
-// reload takes over what the configuration file and the operator's file say now, as far as a running proxy can. A
-// file that can't be used changes nothing, and does not keep the other from being taken over.
-func (r *reloader) reload() {
-	if cfg, err := reloadConfig(os.Getenv); err != nil {
-		r.log.Error("reload failed, the old configuration stays in force", "err", err)
-	} else if _, err = cfg.proxy(); err != nil {
-		r.log.Error("reload failed, the old configuration stays in force", "err", err)
-	} else {
-		if cfg.Listen != r.cfg.Listen || cfg.Limits != r.cfg.Limits || !bytes.Equal(cfg.Settings, r.cfg.Settings) {
-			r.log.Warn("reload: changes of listen, limits and settings need a restart")
-		}
-		r.log.Info("reload", "discovery", cfg.Discovery)
-		r.p.Follow(cfg.Discovery)
-	}
-	if r.file.Path != "" {
-		r.reloadOperator()
-	}
-}
-
-func (r *reloader) reloadOperator() {
-	now, err := operator.Load(r.file.Path)
-	if err != nil {
-		r.log.Error("reload failed, the operator's old file stays in force", "err", err)
-		return
-	}
-	fixed, live := r.file.Changed(now)
-	if len(fixed) > 0 {
-		r.log.Warn("reload: these need a restart, the old ones stay in force", "keys", fixed)
-		now.Keep(r.file)
-	}
-	if r.extproc != nil && len(live) > 0 {
-		if err := r.extproc.Reload(now); err != nil {
-			r.log.Error("reload failed, the operator's old file stays in force", "err", err)
-			return
-		}
-	}
-	r.file = now
-	r.log.Info("reload of the operator's file", "changed", live)
-}
--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -12,6 +12,7 @@
 
 	"linenloom/internal/discovery"
 	"linenloom/internal/proxy"
+	"linenloom/internal/retune"
 	"linenloom/internal/wire"
 )
 
@@ -33,6 +34,8 @@
 	} `json:"limits"`
 	Known    discovery.List  `json:"known"`
 	Settings json.RawMessage `json:"settings"`
+
+	text []byte // as it was read
 }
 
 // hostSettings are the settings that concern sockets, and so not the Balancer.
@@ -48,14 +51,16 @@
 
 // loadConfig reads the configuration. The variables beside LB_CONFIG take precedence over the file.
 func loadConfig(getenv func(string) string) (*config, error) {
-	return readConfig(getenv, getenv("LB_DISCOVERY"))
+	return readConfig(getenv, getenv("LB_DISCOVERY"), nil)
 }
 
 // reloadConfig reads the configuration again. Now the file's discovery holds: the environment is as old as
-// the process, and the file has been replaced since.
-func reloadConfig(getenv func(string) string) (*config, error) { return readConfig(getenv, "") }
+// the process, and the file has been replaced since. It has to have everything that the text in force has.
+func reloadConfig(getenv func(string) string, inForce []byte) (*config, error) {
+	return readConfig(getenv, "", inForce)
+}
 
-func readConfig(getenv func(string) string, discovery string) (*config, error) {
+func readConfig(getenv func(string) string, discovery string, inForce []byte) (*config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
 		return nil, errors.New("LB_CONFIG is not set")
@@ -64,10 +69,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if inForce != nil {
+		if err := retune.Check(inForce, text); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+	}
 	var c config
 	if err := json.Unmarshal(text, &c); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	c.text = text
 	c.Name = cmp.Or(getenv("LB_NAME"), c.Name)
 	c.Listen = cmp.Or(getenv("LB_LISTEN"), c.Listen)
 	c.Discovery = cmp.Or(discovery, c.Discovery)
--- a/internal/app/config_test.go
+++ b/internal/app/config_test.go
@@ -46,7 +46,8 @@
 	if err != nil || c.Discovery != "127.0.0.1:20" || c.Listen != "127.0.0.1:30" {
 		t.Errorf("at the start: %+v, %v", c, err)
 	}
-	c, err = reloadConfig(getenv)
+	standing := c.text
+	c, err = reloadConfig(getenv, standing)
 	if err != nil || c.Discovery != "127.0.0.1:10" || c.Listen != "127.0.0.1:30" {
 		t.Errorf("afterwards: %+v, %v", c, err)
 	}
@@ -56,12 +57,12 @@
 		"few sockets":  {"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 3}},
 	} {
 		replace(t, path, configWith(t, fields))
-		if _, err := reloadConfig(getenv); err == nil {
+		if _, err := reloadConfig(getenv, standing); err == nil {
 			t.Errorf("%s: taken", name)
 		}
 	}
 	replace(t, path, []byte(`{"discovery":"127.0.0.1:10","known":{"mem`))
-	if _, err := reloadConfig(getenv); err == nil {
+	if _, err := reloadConfig(getenv, standing); err == nil {
 		t.Error("half a file was taken")
 	}
 }
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -60,7 +60,7 @@
 type config struct {
 	*operator.ExtProc
 	mapping *extproc.Mapping
-	classes map[string]int
+	classes map[string]*logic.Class
 	names   names
 	going   *extprocv3.ProcessingResponse // the response goes on as it is
 	again   *extprocv3.ProcessingResponse // marked for another attempt
@@ -133,10 +133,10 @@
 }
 
 func (f *Front) compile(file *operator.File) (*config, error) {
-	c := &config{ExtProc: file.ExtProc, classes: map[string]int{}}
+	c := &config{ExtProc: file.ExtProc, classes: map[string]*logic.Class{}}
 	var names []string
-	for i, class := range f.p.Settings().Classes {
-		c.classes[class.Name] = i
+	for _, class := range f.p.Classes() {
+		c.classes[class.Name] = &class
 		names = append(names, class.Name)
 	}
 	if err := file.CheckClasses(names); err != nil {
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -347,7 +347,7 @@
 		return s.pass()
 	}
 	s.target = target
-	class := &s.f.p.Settings().Classes[s.cfg.classes[target.Class]]
+	class := s.cfg.classes[target.Class]
 	left := class.Deadline
 	if h.hasLeft {
 		left = min(left, h.left)
@@ -502,7 +502,7 @@
 // with what is decided.
 func (s *stream) begin(ctx context.Context, body bool) error {
 	f, h := s.f, &s.head
-	class := &f.p.Settings().Classes[s.cfg.classes[s.target.Class]]
+	class := s.cfg.classes[s.target.Class]
 	if s.unsafe(class) && !s.route() && !body {
 		if err := s.taken(); err != nil {
 			return err
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -33,7 +33,7 @@
 	p.stopping = true
 	p.leave()
 	longest := commandTime
-	for _, c := range p.cfg.Settings.Classes {
+	for _, c := range p.Classes() {
 		longest = max(longest, c.Deadline)
 	}
 	for end := time.Now().Add(longest); time.Now().Before(end) && p.owes(); {
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -51,7 +51,8 @@
 	Command
 	Taker    Taker
 	id       logic.RequestID
-	class    int
+	class    int // its place in the counts of reasons; below 0: it is dropped since
+	effect   logic.Effect
 	tenant   int
 	deadline time.Duration
 	attempts []*attempt // by number
@@ -216,7 +217,7 @@
 	if r.Only != nil {
 		lr.Only = p.named(r.Only)
 	}
-	r.class, r.tenant = lr.Class, lr.Tenant
+	r.class, r.tenant, r.effect = lr.Class, lr.Tenant, p.cfg.Settings.Classes[lr.Class].Effect
 	lr.Deadline += p.now
 	r.deadline = lr.Deadline
 	p.requests[r.id] = r
@@ -290,8 +291,36 @@
 // Stopping tells, under the lock, whether no request is taken any more.
 func (p *Proxy) Stopping() bool { return p.stopping }
 
-// Settings are those of the Balancer; they never change.
-func (p *Proxy) Settings() *logic.Settings { return &p.cfg.Settings }
+// Classes are those in force.
+func (p *Proxy) Classes() (c []logic.Class) {
+	p.Do(func() { c = p.cfg.Settings.Classes })
+	return c // replaced whole, never changed
+}
+
+// Retune takes over other classes and another number of attempts. Requests in hand keep theirs.
+func (p *Proxy) Retune(classes []logic.Class, tryLimit int) error {
+	p.enter()
+	defer p.leave()
+	if err := p.bal.Retune(p.now, classes, tryLimit); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	was := p.cfg.Settings.Classes
+	p.cfg.Settings.Classes, p.cfg.Settings.TryLimit = slices.Clone(classes), tryLimit
+	var names []string
+	for _, c := range classes {
+		names = append(names, c.Name)
+	}
+	p.reasons = p.reasons.For(names)
+	if p.reasonsTold != nil {
+		p.reasonsTold = p.reasonsTold.For(names)
+	}
+	for _, r := range p.requests {
+		if r.class >= 0 {
+			r.class = slices.Index(names, was[r.class].Name)
+		}
+	}
+	return nil
+}
 
 // Hold counts n bytes, or gives back -n, under the lock. It tells whether the room is overdrawn.
 func (p *Proxy) Hold(n int) (over bool) {
--- /dev/null
+++ b/internal/proxy/retune_test.go
@@ -0,0 +1,71 @@
+package proxy
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"linenloom/internal/reasons"
+	"linenloom/logic"
+)
+
+// Classes come, go and change under way. A request in hand keeps the class and the attempts that it came with.
+func TestRetune(t *testing.T) {
+	release := make(chan struct{})
+	asked := make(chan string, 10)
+	o := origin(t, func(r *http.Request) string {
+		asked <- r.URL.Path
+		if r.URL.Path == "/b1" {
+			<-release
+			return "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n" // it may have run
+		}
+		return page("done")
+	})
+	p := start(t, testConfig(), entry("o", o, "origin"))
+	c, d := p.dial(), p.dial()
+	c.send(put("b1", "r1", "x")) // in hand: an order, never to run twice
+	<-asked
+
+	classes := slices.Clone(p.Classes())
+	classes[1].Effect = logic.Repeatable
+	classes = append([]logic.Class{{Name: "overlay", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}}, classes[1])
+	d.send(words("OBJ.SET", "b2", "r2", "c=overlay,d=8000", "x"))
+	if got := d.answer(); got != "-ERR unknown class" {
+		t.Errorf("before: %q", got)
+	}
+	if err := p.Retune(classes, 2); err != nil {
+		t.Fatal(err)
+	}
+	d.send(words("OBJ.SET", "b3", "r3", "c=overlay,d=8000", "x"))
+	if got := d.answer(); got != "done" {
+		t.Errorf("the class that is added: %q", got)
+	}
+	d.send(get("b4", "r4"))
+	if got := d.answer(); got != "-ERR unknown class" {
+		t.Errorf("the class that is dropped: %q", got)
+	}
+	close(release)
+	if got := c.answer(); got != "-ERR failed" {
+		t.Errorf("the order in hand: %q", got)
+	}
+	for len(asked) > 0 {
+		if at := <-asked; at == "/b1" {
+			t.Error("the order ran twice")
+		}
+	}
+	if n := p.Reasons().Total(reasons.Failed, logic.MayHaveRun); n != 1 {
+		t.Errorf("%d failures counted for what may have run, want 1", n)
+	}
+	for name, bad := range map[string][]logic.Class{"none": nil, "no deadline": {{Name: "x", Aim: 1}}} {
+		if err := p.Retune(bad, 2); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	if err := p.Retune(classes, 0); err == nil {
+		t.Error("no attempts: taken")
+	}
+	if got := p.Classes(); len(got) != 2 || got[0].Name != "overlay" {
+		t.Errorf("after what was turned down: %v", got)
+	}
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -303,7 +303,7 @@
 }
 
 // once tells whether a request must never run twice.
-func (p *Proxy) once(r *Request) bool { return p.cfg.Settings.Classes[r.class].Effect == logic.Once }
+func (p *Proxy) once(r *Request) bool { return r.effect == logic.Once }
 
 // dial opens connections for those that wait, within the bounds.
 func (p *Proxy) dial(m *member) {
--- a/internal/reasons/reasons.go
+++ b/internal/reasons/reasons.go
@@ -83,6 +83,18 @@
 	return &Counts{classes: c.classes, tenants: c.tenants, n: slices.Clone(c.n)}
 }
 
+// For is the counts for other classes: a class that is in both keeps its own.
+func (c *Counts) For(classes []string) *Counts {
+	n := New(classes, c.tenants)
+	each := len(c.n) / max(1, len(c.classes))
+	for i, name := range classes {
+		if was := slices.Index(c.classes, name); was >= 0 {
+			copy(n.n[i*each:(i+1)*each], c.n[was*each:])
+		}
+	}
+	return n
+}
+
 // Since is what has been counted since an earlier copy; nil stands for the start.
 func (c *Counts) Since(was *Counts) *Counts {
 	d := c.Clone()
--- /dev/null
+++ b/internal/retune/retune_test.go
@@ -0,0 +1,162 @@
+package retune
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"linenloom/logic"
+)
+
+func inForce(t testing.TB) []byte {
+	t.Helper()
+	text, err := os.ReadFile("../../cmd/linenloom/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// A file cut at any byte is turned down, and so is one that lacks any of its keys.
+func TestCheckWhole(t *testing.T) {
+	whole := inForce(t)
+	if err := Check(whole, whole); err != nil {
+		t.Fatal(err)
+	}
+	text := strings.TrimSpace(string(whole))
+	for cut := range text {
+		if Check(whole, []byte(text[:cut])) == nil {
+			t.Fatalf("cut after %d bytes: taken", cut)
+		}
+	}
+	if err := Check(whole, []byte(text+"{}")); err == nil {
+		t.Error("taken with something behind it")
+	}
+	var c any
+	if err := json.Unmarshal(whole, &c); err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	without(c, func(key string) {
+		cut, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := Check(whole, cut); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("without %s: %v", key, err)
+		}
+		n++
+	})
+	if n < 80 {
+		t.Errorf("only %d keys tried", n)
+	}
+}
+
+// without takes each key away in turn, and puts it back.
+func without(v any, try func(key string)) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, was := range v {
+			delete(v, k)
+			try(k)
+			v[k] = nil
+			try(k)
+			v[k] = was
+			without(was, try)
+		}
+	case []any:
+		for _, e := range v {
+			without(e, try)
+		}
+	}
+}
+
+func TestCheckTellsWhatIsWrong(t *testing.T) {
+	was := []byte(`{"a":{"b":[{"n":1,"x":2},{"n":3}],"c":[]},"d":"e"}`)
+	for next, want := range map[string]string{
+		``:          "empty",
+		"  \n":      "empty",
+		`{"a":`:     "cut short, after 5 bytes",
+		`[]`:        "the configuration is no object",
+		`{"a":1}`:   "a is no object; d is missing",
+		`{"d":"e"}`: "a is missing",
+		`{"a":{"b":[{"n":1},{"x":2}],"c":[]},"d":"e"}`: "a.b[1].n is missing",
+		`{"a":{"b":{},"c":[]},"d":"e"}`:                "a.b is no list",
+		`{"a":{"b":[],"c":[1]},"d":"e","f":1}`:         "",
+		`{"a":{"b":[{"n":5}],"c":[]},"d":"e"}`:         "",
+		`{"a":{"b":[],"c":[]},"d":null}`:               "d is null",
+		`{"a":{"b":[],"c":[]},"d":1}x`:                 "something follows",
+	} {
+		err := Check(was, []byte(next))
+		switch {
+		case want == "" && err != nil:
+			t.Errorf("%s: %v", next, err)
+		case want != "" && (err == nil || !strings.Contains(err.Error(), want)):
+			t.Errorf("%s: %v, want %q", next, err, want)
+		}
+	}
+}
+
+// What holds in between never allows more than either of the two.
+func TestBetween(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	random := func() (cs []logic.Class) {
+		for _, n := range []string{"a", "b", "c"} {
+			if rng.IntN(3) > 0 {
+				cs = append(cs, logic.Class{Name: n, Effect: logic.Effect(rng.IntN(3)), Scope: logic.Scope(rng.IntN(3)),
+					Aim: time.Duration(1 + rng.IntN(9)), Deadline: time.Duration(1 + rng.IntN(9)), Window: time.Duration(1 + rng.IntN(9))})
+			}
+		}
+		return cs
+	}
+	for range 3000 {
+		was, now := random(), random()
+		both, tries := Between(was, now, 1+rng.IntN(4), 3)
+		if tries > 3 {
+			t.Fatal("more attempts than either allows")
+		}
+		for _, set := range [][]logic.Class{was, now} {
+			for _, c := range set {
+				i := slices.IndexFunc(both, func(b logic.Class) bool { return b.Name == c.Name })
+				if i < 0 {
+					t.Fatalf("%s is lost", c.Name)
+				}
+				b := both[i]
+				if b.Effect < c.Effect || b.Scope < c.Scope || b.Aim > c.Aim || b.Deadline > c.Deadline ||
+					b.Effect == logic.ByKey && c.Effect == logic.ByKey && b.Window > c.Window {
+					t.Fatalf("%+v allows more than %+v", b, c)
+				}
+			}
+		}
+		for i, c := range now { // the places of what stays are those of the new file
+			if both[i].Name != c.Name {
+				t.Fatalf("%v after %v", both, now)
+			}
+		}
+	}
+}
+
+func FuzzCheck(f *testing.F) {
+	whole := inForce(f)
+	f.Add(whole)
+	f.Add([]byte(`{"a":{}}`))
+	f.Add([]byte(`[1,{"a":null}]`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if Check(whole, text) != nil {
+			return
+		}
+		var was, now map[string]any
+		if json.Unmarshal(whole, &was) != nil || json.Unmarshal(text, &now) != nil {
+			t.Fatal("passed, and is no object")
+		}
+		for k := range was {
+			if now[k] == nil {
+				t.Fatalf("passed without %s", k)
+			}
+		}
+	})
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -77,15 +77,33 @@
 		tenants: make([]float64, len(s.Tenants)), flights: map[RequestID]*flight{},
 		fetching: map[uint64][]*flight{}, retries: retryBurst,
 	}
-	b.target = math.Inf(1)
-	for _, c := range s.Classes {
-		b.target = min(b.target, c.Aim.Seconds()/2)
-	}
+	b.aimAt()
 	// Where crossing zones costs more than the copies it saves, each zone has a table of its own.
 	b.local = s.Zones > 1 && s.CrossZonePrice*(1-1/float64(s.Zones)) > 0.03
 	return b, nil
 }
 
+// aimAt sets what a fetch may take: half of the shortest aim.
+func (b *Balancer) aimAt() {
+	b.target = math.Inf(1)
+	for _, c := range b.s.Classes {
+		b.target = min(b.target, c.Aim.Seconds()/2)
+	}
+}
+
+// Retune takes over other classes and another number of attempts, for requests that come from now on.
+func (b *Balancer) Retune(now time.Duration, classes []Class, tryLimit int) error {
+	s := b.s
+	s.Classes, s.TryLimit = slices.Clone(classes), min(tryLimit, 32) // requests in hand hold on to the old ones
+	if err := s.check(); err != nil {
+		return err
+	}
+	b.advance(now)
+	b.s = s
+	b.aimAt()
+	return nil
+}
+
 // Start begins at the host's time; windows are phased by instance so that rebuilds don't coincide.
 func (b *Balancer) Start(now time.Duration) {
 	b.now, b.closeAt = now, now
@@ -419,7 +437,7 @@
 	if b.flights[r.ID] != nil {
 		return
 	}
-	f := &flight{Request: r, class: b.classOf(r.Class)}
+	f := &flight{Request: r, class: b.classOf(r.Class), tries: b.s.TryLimit}
 	aim := f.class.Aim
 	if r.Known && r.Cost > 0 {
 		aim = min(f.class.Deadline, aim+time.Duration(f.class.AimStretch*float64(r.Cost)))
@@ -544,7 +562,7 @@
 // over tells why no further attempt may be made, whatever the members do.
 func (b *Balancer) over(f *flight) Reason {
 	switch {
-	case f.sent() >= b.s.TryLimit:
+	case f.sent() >= f.tries:
 		return OutOfTries
 	case b.now+b.slack() >= f.aim:
 		return OutOfTime
@@ -577,7 +595,7 @@
 func (b *Balancer) patience(f *flight, n *node) time.Duration {
 	// Where caches fetch by themselves a slow answer is most often a miss: giving it up wastes the fetch, and
 	// the next candidate would only fetch once more.
-	if f.sent()+1 >= b.s.TryLimit || f.class.Effect == Once || b.s.Mode == Through {
+	if f.sent()+1 >= f.tries || f.class.Effect == Once || b.s.Mode == Through {
 		return 0
 	}
 	left := f.aim - b.now
@@ -675,7 +693,7 @@
 
 // maySend is the one guard of every send: drains, the attempts allowed, and effects that must not double.
 func (b *Balancer) maySend(f *flight, n *node) bool {
-	if f.done || f.stream || n.m.State != Ready || f.sent() >= b.s.TryLimit || b.now >= f.Deadline {
+	if f.done || f.stream || n.m.State != Ready || f.sent() >= f.tries || b.now >= f.Deadline {
 		return false
 	}
 	if f.out != 0 && !b.s.SecondCopies || f.Only != nil && !slices.Contains(f.Only, n.m.ID) {
@@ -873,7 +891,7 @@
 		b.asked = max(0, b.asked-1)
 	}
 	if o.Status == StatusNoConn {
-		f.unsent = min(f.unsent+1, b.s.TryLimit)
+		f.unsent = min(f.unsent+1, f.tries)
 	}
 	f.done = f.done || o.Final
 	// A fetch that failed goes back in line below; until it is given up, those who wait for it go on waiting.
@@ -914,7 +932,7 @@
 	if f == nil || f.done || f.class.Effect != Repeatable || f.Write {
 		return nil
 	}
-	most = min(most, b.s.TryLimit-f.sent())
+	most = min(most, f.tries-f.sent())
 	out := f.out
 	f.out = 0 // the one that is out will have ended
 	for _, r := range b.order(f.slot) {
@@ -950,7 +968,7 @@
 		f.missAt = n
 	}
 	w, out := b.fetching[f.Key]
-	if f.leased || f.Key == 0 || f.sent()+2 > b.s.TryLimit || !out && note != NoteFetched {
+	if f.leased || f.Key == 0 || f.sent()+2 > f.tries || !out && note != NoteFetched {
 		b.enqueue(f)
 		return
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -43,6 +43,7 @@
 	aim            time.Duration // answers after this are worth little or nothing
 	value          float64
 	slot, attempts int
+	tries          int    // attempts allowed, as when it came
 	unsent         int    // attempts that found no connection: they count for nothing, up to the try limit
 	out            uint64 // attempts outstanding, a bit each
 	fetch          uint64 // attempts that went to the origin
