Long values are passed on as they come; connections asked on once give way

Need: values up to 4 MiB, read and written slowly, and crowds that never finish a request, on half of the descriptors.

Change: a read past 64 KiB goes to the client piece by piece, bound to its attempt (StreamStarted), timed by its first byte; one that breaks off ends the connection. A written one waits unread for room, first come first, and keeps a least pace of 64 KiB in 2.5 s. A place stuck in a command for 0.7 s may go to another. Where hardly any connection is asked on again, one is closed once it is answered; every 8th is kept, to tell. The writer hands a backlog on in pieces of 64 KiB.

A test of an order's broken connection took two writes for one; it reads the whole request now.

--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -53,6 +53,7 @@
 	id       logic.RequestID
 	class    int // its place in the counts of reasons; below 0: it is dropped since
 	effect   logic.Effect
+	long     int // bytes of the room for long values that its value has; else it is counted as held
 	tenant   int
 	deadline time.Duration
 	attempts []*attempt // by number
@@ -82,6 +83,21 @@
 // Taker gets a request's single final answer, under the host's lock; it must not block.
 type Taker interface{ Answer(Answer) }
 
+// Passer is a Taker that takes a long value piece by piece, as it comes from a member. The calls come in this order, from
+// a goroutine of their own and not under the host's lock, and may block until the client has taken what came before. Once
+// one has returned an error, nobody takes anything any more and no further call is made.
+type Passer interface {
+	Taker
+	// Begin begins a value of n bytes.
+	Begin(n int) error
+	// Pass passes on the next piece, which may be used again once it returns.
+	Pass(piece []byte) error
+	// Finish ends the value, which then is the request's answer.
+	Finish() error
+	// Cut ends a value that can't be finished, so that the client can tell that it is not whole.
+	Cut()
+}
+
 // Carrier is a Taker whose client makes the attempts itself, over connections that the host has no part in. The
 // front reports how each one ends; the host still ends those whose time is up.
 type Carrier interface {
--- a/internal/proxy/givenup_test.go
+++ b/internal/proxy/givenup_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -49,8 +51,9 @@
 			put("p", "1", "a pass"), "-ERR", reasons.Failed, logic.MayHaveRun},
 		"an order whose connection broke": {miss, func(t *testing.T) string {
 			return listen(t, func(conn net.Conn) {
-				conn.Read(make([]byte, 4096))
-				conn.Read(make([]byte, 4096)) // the last byte, which comes alone
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					io.Copy(io.Discard, r.Body) // to the last byte, which comes alone
+				}
 			})
 		}, put("p", "1", "a pass"), "-ERR", reasons.Failed, logic.MayHaveRun},
 		"an order that is turned away each time": {miss, func(t *testing.T) string {
--- /dev/null
+++ b/internal/proxy/long.go
@@ -0,0 +1,294 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"linenloom/internal/resp"
+	"linenloom/logic"
+)
+
+// Values past resp.MaxValue are long. One that is read goes to the client piece by piece as the member gives it, at the
+// client's pace: what is held of it is a piece on the way in and one on the way out. One that is written is held whole,
+// since it may have to be sent again, but only as many as there is room for: the others are not read until then, which
+// costs their clients nothing, as their time counts from the last byte.
+const (
+	longPiece = 32 << 10
+	// longShare is the part of the memory for long values that are written, beside bufferShare for everything else.
+	longShare = 0.25
+	// longPace is how long each piece of longStep bytes of a long value may take to arrive. Slower, a client would hold its
+	// room for minutes.
+	longStep = 64 << 10
+	// aloneFor is for how long no read is written behind others after a long value was seen: it would wait for all of one.
+	aloneFor = 10 * time.Second
+	// passLook is how often a read that stands behind a long value is looked at, past its time-out.
+	passLook = 100 * time.Millisecond
+)
+
+// room is what may be held of long values. Who comes first is let in first, so that none waits for ever.
+type room struct {
+	used    int
+	waiting []*place
+}
+
+// place waits for room.
+type place struct {
+	n    int
+	let  chan struct{} // closed once it is let in
+	done bool          // let in, or given up
+}
+
+// enter asks for n bytes.
+func (r *room) enter(n, most int) *place {
+	w := &place{n: n, let: make(chan struct{})}
+	r.waiting = append(r.waiting, w)
+	r.grant(most)
+	return w
+}
+
+// grant lets in those for whom there is room, and one in any case.
+func (r *room) grant(most int) {
+	for len(r.waiting) > 0 {
+		w := r.waiting[0]
+		if r.used > 0 && r.used+w.n > most {
+			return
+		}
+		r.waiting = r.waiting[1:]
+		r.used += w.n
+		w.done = true
+		close(w.let)
+	}
+}
+
+// leave gives up the wait, or the room.
+func (r *room) leave(w *place) {
+	if w.done {
+		r.used -= w.n
+		return
+	}
+	w.done = true
+	if i := slices.Index(r.waiting, w); i >= 0 {
+		r.waiting = slices.Delete(r.waiting, i, i+1)
+	}
+}
+
+func (p *Proxy) longMax() int { return int(float64(p.cfg.MemoryMB) * (1 << 20) * longShare) }
+
+// letGo gives back the room of a request's value.
+func (p *Proxy) letGo(r *Request) {
+	if r.long > 0 {
+		p.long.used -= r.long
+	} else {
+		p.held -= cap(r.Value)
+	}
+	r.long, r.Value = 0, nil
+}
+
+// longValue reads a long value of a client, once there is room for it.
+func (c *client) longValue(cmd *input, n int) error {
+	p := c.p
+	p.enter()
+	w := p.long.enter(n, p.longMax())
+	c.waits = true
+	p.leave()
+	late := time.NewTimer(longestWait)
+	defer late.Stop()
+	select {
+	case <-w.let:
+	case <-late.C:
+	}
+	p.enter()
+	c.waits = false
+	let := w.done
+	if !let {
+		p.long.leave(w)
+	}
+	p.leave()
+	if !let { // it is read over, and refused
+		*cmd = input{refused: true}
+		c.limit()
+		return c.in.Skip(n)
+	}
+	value := make([]byte, n)
+	err := c.pieces(value)
+	if err == nil {
+		err = c.in.End()
+	}
+	if err != nil {
+		p.enter()
+		p.long.leave(w)
+		p.leave()
+		return err
+	}
+	cmd.Value, cmd.long = value, n
+	return nil
+}
+
+// longestWait is how long a long value waits for room before it is refused.
+const longestWait = 10 * time.Second
+
+// pieces reads a long value, which has to keep a least pace.
+func (c *client) pieces(value []byte) error {
+	for len(value) > 0 {
+		piece := value[:min(len(value), longStep)]
+		c.limit()
+		if _, err := io.ReadFull(c.in, piece); err != nil {
+			return err
+		}
+		value = value[len(piece):]
+	}
+	c.limit()
+	return nil
+}
+
+// passes begins to pass on a long value: the request is served, and bound to this attempt.
+func (u *upstream) passes(n int) (Passer, *attempt, error) {
+	p := u.p
+	p.enter()
+	defer p.leave()
+	p.alone = p.now + aloneFor
+	a := u.current
+	if a == nil || a.ended {
+		return nil, nil, net.ErrClosed
+	}
+	if a.req.done { // nobody waits for it
+		p.end(a, logic.StatusOK, 0)
+		return nil, nil, net.ErrClosed
+	}
+	to, ok := a.req.Taker.(Passer)
+	if !ok {
+		return nil, nil, fmt.Errorf("a value of %d bytes, for a client that takes %d at the most: %w", n, resp.MaxValue, resp.ErrProtocol)
+	}
+	a.req.done, a.passing, a.firstAt = true, true, p.now
+	p.bal.StreamStarted(p.now, a.req.id, a.n)
+	return to, a, nil
+}
+
+// pass passes on n bytes of in as a's value; end, if not nil, reads what follows them before they count as whole.
+func (u *upstream) pass(in io.Reader, n int, end func() error) (*attempt, error) {
+	to, a, err := u.passes(n)
+	if err != nil {
+		return nil, err
+	}
+	u.slow = true
+	defer func() { u.slow = false }()
+	if err := to.Begin(n); err != nil {
+		return nil, u.unwanted(a)
+	}
+	buf := u.p.buffers.Get().(*[]byte)
+	defer u.p.buffers.Put(buf)
+	*buf = slices.Grow((*buf)[:0], longPiece)
+	for piece := (*buf)[:longPiece]; n > 0; {
+		m, err := in.Read(piece[:min(n, len(piece))])
+		if m > 0 && to.Pass(piece[:m]) != nil {
+			return nil, u.unwanted(a)
+		}
+		if n -= m; err != nil && n > 0 {
+			to.Cut()
+			return nil, fmt.Errorf("%w: %w", errCut, err)
+		}
+	}
+	if end != nil {
+		if err := end(); err != nil {
+			to.Cut()
+			return nil, err
+		}
+	}
+	if to.Finish() != nil {
+		return nil, u.unwanted(a)
+	}
+	return a, nil
+}
+
+// unwanted ends an attempt whose client has gone in the middle of the value: the member has done its part.
+func (u *upstream) unwanted(a *attempt) error {
+	u.p.Do(func() { u.p.end(a, logic.StatusOK, 0) })
+	return net.ErrClosed
+}
+
+// passRESP passes on a long value of a cache.
+func (u *upstream) passRESP(in *resp.Reader, n int) error {
+	a, err := u.pass(in, n, in.End)
+	if err != nil {
+		return err
+	}
+	word, err := readWord(in)
+	note := 0
+	if err == nil {
+		note = noteOf(word)
+		_, err = readWord(in)
+	}
+	// The value is whole; what is wrong behind it ends the connection only.
+	u.p.Do(func() { u.p.end(a, logic.StatusOK, note) })
+	return err
+}
+
+// passHTTP passes on a long value of an origin.
+func (u *upstream) passHTTP(answer *http.Response, limit *capped, n int) error {
+	limit.left += n
+	a, err := u.pass(answer.Body, n, nil)
+	if err != nil {
+		return err
+	}
+	u.p.Do(func() { u.p.end(a, logic.StatusOK, 0) })
+	if answer.Close {
+		return io.EOF
+	}
+	return nil
+}
+
+// errGone tells that a client takes nothing any more.
+var errGone = errors.New("the client has gone")
+
+var _ Passer = (*owed)(nil)
+
+// Begin begins the answer.
+func (o *owed) Begin(n int) error { return o.write(resp.AppendBulkHead(nil, n), false) }
+
+// Pass writes a piece.
+func (o *owed) Pass(piece []byte) error { return o.write(piece, false) }
+
+// Finish ends the answer.
+func (o *owed) Finish() error { return o.write([]byte("\r\n"), true) }
+
+// Cut closes the connection.
+func (o *owed) Cut() { o.client.p.Do(o.client.close) }
+
+// write sends bytes of an answer once its turn has come and the client has taken what was sent before.
+func (o *owed) write(b []byte, last bool) error {
+	c := o.client
+	p := c.p
+	for {
+		p.enter()
+		if c.closed || c.w.failed || !slices.Contains(c.pending, o) {
+			p.leave()
+			return errGone
+		}
+		if c.pending[0] == o && !c.w.busy {
+			c.w.send(b, false)
+			if last {
+				c.pop()
+				c.flush()
+			}
+			p.leave()
+			return nil
+		}
+		turn := make(chan struct{})
+		o.turn = turn
+		p.leave()
+		<-turn
+	}
+}
+
+// wakeTurn lets the answer go on whose turn it is.
+func (o *owed) wakeTurn() {
+	if o.turn != nil {
+		close(o.turn)
+		o.turn = nil
+	}
+}
--- /dev/null
+++ b/internal/proxy/long_test.go
@@ -0,0 +1,251 @@
+package proxy
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"linenloom/internal/discovery"
+	"linenloom/internal/resp"
+)
+
+// long is a value whose every part can be told from the others.
+func long(n int) string {
+	var b strings.Builder
+	for b.Len() < n {
+		fmt.Fprintf(&b, "%d,", b.Len())
+	}
+	return b.String()[:n]
+}
+
+// A long value goes on before all of it has come, whole and in order, from a cache and from an origin.
+func TestLongValuesArePassedOn(t *testing.T) {
+	value := long(3 << 20)
+	half := make(chan struct{})
+	for name, member := range map[string]func(t *testing.T) (flavor, addr string){
+		"cache": func(t *testing.T) (string, string) {
+			return "large", listen(t, func(conn net.Conn) {
+				if _, err := readCommand(resp.NewReader(conn, 4096)); err != nil {
+					return
+				}
+				fmt.Fprintf(conn, "*3\r\n$%d\r\n%s", len(value), value[:1<<20])
+				<-half
+				fmt.Fprintf(conn, "%s\r\n$3\r\nhit\r\n$-1\r\n", value[1<<20:])
+				conn.Read(make([]byte, 1))
+			})
+		},
+		"origin": func(t *testing.T) (string, string) {
+			return "origin", origin(t, func(*http.Request) string { return page(value) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			flavor, addr := member(t)
+			members := []discovery.Member{entry("m", addr, flavor)}
+			if flavor == "origin" {
+				members = append(members, entry("c", cache(t, func(asked) string { return miss }), "large"))
+			}
+			p := start(t, testConfig(), members...)
+			c := p.dial()
+			c.send(get("k1", "r1") + get("k2", "r2"))
+			line, err := c.in.ReadString('\n')
+			if err != nil || line != fmt.Sprintf("$%d\r\n", len(value)) {
+				t.Fatalf("%q %v", line, err)
+			}
+			got := make([]byte, len(value)+2)
+			if _, err := io.ReadFull(c.in, got[:1<<19]); err != nil { // the cache gives no more than a third yet
+				t.Fatal(err)
+			}
+			if flavor == "large" {
+				close(half)
+			}
+			if _, err := io.ReadFull(c.in, got[1<<19:]); err != nil || string(got) != value+"\r\n" {
+				t.Fatalf("not the value: %v", err)
+			}
+			if held := p.Load().Held; held > 1<<20 {
+				t.Errorf("%d bytes are held", held)
+			}
+		})
+	}
+}
+
+// A member that breaks off in the middle, and a client that leaves there: the client sees that the value is not whole,
+// nothing is tried again, and nothing stays behind.
+func TestLongValueCutOff(t *testing.T) {
+	value := long(1 << 20)
+	asks := make(chan string, 10)
+	p := start(t, testConfig(), entry("m", listen(t, func(conn net.Conn) {
+		for in := resp.NewReader(conn, 4096); ; {
+			w, err := readCommand(in)
+			if err != nil {
+				return
+			}
+			asks <- w[1]
+			if w[1] == "cut" {
+				fmt.Fprintf(conn, "*3\r\n$%d\r\n%s", len(value), value[:200<<10])
+				return
+			}
+			fmt.Fprintf(conn, "*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(value), value)
+		}
+	}), "large"))
+	c := p.dial()
+	c.send(get("cut", "r1"))
+	got, err := io.ReadAll(c.in)
+	if err != nil || !bytes.HasPrefix(got, []byte("$1048576\r\n0,2,")) || len(got) > 200<<10+12 {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+	d := p.dial()
+	d.send(get("whole", "r2"))
+	if _, err := d.in.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	d.conn.Close()
+	p.eventually("nothing is in hand", func() bool { return len(p.requests) == 0 && p.held == 0 })
+	if n := len(asks); n != 2 {
+		t.Errorf("%d requests to the cache, want 2", n)
+	}
+}
+
+// Long values that are written are let in as far as there is room, the first first; those that wait are not refused, and
+// leave others their way.
+func TestLongWritesWaitForRoom(t *testing.T) {
+	cfg := testConfig()
+	cfg.MemoryMB = 32 // room for two of them
+	cfg.Settings.Classes[1].Deadline = patience
+	o := origin(t, func(r *http.Request) string { return page("receipt " + r.Header.Get("X-Request-ID")) })
+	p := start(t, cfg, entry("o", o, "origin"), entry("c", cache(t, func(asked) string { return hit("v") }), "large"))
+	value := long(resp.MaxLong)
+	const writers = 6
+	var clients [writers]*testClient
+	for i := range clients { // all begin, none ends
+		clients[i] = p.dial()
+		text := put(fmt.Sprint("k", i), fmt.Sprint("w", i), value)
+		clients[i].send(text[:len(text)-resp.MaxLong/2])
+	}
+	p.eventually("some are let in, the others wait", func() bool {
+		return p.long.used == 2*resp.MaxLong && len(p.long.waiting) == writers-2
+	})
+	reader := p.dial()
+	reader.send(get("k", "r1"))
+	if got := reader.answer(); got != "v" {
+		t.Errorf("a read meanwhile: %q", got)
+	}
+	for i, c := range clients {
+		text := put(fmt.Sprint("k", i), fmt.Sprint("w", i), value)
+		go c.send(text[len(text)-resp.MaxLong/2:])
+	}
+	for i, c := range clients {
+		if got := c.answer(); got != fmt.Sprint("receipt w", i) {
+			t.Errorf("writer %d: %.60q", i, got)
+		}
+	}
+	p.eventually("all room is given back", func() bool { return p.long.used == 0 && len(p.long.waiting) == 0 && p.held == 0 })
+}
+
+// A crowd that sends half a command each gives its places to clients that ask, and to slow ones that go on.
+func TestStalledCommandsGiveWay(t *testing.T) {
+	cfg := testConfig()
+	cfg.Sockets = 64
+	p := start(t, cfg, entry("c", cache(t, func(asked) string { return hit("v") }), "large"))
+	slow := p.dial()
+	whole := get("k", "slow")
+	slow.send(whole[:1])
+	most := p.redis.maxClients()
+	var halves []*testClient
+	for i := range most - 1 {
+		halves = append(halves, p.dial())
+		halves[i].send(get("k", fmt.Sprint("half", i))[:20])
+	}
+	p.eventually("all are in the middle of a command", func() bool {
+		n := 0
+		for c := range p.redis.clients {
+			if c.mid {
+				n++
+			}
+		}
+		return n == most
+	})
+	served, sent := 0, 1
+	for ; served < most-1; time.Sleep(20 * time.Millisecond) { // the pace at which the slow client goes on
+		if sent < len(whole)-1 {
+			slow.send(whole[sent : sent+1])
+			sent++
+		}
+		c := p.dial() // one that comes before anybody has stalled for long is closed, and comes again
+		c.send(get("k", fmt.Sprint("new", time.Now().UnixNano())))
+		if c.answer() == "v" {
+			served++ // and it keeps its connection
+		} else {
+			c.conn.Close()
+		}
+	}
+	slow.send(whole[sent:])
+	if got := slow.answer(); got != "v" {
+		t.Errorf("the slow client: %q", got)
+	}
+	gaveWay := 0
+	for _, c := range halves { // those whose time is up have an error line
+		if c.answer() == "" {
+			gaveWay++
+		}
+	}
+	if gaveWay == 0 {
+		t.Error("nobody gave way before the time of a command was up")
+	}
+}
+
+// Where hardly any connection is asked on again, one is closed once it is answered, and its place is free for the next;
+// where they are used again, they are kept.
+func TestConnectionsAskedOnOnce(t *testing.T) {
+	cfg := testConfig()
+	cfg.Sockets = 128
+	run := slowClock(t, &cfg, time.Second) // nobody counts as idle meanwhile
+	p := start(t, cfg, entry("c", cache(t, func(asked) string { return hit("v") }), "large"))
+	run(p)
+	ask := func(name string) *testClient {
+		c := p.dial()
+		c.send(get("k", name))
+		if got := c.answer(); got != "v" {
+			t.Fatalf("%s: %q", name, got)
+		}
+		return c
+	}
+	clients := make([]*testClient, 0, 24)
+	for i := range cap(clients) { // over a third of the room, each of which asks twice
+		clients = append(clients, ask(fmt.Sprint("a", i)))
+		clients[i].send(get("k", fmt.Sprint("b", i)))
+		if got := clients[i].answer(); got != "v" {
+			t.Fatalf("the second time: %q", got)
+		}
+	}
+	p.eventually("all are kept", func() bool { return len(p.redis.clients) == cap(clients) && p.redis.reuse > reuseLeast })
+
+	p.Do(func() { p.redis.reuse = 0 }) // as after many that ask once and stay
+	closed := 0
+	const once = 4 * keepEvery
+	for i := range once {
+		c := ask(fmt.Sprint("c", i))
+		p.eventually("it is settled", func() bool { return len(p.requests) == 0 })
+		c.conn.SetReadDeadline(time.Now().Add(patience))
+		p.enter()
+		kept := len(p.redis.clients) > cap(clients)+(i+1)-closed-1
+		p.leave()
+		if !kept {
+			if got := c.answer(); got != "" {
+				t.Errorf("closed with %q", got)
+			}
+			closed++
+		}
+	}
+	if closed != once-once/keepEvery {
+		t.Errorf("%d of %d are closed, want all but one in %d", closed, once, keepEvery)
+	}
+	clients[0].send(get("k", "d")) // one that has asked again is not
+	if got := clients[0].answer(); got != "v" {
+		t.Errorf("%q", got)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -104,7 +104,9 @@
 	watches     []*watch                   // the one that counts, and one that has yet to tell its first list
 	startWatch  func(w *watch, whole bool) // nil while the proxy does not run
 	revision    int64                      // of the list
-	held        int                        // bytes of bodies and unsent answers
+	held        int                        // bytes of bodies and unsent answers, but for long values
+	long        room                       // for long values
+	alone       time.Duration              // until then no read is written behind another: see passes
 	heldMax     int
 	scratch     []byte
 	buffers     sync.Pool
@@ -244,6 +246,7 @@
 func (p *Proxy) leave() {
 	p.Tell()
 	p.arm()
+	p.long.grant(p.longMax())
 	p.mu.Unlock()
 }
 
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,9 +37,21 @@
 	crowdedIdle = 2200 * time.Millisecond
 	leastIdle   = 100 * time.Millisecond
 	askedShare  = 30 // percent of the descriptors: a little less than clients hold for requests at most
+	// Where hardly any connection is used a second time, one that has been answered is closed at once, from when
+	// connections that have asked take a third of the room on. Else each would hold a place until it counts as idle, and
+	// clients that come anew for every request find none. reuseLeast is the share of connections asked on again, of the
+	// last reuseOf or so, under which that is done, and every keepEvery-th connection is kept all the same: from those it
+	// is told. It could do harm where clients use their connections again only after long: they have to connect anew.
+	reuseLeast = 0.2
+	reuseOf    = 32
+	keepEvery  = 8
 	// youngFor is how long a connection that has not asked yet is spared when room is needed: a client's
 	// first command may be on its way.
 	youngFor = 100 * time.Millisecond
+	// stalledFor is how long a client may pause inside a command before its place may go to another, when all are taken.
+	// What it asks was not taken yet, so nothing is lost. A crowd that sends half a command each would else hold all
+	// places for as long as a command may take; a client that is slow but goes on keeps its place.
+	stalledFor = 700 * time.Millisecond
 	// maxFaults is how many commands that can't be carried out a client may send before its connection is
 	// ended. Each has its error line; without an end, a faulty client could keep the proxy busy for ever.
 	maxFaults = 16
@@ -53,6 +66,7 @@
 	Command
 	name    string // of commands other than the two that are passed on
 	refused bool   // there was no room for its value
+	long    int    // bytes of the room for long values that it has
 }
 
 // owed is an answer that a connection owes, in the order of its commands. A reply that no member has a part in
@@ -60,7 +74,8 @@
 type owed struct {
 	Request
 	client *client
-	reply  []byte // the final answer, until it is written
+	reply  []byte        // the final answer, until it is written
+	turn   chan struct{} // closed when a value that is passed on may go on
 }
 
 // client is a client's connection.
@@ -70,14 +85,18 @@
 	conn    *net.TCPConn
 	in      *resp.Reader
 	w       *writer
-	pending []*owed // in the order of their commands
-	mid     bool    // a command has been read in part
+	pending []*owed      // in the order of their commands
+	mid     bool         // a command has been read in part
+	heard   atomic.Int64 // when bytes of it came last, since the start of the proxy
 	resume  chan struct{}
 	active  time.Duration // when it connected, or last had something pending
 	asked   bool          // a command has been read whole
+	again   bool          // more than one has
+	kept    bool          // it is kept open after its first answer
 	faults  int           // commands that could not be carried out
 	ended   bool          // nothing further is read or answered
 	hung    bool          // the sending side is ended
+	waits   bool          // for room for a long value
 	closed  bool
 	limited bool // a deadline is set for the rest of a command
 }
@@ -85,10 +104,17 @@
 // Read reads for the parser. In the middle of a command it limits how long the rest may take.
 func (c *client) Read(b []byte) (int, error) {
 	if c.mid && !c.limited {
-		c.limited = true
-		c.conn.SetReadDeadline(time.Now().Add(commandTime))
+		c.limit()
 	}
-	return c.conn.Read(b)
+	n, err := c.conn.Read(b)
+	c.heard.Store(int64(time.Since(c.p.started)))
+	return n, err
+}
+
+// limit gives what comes next of a command its time.
+func (c *client) limit() {
+	c.limited = true
+	c.conn.SetReadDeadline(time.Now().Add(commandTime))
 }
 
 // redisFront takes RESP2 clients. It is always there: the platform's clients speak nothing else.
@@ -98,12 +124,15 @@
 	listen  *net.TCPListener // nil until the process that is followed can do without the address
 	clients map[*client]struct{}
 	taken   chan error // the end of accept
+	asked   int        // clients that have asked
+	reuse   float64    // the share of connections that are asked on again, lately
+	count   int        // of clients
 }
 
 var _ Front = (*redisFront)(nil)
 
 func newRedisFront(p *Proxy, addr string) (*redisFront, error) {
-	f := &redisFront{p: p, address: addr, clients: map[*client]struct{}{}, taken: make(chan error, 1)}
+	f := &redisFront{p: p, reuse: 1, address: addr, clients: map[*client]struct{}{}, taken: make(chan error, 1)}
 	if taken(addr) {
 		p.log.Info("another process listens here, to be followed", "listen", addr)
 		return f, nil
@@ -231,9 +260,11 @@
 	}
 	c := &client{p: p, f: f, conn: conn, w: w, active: p.now, limited: true}
 	c.in = resp.NewReader(c, clientBuffer)
-	w.idle = c.flush
+	w.idle, w.lost = c.flush, c.lost
 	conn.SetReadDeadline(time.Now().Add(commandTime)) // for the first command, whether it begins or not
 	f.clients[c] = struct{}{}
+	f.count++
+	c.kept = f.count%keepEvery == 0
 	p.Descriptors(1)
 	return c, nil
 }
@@ -244,19 +275,23 @@
 }
 
 // dropClient closes the idle client that is missed least: first those that have connected and asked nothing,
-// then those idle for long, and of each the oldest. A crowd that only connects pushes out its own like, not
+// then those idle for long or stuck in the middle of a command, and of each the oldest. A crowd that only connects pushes out its own like, not
 // the clients that are being served; clients that come with a first question of theirs in such a crowd may
 // have to connect again.
 func (f *redisFront) dropClient() bool {
 	var victim *client
 	least := 0
+	since := time.Since(f.p.started)
 	for c := range f.clients {
-		if !c.free() {
+		age := f.p.now - c.active
+		stalled := c.mid && !c.waits && len(c.pending) == 0 && since-time.Duration(c.heard.Load()) >= stalledFor
+		if !c.free() && !stalled {
 			continue
 		}
-		age := f.p.now - c.active
 		rank := 3
 		switch {
+		case stalled:
+			rank = 1
 		case !c.asked && age >= youngFor:
 			rank = 0
 		case c.asked && age >= crowdedIdle:
@@ -277,13 +312,7 @@
 
 // closeIdleClients closes the connections that have stood idle for too long.
 func (f *redisFront) closeIdleClients() {
-	asked := 0
-	for c := range f.clients {
-		if c.asked {
-			asked++
-		}
-	}
-	age := f.idleAge(asked)
+	age := f.idleAge(f.asked)
 	for c := range f.clients {
 		if c.asked && f.p.now-c.active >= age && c.free() {
 			c.close()
@@ -291,6 +320,27 @@
 	}
 }
 
+// ask notes that a command has been read whole.
+func (c *client) ask() {
+	f := c.f
+	switch {
+	case !c.asked:
+		f.asked++
+	case !c.again:
+		c.again = true
+		f.reuse += (1 - f.reuse) / reuseOf
+	}
+	c.asked, c.active = true, f.p.now
+}
+
+// answered closes a connection that has had its answer, if it is not likely to be used again and its place is wanted.
+func (c *client) answered() {
+	f := c.f
+	if f.reuse < reuseLeast && f.asked >= f.p.cfg.Sockets*askedShare/300 && !c.kept && !c.again && c.free() && c.quiet() {
+		c.close()
+	}
+}
+
 // idleAge is how long a connection may stand idle while so many have asked.
 func (f *redisFront) idleAge(asked int) time.Duration {
 	half := max(1, f.p.cfg.Sockets*askedShare/200)
@@ -377,16 +427,16 @@
 		p.enter()
 		c.mid = false
 		if c.ended { // it has been told of the end; a request that crosses it is sent again elsewhere
-			p.held -= cap(cmd.Value)
+			p.letGo(&Request{Command: cmd.Command, long: cmd.long})
 			p.leave()
 			return io.EOF
 		}
-		c.asked, c.active = true, p.now
+		c.ask()
 		switch {
 		case cmd.refused:
 			c.error("BUSY")
 		case cmd.name == "":
-			c.submit(cmd.Command)
+			c.submit(cmd)
 		case cmd.name == "PING":
 			c.say("+PONG\r\n")
 		default:
@@ -515,6 +565,12 @@
 	if err != nil {
 		return err
 	}
+	if c.in.Buffered() < h.N { // the head had as long
+		c.limit()
+	}
+	if h.N > resp.MaxValue {
+		return c.longValue(cmd, h.N)
+	}
 	p := c.p
 	const piece = 4 << 10
 	for len(cmd.Value) < h.N {
@@ -569,16 +625,15 @@
 }
 
 // submit hands over a request that has been read whole.
-func (c *client) submit(cmd Command) {
-	o := &owed{Request: Request{Command: cmd}, client: c}
+func (c *client) submit(cmd input) {
+	o := &owed{Request: Request{Command: cmd.Command, long: cmd.long}, client: c}
 	o.Taker = o
 	c.pending = append(c.pending, o)
 	err := c.p.Submit(&o.Request)
 	if err == nil {
 		return
 	}
-	c.p.held -= cap(o.Value)
-	o.Value = nil
+	c.p.letGo(&o.Request)
 	if errors.Is(err, ErrBusy) {
 		c.answer(o, resp.AppendError(nil, "BUSY"))
 		return
@@ -628,6 +683,7 @@
 	for len(c.pending) > 0 && !c.w.busy {
 		o := c.pending[0]
 		if o.reply == nil {
+			o.wakeTurn()
 			return
 		}
 		c.p.held -= len(o.reply)
@@ -640,6 +696,8 @@
 	}
 	if c.ended {
 		c.hangUp(false)
+	} else if !c.closed {
+		c.answered()
 	}
 }
 
@@ -663,9 +721,23 @@
 		c.ended, c.closed = true, true
 		c.conn.Close()
 		delete(c.f.clients, c)
+		if c.asked {
+			c.f.asked--
+		}
+		if c.kept && c.asked && !c.again || c.f.reuse >= reuseLeast && c.asked && !c.again {
+			c.f.reuse -= c.f.reuse / reuseOf
+		}
 		c.p.Descriptors(-1)
 	}
+	c.lost()
+}
+
+// lost wakes whoever waits for the client to take something: it does not any more.
+func (c *client) lost() {
 	c.wake()
+	for _, o := range c.pending {
+		o.wakeTurn()
+	}
 }
 
 // gone cleans up after a connection that has ended: nobody waits for what is pending.
@@ -675,6 +747,7 @@
 	pending := c.pending
 	c.pending = nil
 	for _, o := range pending {
+		o.wakeTurn()
 		c.p.held -= len(o.reply)
 		o.reply = nil
 		c.p.Withdraw(&o.Request)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -24,9 +24,11 @@
 	conn    *upstream     // nil while it waits for one
 	end     int64         // place of its last byte in what the connection sends
 	ended   bool
-	carried bool // by a Carrier
-	given   bool // its client has been told of it
-	again   bool // a dial for it was refused at once, and one more is made
+	carried bool          // by a Carrier
+	given   bool          // its client has been told of it
+	passing bool          // its value is being passed on
+	firstAt time.Duration // when that began
+	again   bool          // a dial for it was refused at once, and one more is made
 }
 
 // end gives an attempt its outcome; later ones are dropped.
@@ -43,8 +45,12 @@
 	if a.began > 0 {
 		since = a.began
 	}
+	until := p.now
+	if a.passing { // the rest goes at the pace of the client
+		until = a.firstAt
+	}
 	p.outcomes = append(p.outcomes, logic.Outcome{
-		Request: r.id, Attempt: a.n, Member: a.to, Status: s, Elapsed: p.now - since, Note: note,
+		Request: r.id, Attempt: a.n, Member: a.to, Status: s, Elapsed: until - since, Note: note,
 		Final: r.done, Fresh: a.conn != nil && a.conn.idle < 0,
 	})
 	p.settle(r)
@@ -55,8 +61,7 @@
 func (p *Proxy) settle(r *Request) {
 	if r.done && r.out == 0 && p.requests[r.id] == r {
 		delete(p.requests, r.id)
-		p.held -= cap(r.Value)
-		r.Value = nil
+		p.letGo(r)
 		for _, a := range r.attempts { // timers still name them
 			a.req = nil
 		}
--- a/internal/proxy/scale_test.go
+++ b/internal/proxy/scale_test.go
@@ -459,7 +459,7 @@
 		"the same key":      {func(_ *member, u *upstream, _ *attempt) { u.tail = []byte("k2") }, false},
 		"a write":           {func(_ *member, _ *upstream, a *attempt) { a.req.Write = true }, false},
 		"behind a write":    {func(_ *member, u *upstream, _ *attempt) { u.alone = true }, false},
-		"an order":          {func(_ *member, _ *upstream, a *attempt) { a.req.class = 1 }, false},
+		"an order":          {func(_ *member, _ *upstream, a *attempt) { a.req.effect = logic.Once }, false},
 		"an origin":         {func(m *member, _ *upstream, _ *attempt) { m.origin = true }, false},
 		"an unknown cache":  {func(m *member, _ *upstream, _ *attempt) { m.clean = cleanFirst - 1 }, false},
 		"a spoilt one":      {func(m *member, _ *upstream, _ *attempt) { m.spoilt() }, false},
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -263,7 +263,7 @@
 		p.release(d.attempt)
 	case d.connect:
 		p.connectTimeout(d.attempt)
-	case !d.attempt.ended:
+	case !d.attempt.ended && !d.attempt.passing:
 		p.abandon(d.attempt, logic.StatusTimeout)
 	}
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -118,6 +118,7 @@
 	pinged  bool          // a PING is out, and nothing else may be sent
 	restEnd time.Duration // when it may carry the next request
 	limited bool          // a deadline is set for the rest of an answer; the reader's own
+	slow    bool          // a long value is read, at its client's pace; the reader's own
 	first   bool          // the first read of an answer, which finds something at once; the reader's own
 	retired bool          // nothing new is sent
 	closed  bool
@@ -231,7 +232,7 @@
 // join finds the connection to a cache behind whose requests a read waits least; nil, if it should not. What is written
 // behind others shares their fate, so it has to be a read, which may be sent again, and the cache quick and clean.
 func (p *Proxy) join(m *member, a *attempt) *upstream {
-	if m.origin || a.req.Write || p.once(a.req) || p.cfg.Multiplex < 2 || m.clean < max(cleanFirst, m.cleanNeed) {
+	if m.origin || a.req.Write || p.now < p.alone || p.once(a.req) || p.cfg.Multiplex < 2 || m.clean < max(cleanFirst, m.cleanNeed) {
 		return nil
 	}
 	var best *upstream
@@ -534,7 +535,7 @@
 			hold = 1
 			p.schedule(due{at: p.now + p.hold, attempt: a, held: true})
 		}
-		u.w.send(a.req.Value[:len(a.req.Value)-hold], true)
+		u.w.sendCounted(a.req.Value[:len(a.req.Value)-hold])
 		a.end = u.w.taken + int64(hold)
 		if u.m.origin {
 			return
@@ -577,6 +578,12 @@
 		return
 	}
 	u := a.conn
+	if u != nil && u.current != a && u.current != nil && u.current.passing && s == logic.StatusTimeout && p.now < a.req.deadline {
+		// Its answer stands behind a long one, which must not be cut off. Until the connection ends it is out, so it waits.
+		a.until = min(a.req.deadline, p.now+passLook)
+		p.schedule(due{at: a.until, attempt: a})
+		return
+	}
 	if u == nil {
 		p.unqueue(a)
 		if s == logic.StatusTimeout { // it was never sent
@@ -592,6 +599,9 @@
 		s = logic.StatusCancelled
 	}
 	p.end(a, s, 0)
+	if u.current != a && u.current != nil && u.current.passing {
+		return // it is skipped when its answer comes
+	}
 	if u.current != nil {
 		u.overturn(u.current)
 	}
@@ -708,7 +718,7 @@
 		in := bufio.NewReaderSize(limit, upstreamBuffer)
 		return func() (int, error) {
 			limit.left = originHead + resp.MaxValue
-			err := u.readHTTP(in)
+			err := u.readHTTP(in, limit)
 			return in.Buffered(), err
 		}
 	}
@@ -725,7 +735,11 @@
 		u.first = false
 	} else {
 		u.limited = true
-		u.conn.SetReadDeadline(time.Now().Add(stallTime))
+		limit := stallTime
+		if u.slow {
+			limit = stallLimit
+		}
+		u.conn.SetReadDeadline(time.Now().Add(limit))
 	}
 	n, err := u.conn.Read(b)
 	if n == 0 && err != nil {
@@ -766,7 +780,7 @@
 	if u.closed {
 		return net.ErrClosed
 	}
-	if u.current != nil {
+	if u.current != nil && !u.current.passing {
 		u.m.turn += (p.now - u.headAt - u.m.turn) / turnOf
 		u.m.clean = min(u.m.clean+1, cleanMost)
 	}
@@ -934,6 +948,9 @@
 	defer u.p.buffers.Put(buf)
 	status := logic.StatusMiss
 	value := (*buf)[:0]
+	if h.N > resp.MaxValue {
+		return u.passRESP(in, h.N)
+	}
 	if h.N >= 0 {
 		status = logic.StatusOK
 		if value, err = in.Bulk(slices.Grow(value, h.N), h.N); err != nil {
@@ -1020,7 +1037,7 @@
 }
 
 // readHTTP reads one answer of an origin.
-func (u *upstream) readHTTP(in *bufio.Reader) error {
+func (u *upstream) readHTTP(in *bufio.Reader, limit *capped) error {
 	for range maxInterim {
 		answer, err := http.ReadResponse(in, nil)
 		switch {
@@ -1029,15 +1046,18 @@
 		case err != nil:
 			return fmt.Errorf("%w: %w", resp.ErrProtocol, err)
 		case answer.StatusCode >= http.StatusOK:
-			return u.readAnswer(answer)
+			return u.readAnswer(answer, limit)
 		}
 	}
 	return resp.ErrProtocol
 }
 
 // readAnswer reads an answer's value. Only one that tells its length can be told from a part of it.
-func (u *upstream) readAnswer(answer *http.Response) error {
+func (u *upstream) readAnswer(answer *http.Response, in *capped) error {
 	chunked := len(answer.TransferEncoding) > 0
+	if n := answer.ContentLength; n > resp.MaxValue && n <= resp.MaxLong && statusOf(answer) == logic.StatusOK {
+		return u.passHTTP(answer, in, int(n))
+	}
 	if answer.ContentLength > resp.MaxValue || answer.ContentLength < 0 && !chunked {
 		return resp.ErrProtocol
 	}
--- a/internal/proxy/writer.go
+++ b/internal/proxy/writer.go
@@ -10,6 +10,9 @@
 // stallLimit is how long the other side may take nothing of what is written to it, before it counts as gone.
 const stallLimit = 3 * time.Second
 
+// writePiece is how much is written at once of what did not go out at first.
+const writePiece = 64 << 10
+
 // writer is the sending side of a connection. It writes at once, under the proxy's lock, what the kernel
 // takes without waiting, and leaves the rest to a goroutine: most messages are small and need no hand-off,
 // and a peer that reads slowly holds up nobody else.
@@ -24,7 +27,9 @@
 	// Places in the stream of bytes: what was given to send, and what the kernel has or may have by now. What
 	// the goroutine is writing may be out at any moment, so it counts as begun from when it is handed over.
 	taken, begun int64
-	backlog      int // bytes that wait or are being written by the goroutine
+	backlog      int    // bytes that wait or are being written by the goroutine
+	elsewhere    int    // of them, those that are counted with the value that they are of
+	lost         func() // called under the lock when the other side takes nothing any more
 
 	// The arguments and results of step; a closure for each write would be garbage.
 	buf  []byte
@@ -84,6 +89,14 @@
 	w.p.held += len(b)
 }
 
+// sendCounted sends bytes that never change and whose room is counted already.
+func (w *writer) sendCounted(b []byte) {
+	was := w.backlog
+	w.send(b, true)
+	w.elsewhere += w.backlog - was
+	w.p.held -= w.backlog - was
+}
+
 // fail ends the connection; its reader finds out and cleans up.
 func (w *writer) fail() {
 	w.failed = true
@@ -100,17 +113,17 @@
 }
 
 func (w *writer) release(n int) {
+	other := min(n, w.elsewhere)
+	w.elsewhere -= other
 	w.backlog -= n
-	w.p.held -= n
+	w.p.held -= n - other
 }
 
 // drain writes the backlog.
 func (w *writer) drain() {
 	for {
 		w.p.enter()
-		queue := w.queue
-		w.queue = nil
-		if len(queue) == 0 {
+		if len(w.queue) == 0 {
 			w.busy = false
 			w.conn.SetWriteDeadline(time.Time{})
 			if w.idle != nil {
@@ -119,19 +132,26 @@
 			w.p.leave()
 			return
 		}
-		size := 0
-		for _, b := range queue {
-			size += len(b)
+		// Piece by piece: a side that takes a long value slowly is there as long as it takes something.
+		b := w.queue[0]
+		if len(b) > writePiece {
+			w.queue[0], b = b[writePiece:], b[:writePiece]
+		} else {
+			w.queue[0] = nil
+			w.queue = w.queue[1:]
 		}
-		w.begun += int64(size)
+		w.begun += int64(len(b))
 		w.p.leave()
 		w.conn.SetWriteDeadline(time.Now().Add(stallLimit))
-		_, err := queue.WriteTo(w.conn)
+		_, err := w.conn.Write(b)
 		w.p.enter()
-		w.release(size)
+		w.release(len(b))
 		if err != nil {
 			w.fail()
 			w.drop()
+			if w.lost != nil {
+				w.lost()
+			}
 		}
 		w.p.leave()
 	}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -13,9 +13,12 @@
 	"strconv"
 )
 
-// MaxValue is the longest value that either side may send. What announces more is broken or hostile, and is
-// turned away at its first line, before room is made for it.
-const MaxValue = 64 << 10
+// MaxValue is the longest value that is held as a matter of course. MaxLong is the longest that either side may send:
+// what announces more is broken or hostile, and is turned away at its first line, before room is made for it.
+const (
+	MaxValue = 64 << 10
+	MaxLong  = 4 << 20
+)
 
 // maxElements is the most elements of an array; commands and answers here have at most five.
 const maxElements = 64
@@ -66,7 +69,7 @@
 	case '+', '-', ':':
 		return h, nil
 	case '$':
-		h.N, err = length(h.Text, MaxValue)
+		h.N, err = length(h.Text, MaxLong)
 	case '*':
 		h.N, err = length(h.Text, maxElements)
 	default:
