--- a/cmd/linenloom/upgrade_test.go
+++ b/cmd/linenloom/upgrade_test.go
@@ -1,23 +1,15 @@
 package main
 
 import (
-	"bufio"
-	"errors"
-	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"linenloom/internal/resp"
+	"linenloom/internal/lab"
 	"linenloom/internal/standin"
 )
 
@@ -32,74 +24,6 @@
 	return l.Addr().String()
 }
 
-// call asks an operators' address; 0, if nobody answers there.
-func call(method, addr, path, body string) int {
-	q, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
-	if err != nil {
-		return 0
-	}
-	a, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
-	if err != nil {
-		return 0
-	}
-	a.Body.Close()
-	return a.StatusCode
-}
-
-// door is what clients met.
-type door struct{ served, other, refused, broken atomic.Int64 }
-
-// load keeps a client asking, one request after another, each on its connection until that ends between requests; every
-// third on a new one.
-func load(addr, name string, d *door, quit <-chan struct{}) {
-	var conn net.Conn
-	var in *bufio.Reader
-	for n := 0; ; n++ {
-		select {
-		case <-quit:
-			return
-		default:
-		}
-		if conn == nil || n%3 == 0 {
-			if conn != nil {
-				conn.Close()
-			}
-			var err error
-			if conn, err = net.Dial("tcp", addr); err != nil {
-				d.refused.Add(1)
-				continue
-			}
-			in = bufio.NewReader(conn)
-		}
-		b := resp.AppendArray(nil, 4)
-		for _, w := range []string{"OBJ.GET", fmt.Sprintf("%x", 0x100+n%50), fmt.Sprintf("%s-%d", name, n), "c=tile-read,d=3000"} {
-			b = resp.AppendBulk(b, w)
-		}
-		_, err := conn.Write(b)
-		line := ""
-		if err == nil {
-			line, err = in.ReadString('\n')
-		}
-		switch {
-		case err != nil && errors.Is(err, io.EOF) && line == "":
-			conn = nil // it was closed between requests: the request goes out once more on a new one
-			continue
-		case err != nil:
-			d.broken.Add(1)
-			conn = nil
-		case line[0] == '$':
-			d.served.Add(1)
-			if _, err := io.CopyN(io.Discard, in, 102); err != nil {
-				d.broken.Add(1)
-				conn = nil
-			}
-		default:
-			d.other.Add(1)
-		}
-		time.Sleep(time.Millisecond) // an interval between requests, not a wait for anything
-	}
-}
-
 // Three processes follow one another at one address, under load and with a box taken out by hand: no request meets a
 // closed door, none is lost, and the box stays out until a call at the last process takes it back.
 func TestUpgrade(t *testing.T) {
@@ -121,6 +45,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	call := func(method, addr, path, body string) int {
+		status, _ := lab.Call(method, addr, path, body)
+		return status
+	}
 	start := func(mgmt string) *exec.Cmd {
 		cmd := exec.Command(self)
 		cmd.Env = append(os.Environ(), asProxy+"=1", "LB_CONFIG="+path, "LB_MGMT="+mgmt, "TMPDIR="+tmp)
@@ -139,19 +67,12 @@
 	calls := [3]string{freeAddr(t), freeAddr(t), freeAddr(t)}
 	process := start(calls[0])
 
-	var d door
-	quit := make(chan struct{})
-	var clients sync.WaitGroup
-	for i := range 8 {
-		clients.Go(func() { load(listen, fmt.Sprint("c", i), &d, quit) })
-	}
+	d := lab.Door{Addr: listen}
+	d.Open(8, 50, 10)
 	progress := func() {
 		t.Helper()
-		from := d.served.Load()
-		for end := time.Now().Add(patience); d.served.Load() < from+300; time.Sleep(time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatal("no request is served")
-			}
+		if err := d.Progress(300); err != nil {
+			t.Fatal(err)
 		}
 	}
 	progress()
@@ -182,13 +103,17 @@
 			t.Fatal("the box is back and unused")
 		}
 	}
-	close(quit)
-	clients.Wait()
-	if d.refused.Load()+d.broken.Load() > 0 {
-		t.Errorf("%d connections refused, %d broken, of %d requests served", d.refused.Load(), d.broken.Load(), d.served.Load())
+	d.Close()
+	if d.Shut.Load()+d.Broken.Load() > 0 {
+		t.Errorf("%d connections refused, %d broken, of %d requests served", d.Shut.Load(), d.Broken.Load(), d.Served.Load())
+	}
+	if d.Refused.Load()+d.Failed.Load() > 0 {
+		t.Errorf("%d requests refused, %d failed", d.Refused.Load(), d.Failed.Load())
 	}
-	if d.other.Load() > 0 {
-		t.Errorf("%d requests refused or failed", d.other.Load())
+	for key, n := range fleet.Origin.Executions() {
+		if n > 1 {
+			t.Errorf("order %s has run %d times", key, n)
+		}
 	}
 	process.Process.Signal(syscall.SIGTERM)
 	if err := process.Wait(); err != nil {
--- a/internal/lab/host.go
+++ b/internal/lab/host.go
@@ -278,6 +278,9 @@
 		return "", err
 	}
 	line, err := c.in.ReadString('\n')
+	if err == io.EOF && line != "" {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return "", err
 	}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -107,6 +107,9 @@
 	p.cmd.Wait()
 }
 
+// Signal sends it a signal.
+func (p *Process) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
+
 // Stop ends it with SIGTERM.
 func (p *Process) Stop() error {
 	p.cmd.Process.Signal(syscall.SIGTERM)
