A drain waits for connections with something unread; linenlab operate stages daily operation

Need: a measurement of our own for upgrades, calls and retuning, under clients that keep their connections. The rig's first runs had clients that renew theirs too soon to meet a stop at all (all claims kept, and worth nothing).

Cause: a client with unread bytes is free but not hung up, and was counted as owed nothing, so the drain ended at once with such connections open. What looked like an order run twice was the rig's: it sent an order again whose process had been killed.

--- a/internal/lab/door.go
+++ b/internal/lab/door.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// Door is clients that keep asking at one address, one request after another each, and what they met there. Every third
-// request goes out on a new connection; one that crosses the close of a connection between requests goes out once more.
+// Door is clients that keep asking at one address, one request after another each, and what they met there. Half of them
+// open a new connection for every third request, the others use theirs for as long as it stays open. A request that
+// crosses the close of a connection between requests goes out once more.
 type Door struct {
 	Addr string
 
@@ -21,6 +22,8 @@
 	last, pause             atomic.Int64 // the latest answer, and the longest time between two, in nanoseconds
 	class                   atomic.Value // of reads; nil: the usual one
 	orders                  atomic.Int64
+	mu                      sync.Mutex
+	lefts                   []string
 	quit                    chan struct{}
 	clients                 sync.WaitGroup
 	id                      atomic.Int64
@@ -67,7 +70,7 @@
 			return
 		case <-time.After(time.Millisecond): // between requests
 		}
-		if conn != nil && n%3 == 0 {
+		if conn != nil && c%2 == 0 && n%3 == 0 {
 			conn.conn.Close()
 			conn = nil
 		}
@@ -85,11 +88,15 @@
 			if err != nil {
 				conn.conn.Close()
 				conn = nil
-				if err == io.EOF && !again {
+				switch {
+				case err == io.EOF && words[0] == "OBJ.SET": // the process may have been killed with it in hand
+					d.left(words[1])
+				case err == io.EOF && !again:
 					d.Crossed.Add(1)
 					continue
+				default:
+					d.Broken.Add(1)
 				}
-				d.Broken.Add(1)
 				break
 			}
 			d.answered(answer, time.Since(begun))
@@ -128,6 +135,21 @@
 	}
 }
 
+// left notes an order whose connection ended without an answer. It is not sent again.
+func (d *Door) left(key string) {
+	d.mu.Lock()
+	d.lefts = append(d.lefts, key)
+	d.mu.Unlock()
+}
+
+// Left is the keys of the orders whose connections ended without an answer, since it was last asked.
+func (d *Door) Left() (keys []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	keys, d.lefts = d.lefts, nil
+	return keys
+}
+
 // Call makes an operator's call and tells its status (0: nobody answered) and how long it took.
 func Call(method, addr, path, body string) (status int, took time.Duration) {
 	begun := time.Now()
--- a/internal/lab/operate.go
+++ b/internal/lab/operate.go
@@ -75,6 +75,8 @@
 	r.Equal("refused or failed, processes stopped", float64(o.stopped.turned), 0)
 	r.Tell("connections refused, processes killed", float64(o.killed.shut))
 	r.AtMost("connections broken, processes killed: one for each client and kill", float64(o.killed.broken), operateClients*operateRounds/2)
+	r.Equal("orders that have run, unanswered, processes stopped", float64(o.unanswered), 0)
+	r.Tell("orders without an answer, processes killed", float64(o.unsure))
 	r.Equal("late", float64(d.Late.Load()), 0)
 	twice := 0
 	for _, n := range fleet.Origin.Executions() {
@@ -107,6 +109,8 @@
 
 	stopped, killed met
 	astray, wrong   int
+	unanswered      int // orders that a stopped process has carried out and not answered
+	unsure          int // orders without an answer at a kill
 	slowest, pause  time.Duration
 }
 
@@ -120,8 +124,10 @@
 	if err := json.Unmarshal(text, &c); err != nil {
 		return err
 	}
+	s := c["settings"].(map[string]any)
+	// The boxes of a round are not restarted, and would count as cold together: a fleet all cold is not what is measured.
+	s["rules"].(map[string]any)["cold_ms"] = ms(time.Second)
 	if o.class != "tile-read" {
-		s := c["settings"].(map[string]any)
 		classes := s["classes"].([]any)
 		added := map[string]any{}
 		for k, v := range classes[0].(map[string]any) {
@@ -229,7 +235,19 @@
 	if kill {
 		sum = &o.killed
 	}
+	left := o.door.Left()
+	if kill {
+		o.unsure += len(left)
+	} else {
+		ran := o.fleet.Origin.Executions()
+		for _, key := range left {
+			o.unanswered += ran[key]
+		}
+	}
 	after := o.count()
+	if after.turned > before.turned {
+		o.e.Log("operate: turned away or failed: %v; %v", old.Reasons(), o.process.Reasons())
+	}
 	sum.shut += after.shut - before.shut
 	sum.broken += after.broken - before.broken
 	sum.turned += after.turned - before.turned
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -183,7 +183,8 @@
 // Owes ends the connections that are idle and tells whether others are left.
 func (f *redisFront) Owes() (owed bool) {
 	for c := range f.clients {
-		if c.hangUp(false); !c.free() {
+		// One on which something has come that was not read is free, and not hung up.
+		if c.hangUp(false); !c.free() || !c.hung && !c.w.failed {
 			owed = true
 		}
 	}
@@ -428,7 +429,11 @@
 		c.mid = false
 		if c.ended { // it has been told of the end; a request that crosses it is sent again elsewhere
 			p.letGo(&Request{Command: cmd.Command, long: cmd.long})
+			hung := c.hung
 			p.leave()
+			if hung { // closed at once, with more unread, the connection would be reset, and the client may not see its end
+				c.linger()
+			}
 			return io.EOF
 		}
 		c.ask()
