A proxy just started before a fleet that is all cold asks it one by one

Looking for why showed worse: the budget goes by what caches have answered, so a proxy that has just started before a cold fleet (power back, all restarted) sends nothing, learns nothing and refuses every read until the fleet is warm by the clock.

Change: while the fleet has less than half of its capacity, a cold member is asked one request at a time, by all proxies together no faster than it answers and no faster than four times in half of an aim. It takes from the same budget.

--- a/logic/digest.go
+++ b/logic/digest.go
@@ -19,7 +19,7 @@
 		return n.m.ID
 	}
 	random, _ := b.pcg.MarshalBinary() // it knows no error
-	fmt.Fprintln(h, b.now, b.closeAt, b.period, b.warm, b.warmAt, b.peak, b.kept, b.arrivals, b.span, b.carried, b.tenants,
+	fmt.Fprintln(h, b.now, b.closeAt, b.period, b.warm, b.warmAt, b.allCold, b.peak, b.kept, b.arrivals, b.span, b.carried, b.tenants,
 		b.pumpAt, b.target, b.latency, b.fails, b.retries, b.asked, b.answered, b.askedAt, b.heardAt, b.out, b.watches, b.refusing,
 		b.refusedAt, random, b.counts.total, b.kindSize)
 	for _, k := range slices.Sorted(maps.Keys(b.nodes)) {
@@ -28,7 +28,7 @@
 	}
 	for _, k := range slices.Sorted(maps.Keys(b.flights)) {
 		f := b.flights[k]
-		fmt.Fprintln(h, f.Request, f.askedAt, f.aim, f.value, f.slot, f.attempts, f.unsent, f.out, f.fetch, f.ran, f.ranAt, id(f.ranOn),
+		fmt.Fprintln(h, f.Request, f.askedAt, f.aim, f.value, f.slot, f.attempts, f.tries, f.unsent, f.out, f.fetch, f.ran, f.ranAt, id(f.ranOn),
 			id(f.missAt), f.waiting, f.queued, f.joined, f.leased, f.owner, f.broke, f.stream, f.done)
 		for _, n := range f.tried {
 			fmt.Fprint(h, n.m.ID, ",")
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -727,7 +727,15 @@
 	n.tokens += rate * (b.now - n.tokensAt).Seconds()
 	n.tokens = min(n.tokens, max(1, rate*b.s.FallAfter.Seconds()/2))
 	n.tokensAt = b.now
-	return n.tokens >= 1
+	return n.tokens >= 1 || b.allCold && n.out == 0 && b.now-n.sentAt >= b.coldGap(n)
+}
+
+// coldGap is how far apart a proxy asks a cold member, one request at a time, while the whole fleet is cold. The budget
+// goes by what caches answer, and would stay at nothing for a proxy that has just started, or sink with the answers. All
+// proxies together ask no faster than a member answers one by one, and a few times in a request's aim: quick answers may
+// be misses, which tell nothing of the work that a hit is.
+func (b *Balancer) coldGap(n *node) time.Duration {
+	return seconds(float64(b.s.Instances) * max(n.latency, b.target/4))
 }
 
 // warmWeight is the weight that does the answering: cold members count by their warmth. At least half of the
@@ -735,18 +743,20 @@
 func (b *Balancer) warmWeight() float64 {
 	if b.now-b.warmAt >= 500*time.Millisecond { // not at every request: it grows with the fleet
 		b.warm, b.warmAt = 0, b.now
+		size := b.size()
 		for _, n := range b.caches {
 			if !b.local || n.m.Zone == b.s.Zone {
 				b.warm += n.weight * b.ramp(n)
 			}
 		}
+		b.allCold = b.warm < size/2
 	}
 	return max(b.warm, b.peak/2)
 }
 
 func (b *Balancer) send(f *flight, n *node, timeout time.Duration) {
 	if b.ramp(n) < 1 {
-		n.tokens--
+		n.tokens = max(-1, n.tokens-1)
 	}
 	bit := uint64(1) << f.attempts
 	f.attempts, f.out = f.attempts+1, f.out|bit
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1066,3 +1066,54 @@
 		t.Errorf("spares of a write: %v", got)
 	}
 }
+
+// A proxy just started, before a fleet that is all cold, has answered nothing that its budget could go by. It asks each
+// member a little, and more as it answers; never more than its part of what a member that has just started surely can.
+func TestFreshProxyBeforeAColdFleet(t *testing.T) {
+	for name, c := range map[string]struct {
+		takes, gap time.Duration // an answer; between requests
+		least      float64       // of the requests served in the last of 6 seconds
+	}{
+		"quick members": {10 * ms, 20 * ms, 0.35}, "slow members": {300 * ms, 50 * ms, 0.2}, "silent members": {time.Hour, 20 * ms, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t, testSettings(), 1)
+			list := withOrigin(4)
+			for i := range list[:4] {
+				list[i].StartedAt = h.now
+			}
+			h.members(ListCached, list...)
+			asked, served := 0, 0
+			for id := RequestID(1); h.now < time.Hour+6*time.Second; id++ {
+				h.ask(Request{ID: id, Key: uint64(id)})
+				h.run(c.gap)
+				for i := max(200, id) - 199; i <= id; i++ {
+					r := h.open[i]
+					if r.answered > 0 || len(r.sent) == 0 {
+						continue
+					}
+					if a := r.sent[len(r.sent)-1]; !a.ended && h.now-a.at >= c.takes {
+						h.end(r.ID, len(r.sent)-1, StatusOK)
+						if h.now > time.Hour+5*time.Second {
+							served++
+						}
+					}
+				}
+				if h.now > time.Hour+5*time.Second {
+					asked++
+				}
+			}
+			if share := float64(served) / float64(asked); share < c.least {
+				t.Errorf("%.2f of the reads are served, want %.2f", share, c.least)
+			}
+			for id, at := range h.cold {
+				for i := 1; i < len(at) && c.takes == time.Hour; i++ { // nothing is known of it
+					if gap := at[i] - at[i-1]; gap < time.Duration(h.s.Instances)*50*ms {
+						t.Errorf("member %d, which answers nothing, is asked again after %v", id, gap)
+					}
+				}
+			}
+			h.check()
+		})
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -75,6 +75,7 @@
 	kindSize        map[int]float64
 	warm            float64 // weight of the caches, cold ones by their warmth
 	warmAt          time.Duration
+	allCold         bool    // the fleet has less than half of its capacity
 	peak            float64 // the most weight the list has held
 	local           bool    // each zone has a slot table of its own
 	counts          counter
