Requests at fault are no shortage to the throttle; linenlab answers stages more reasons

Staging 'rejected' showed a fault: a cache that finds fault with a request was counted as asked and not as having answered, so from the 11th such request in a row on the throttle refused reads of anybody, also good ones (the new test fails there).

The rig stages rejections, the cold budget and a client's own time; stand-in boxes can find fault.

--- a/internal/lab/answers.go
+++ b/internal/lab/answers.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -27,19 +28,41 @@
 	// fault stages it on a fleet that is well.
 	fault func(*standin.Fleet)
 	want  string // what the answer begins with
+	// wait is how long the client waits, where the answer is due by then; 0: until long after.
+	wait time.Duration
+	some bool   // some are served: those don't count
+	only string // the front that it can be staged on; "": all
 }
 
 var answerCases = []answerCase{
-	{"order, the origin answers 500", true, func(f *standin.Fleet) { f.Origin.SetFault(standin.Failing) }, "-ERR"},
-	{"order, the origin resets once it has run", true, func(f *standin.Fleet) { f.Origin.SetResetAfterRun(true) }, "-ERR"},
-	{"order, the origin turns it away each time", true, func(f *standin.Fleet) { f.Origin.SetFault(standin.Busy) }, "-BUSY"},
-	{"read, every box fails", false, func(f *standin.Fleet) {
+	{name: "order, the origin answers 500", write: true, fault: func(f *standin.Fleet) { f.Origin.SetFault(standin.Failing) }, want: "-ERR"},
+	{name: "order, the origin resets once it has run", write: true, fault: func(f *standin.Fleet) { f.Origin.SetResetAfterRun(true) }, want: "-ERR"},
+	{name: "order, the origin turns it away each time", write: true, fault: func(f *standin.Fleet) { f.Origin.SetFault(standin.Busy) }, want: "-BUSY"},
+	{name: "read, every box fails", write: false, fault: func(f *standin.Fleet) {
 		for _, b := range f.Boxes {
 			b.SetFault(standin.Failing)
 		}
-	}, "-BUSY"},
-	{"read, missed, and the origin answers 500", false, func(f *standin.Fleet) { f.Origin.SetFault(standin.Failing) }, "-BUSY"},
-	{"read, missed, and the origin resets", false, func(f *standin.Fleet) { f.Origin.SetFault(standin.Reset) }, "-BUSY"},
+	}, want: "-BUSY"},
+	{name: "read, missed, and the origin answers 500", write: false, fault: func(f *standin.Fleet) { f.Origin.SetFault(standin.Failing) }, want: "-BUSY"},
+	{name: "read, every box finds fault with it", fault: func(f *standin.Fleet) {
+		for _, b := range f.Boxes {
+			b.SetFault(standin.Rejecting)
+		}
+	}, want: "-ERR", only: "RESP2 answer"},
+	{name: "read, every box is cold: the cold budget", fault: func(f *standin.Fleet) {
+		for _, m := range f.Registry.List().Members {
+			if m.Flavor == "box" {
+				m.UpSinceMS = float64(time.Now().UnixMilli())
+				f.Registry.Tell(m)
+			}
+		}
+	}, want: "-BUSY", some: true},
+	{name: "read, every box stalls: out of its client's time", fault: func(f *standin.Fleet) {
+		for _, b := range f.Boxes {
+			b.SetFault(standin.Stall)
+		}
+	}, want: "-BUSY", wait: 150 * time.Millisecond, only: "RESP2"},
+	{name: "read, missed, and the origin resets", write: false, fault: func(f *standin.Fleet) { f.Origin.SetFault(standin.Reset) }, want: "-BUSY"},
 }
 
 // Answers is the scenario of requests that are given up: how long after the last outcome the client has its final answer,
@@ -50,6 +73,9 @@
 		e.Log("answers: %s", front)
 		worst := time.Duration(0)
 		for i, c := range answerCases {
+			if c.only != "" && !strings.Contains(c.only, front) {
+				continue
+			}
 			late, err := e.answerTimes(ctx, fmt.Sprint("answers-", front, i), front, c)
 			if err != nil {
 				return r, fmt.Errorf("%s: %s: %w", front, c.name, err)
@@ -100,7 +126,11 @@
 			if c.write {
 				return rc.ask("OBJ.SET", key, id, "c=pass-order,d=3000", "one pass")
 			}
-			return rc.ask("OBJ.GET", key, id, "c=tile-read,d=3000")
+			wait := cmp.Or(c.wait, 3*time.Second)
+			if strings.HasPrefix(key, "warm") {
+				wait = 3 * time.Second
+			}
+			return rc.ask("OBJ.GET", key, id, fmt.Sprint("c=tile-read,d=", wait.Milliseconds()))
 		}
 	} else {
 		if p, err = e.processor(name, fleet, "127.0.0.1:0", addr, front, "200ms"); err != nil {
@@ -139,21 +169,33 @@
 		return 0, err
 	}
 	c.fault(fleet)
-	for i := range answerRounds {
+	given := 0
+	for i := 0; given < answerRounds; i++ {
+		if i == 10*answerRounds {
+			return 0, fmt.Errorf("only %d of %d answers are %s", given, i, c.want)
+		}
 		// With time between them, as at light load; the retry budget is not what is measured.
 		time.Sleep(20 * time.Millisecond)
-		last := time.Now() // its coming counts too, where it is refused unsent
+		asked := time.Now()
+		last := asked // its coming counts too, where it is refused unsent
 		answer, err := ask(fmt.Sprint("a", i), fmt.Sprint(name, "-", i))
 		heard := time.Now()
 		if err != nil {
 			return 0, err
 		}
+		if c.some && !strings.HasPrefix(answer, "-") {
+			continue
+		}
+		given++
 		if !strings.HasPrefix(answer, c.want) {
 			return 0, fmt.Errorf("answered %q, want %s", answer, c.want)
 		}
 		if at := fleet.Last(); at.After(last) {
 			last = at
 		}
+		if c.wait > 0 { // boxes that stall never end: it is due when its client gives up
+			last = asked.Add(c.wait)
+		}
 		worst = max(worst, heard.Sub(last))
 	}
 	return worst, nil
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -22,12 +22,13 @@
 
 // The faults.
 const (
-	Healthy Fault = iota
-	Stall         // takes a request and never answers
-	Reset         // takes a request and drops the connection
-	Spoil         // answers with noise
-	Busy          // turns every request away unseen
-	Failing       // answers that it failed
+	Healthy   Fault = iota
+	Stall           // takes a request and never answers
+	Reset           // takes a request and drops the connection
+	Spoil           // answers with noise
+	Busy            // turns every request away unseen
+	Failing         // answers that it failed
+	Rejecting       // finds fault with every request
 )
 
 // member is what boxes and the origin share: a listener, its connections and the fault.
@@ -285,6 +286,8 @@
 		return []byte("-BUSY\r\n"), nil
 	case Failing:
 		return []byte("-ERR failed\r\n"), nil
+	case Rejecting:
+		return []byte("-ERR bad request\r\n"), nil
 	}
 	if !b.wait(service) {
 		return nil, errGone
@@ -353,6 +356,8 @@
 		return writeHTTP(conn, 503, "X-Not-Processed: 1\r\n", nil)
 	case Failing:
 		return writeHTTP(conn, 500, "", nil)
+	case Rejecting:
+		return writeHTTP(conn, 400, "", nil)
 	}
 	if !b.wait(service) {
 		return errGone
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1117,3 +1117,19 @@
 		})
 	}
 }
+
+// A cache that finds fault with a request has answered it. A client whose requests are all at fault must not make the
+// throttle refuse others' reads.
+func TestRejectionsAreNoShortage(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(4)...)
+	for id := RequestID(1); id <= 400; id++ {
+		r := h.ask(Request{ID: id, Key: uint64(id)})
+		if len(r.sent) == 0 {
+			t.Fatalf("request %d is refused: %v", id, h.why)
+		}
+		h.end(id, 0, StatusRejected)
+		h.run(ms)
+	}
+	h.check()
+}
