A value too long for its front fails at once, and blames no member

Need: long values are legitimate now, but the external processor takes none past 64 KiB. A read of one there used up all its attempts, each a spoilt answer and a failure of the member that held it, which could end in its ejection.

Change: such an attempt ends as rejected: another would end alike, and nothing is learnt of the member. Measured (test): 12 reads cost 12 attempts and fail with the reason rejected; before, the first was out of tries after four.

--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -162,7 +162,10 @@
 	}
 	to, ok := a.req.Taker.(Passer)
 	if !ok {
-		return nil, nil, fmt.Errorf("a value of %d bytes, for a client that takes %d at the most: %w", n, resp.MaxValue, resp.ErrProtocol)
+		// This client's front takes no long values. The member has done its part, and another would end alike.
+		p.log.Debug("a value is too long for its client", "bytes", n)
+		p.end(a, logic.StatusRejected, 0)
+		return nil, nil, net.ErrClosed
 	}
 	a.req.done, a.passing, a.firstAt = true, true, p.now
 	p.bal.StreamStarted(p.now, a.req.id, a.n)
--- a/internal/proxy/long_test.go
+++ b/internal/proxy/long_test.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"linenloom/internal/discovery"
 	"linenloom/internal/resp"
+	"linenloom/logic"
 )
 
 // long is a value whose every part can be told from the others.
@@ -249,3 +251,43 @@
 		t.Errorf("%q", got)
 	}
 }
+
+// plainTaker is a client of a front that takes no long values.
+type plainTaker chan Answer
+
+func (t plainTaker) Answer(a Answer) { t <- a }
+
+// A value that is too long for its client fails at once, and the members that hold it are not held to blame.
+func TestValueTooLongForItsFront(t *testing.T) {
+	var asks atomic.Int64
+	value := long(resp.MaxValue + 1)
+	member := cache(t, func(asked) string { asks.Add(1); return hit(value) })
+	p := start(t, testConfig(), entry("m", member, "large"), entry("n", member, "large"))
+	c := p.dial()
+	c.send(get("k", "first")) // once it is answered, the proxy knows its members
+	if got := c.answer(); got != value {
+		t.Fatalf("a client that takes it: %d bytes", len(got))
+	}
+	asks.Store(0)
+	const reads = 12
+	for i := range reads {
+		taker := make(plainTaker, 1)
+		p.Do(func() {
+			r := &Request{Taker: taker, Command: Command{Key: fmt.Appendf(nil, "k%d", i), ReqID: fmt.Appendf(nil, "r%d", i),
+				Attrs: []byte("c=tile-read,d=8000")}}
+			if err := p.Submit(r); err != nil {
+				t.Error(err)
+			}
+		})
+		if a := <-taker; a.Kind != Failed || a.Why != logic.Rejected {
+			t.Fatalf("read %d: %v, %v", i, a.Kind, a.Why)
+		}
+	}
+	if n := asks.Load(); n != reads {
+		t.Errorf("%d attempts at %d reads", n, reads)
+	}
+	c.send(get("k", "last"))
+	if got := c.answer(); got != value {
+		t.Errorf("another client: %d bytes", len(got))
+	}
+}
