Commands that come in one piece don't pay for the watch on stalled ones

A look at the clock for each read from a client stood in every command's way.

Change: the clock is looked at in the middle of a command only; its beginning is told from the event before.

--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -85,9 +85,10 @@
 	conn    *net.TCPConn
 	in      *resp.Reader
 	w       *writer
-	pending []*owed      // in the order of their commands
-	mid     bool         // a command has been read in part
-	heard   atomic.Int64 // when bytes of it came last, since the start of the proxy
+	pending []*owed       // in the order of their commands
+	mid     bool          // a command has been read in part
+	heard   atomic.Int64  // when bytes of it came last, since the start of the proxy
+	midAt   time.Duration // when it began
 	resume  chan struct{}
 	active  time.Duration // when it connected, or last had something pending
 	asked   bool          // a command has been read whole
@@ -107,7 +108,9 @@
 		c.limit()
 	}
 	n, err := c.conn.Read(b)
-	c.heard.Store(int64(time.Since(c.p.started)))
+	if c.mid { // most commands come in one piece, and should not pay for this
+		c.heard.Store(int64(time.Since(c.p.started)))
+	}
 	return n, err
 }
 
@@ -285,7 +288,8 @@
 	since := time.Since(f.p.started)
 	for c := range f.clients {
 		age := f.p.now - c.active
-		stalled := c.mid && !c.waits && len(c.pending) == 0 && since-time.Duration(c.heard.Load()) >= stalledFor
+		stalled := c.mid && !c.waits && len(c.pending) == 0 &&
+			f.p.now-c.midAt >= stalledFor && since-time.Duration(c.heard.Load()) >= stalledFor
 		if !c.free() && !stalled {
 			continue
 		}
@@ -491,7 +495,7 @@
 // begin notes that a command has begun to arrive.
 func (c *client) begin(mid bool) {
 	c.p.mu.Lock()
-	c.mid = mid
+	c.mid, c.midAt = mid, c.p.now // the time of the latest event, a little late at the most
 	c.p.mu.Unlock()
 }
 
