--- /dev/null
+++ b/internal/app/reload_test.go
@@ -0,0 +1,124 @@
+package app
+
+import (
+	"encoding/json"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"linenloom/internal/operator"
+	"linenloom/internal/proxy"
+	"linenloom/logic"
+)
+
+// reloaded is a front that counts how often it takes over new settings.
+type reloaded struct {
+	Front
+	n int
+}
+
+func (r *reloaded) Reload(*operator.File) error { r.n++; return nil }
+
+// A file is taken over whole or not at all: its classes in two steps, and nothing of one that lacks something or drops a
+// class that the operator's file names.
+func TestReloadWholeOrNotAtAll(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	t.Setenv("LB_CONFIG", path)
+	t.Setenv("LB_LISTEN", "127.0.0.1:0")
+	replace(t, path, configWith(t, nil))
+	cfg, err := loadConfig(os.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings, err := cfg.proxy()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := proxy.New(settings, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	operators := filepath.Join(dir, "operator.toml")
+	replace(t, operators, []byte("[extproc]\nlisten = \"127.0.0.1:0\"\n[[extproc.map]]\nmethods = [\"GET\"]\npath = \"/{key}\"\nclass = \"tile-read\"\n"))
+	file, err := operator.Load(operators)
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := &reloaded{}
+	r := &reloader{p: p, cfg: cfg, classes: settings.Settings.Classes, tries: settings.Settings.TryLimit, file: file, extproc: front,
+		log: slog.New(slog.DiscardHandler)}
+
+	// edit writes the configuration with its settings changed.
+	edit := func(change func(settings map[string]any, classes []any) []any) {
+		var c map[string]any
+		if err := json.Unmarshal(configWith(t, map[string]any{"discovery": "127.0.0.1:77"}), &c); err != nil {
+			t.Fatal(err)
+		}
+		s := c["settings"].(map[string]any)
+		s["classes"] = change(s, s["classes"].([]any))
+		text, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		replace(t, path, text)
+	}
+	reload := func() error {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.reloadConfig()
+	}
+	class := func(name string) *logic.Class {
+		classes := p.Classes()
+		if i := slices.IndexFunc(classes, func(c logic.Class) bool { return c.Name == name }); i >= 0 {
+			return &classes[i]
+		}
+		return nil
+	}
+
+	for want, change := range map[string]func(map[string]any, []any) []any{
+		"classes[0].deadline_ms is missing": func(_ map[string]any, cs []any) []any { delete(cs[0].(map[string]any), "deadline_ms"); return cs },
+		"no aim or deadline":                func(_ map[string]any, cs []any) []any { cs[1].(map[string]any)["deadline_ms"] = -5; return cs },
+		"try limit":                         func(s map[string]any, cs []any) []any { s["limits"].(map[string]any)["try_limit"] = 0; return cs },
+		"tile-read":                         func(_ map[string]any, cs []any) []any { return cs[1:] },
+		"cannot unmarshal string":           func(_ map[string]any, cs []any) []any { cs[0].(map[string]any)["deadline_ms"] = "soon"; return cs },
+	} {
+		edit(change)
+		if err := reload(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+		if r.cfg != cfg || len(p.Classes()) != 2 || front.n != 0 {
+			t.Fatalf("%s: something of it was taken over", want)
+		}
+	}
+
+	edit(func(s map[string]any, cs []any) []any {
+		s["limits"].(map[string]any)["try_limit"] = 2
+		order := cs[1].(map[string]any)
+		order["repeat"] = "repeatable"
+		added := map[string]any{}
+		for k, v := range order {
+			added[k] = v
+		}
+		added["name"] = "overlay"
+		return append(cs, added)
+	})
+	if err := reload(); err != nil {
+		t.Fatal(err)
+	}
+	if r.cfg.Discovery != "127.0.0.1:77" || class("overlay") == nil || front.n != 1 {
+		t.Error("the new file is not in force")
+	}
+	if c := class("pass-order"); c.Effect != logic.Once {
+		t.Error("an order may run again while clients still go by the old file")
+	}
+	for end := time.Now().Add(20 * time.Second); class("pass-order").Effect == logic.Once; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the new class never holds by itself")
+		}
+	}
+}
