--- a/cmd/linenloom/main_test.go
+++ b/cmd/linenloom/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"linenloom/internal/app/apptest"
 )
 
 // asProxy makes the test's binary be the program, so that signals reach a process of its own.
@@ -25,36 +26,6 @@
 	os.Exit(m.Run())
 }
 
-// configWith is the test configuration with some fields replaced.
-func configWith(t *testing.T, fields map[string]any) []byte {
-	t.Helper()
-	text, err := os.ReadFile("testdata/config.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var c map[string]any
-	if err := json.Unmarshal(text, &c); err != nil {
-		t.Fatal(err)
-	}
-	for name, value := range fields {
-		c[name] = value
-	}
-	if text, err = json.Marshal(c); err != nil {
-		t.Fatal(err)
-	}
-	return text
-}
-
-func replace(t *testing.T, path string, text []byte) {
-	t.Helper()
-	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // SIGHUP moves the watch, a file that can't be used changes nothing, and SIGTERM still ends the program.
 func TestSignals(t *testing.T) {
 	const patience = 20 * time.Second
@@ -82,7 +53,7 @@
 	first, firstWatched := registry()
 	second, secondWatched := registry()
 	path := filepath.Join(t.TempDir(), "config.json")
-	replace(t, path, configWith(t, map[string]any{"discovery": second}))
+	apptest.Replace(t, path, apptest.ConfigWith(t, "testdata/config.json", map[string]any{"discovery": second}))
 
 	self, err := os.Executable()
 	if err != nil {
@@ -116,15 +87,15 @@
 	await(lines["msg=ready"], "the proxy is ready")
 	await(firstWatched, "a watch on the environment's discovery")
 
-	good := configWith(t, map[string]any{"discovery": second})
-	replace(t, path, good[:len(good)/2])
+	good := apptest.ConfigWith(t, "testdata/config.json", map[string]any{"discovery": second})
+	apptest.Replace(t, path, good[:len(good)/2])
 	cmd.Process.Signal(syscall.SIGHUP)
 	await(lines["reload failed"], "a log line about the bad file")
 
-	replace(t, path, good)
+	apptest.Replace(t, path, good)
 	cmd.Process.Signal(syscall.SIGHUP)
 	await(secondWatched, "a watch on the file's discovery")
-	replace(t, path, configWith(t, map[string]any{"discovery": first}))
+	apptest.Replace(t, path, apptest.ConfigWith(t, "testdata/config.json", map[string]any{"discovery": first}))
 	cmd.Process.Signal(syscall.SIGHUP)
 	await(firstWatched, "a watch on the first discovery again")
 
--- a/cmd/linenloom/upgrade_test.go
+++ b/cmd/linenloom/upgrade_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"linenloom/internal/app/apptest"
 	"linenloom/internal/lab"
 	"linenloom/internal/standin"
 )
@@ -40,7 +41,7 @@
 	}
 	tmp := t.TempDir()
 	path := filepath.Join(tmp, "config.json")
-	replace(t, path, text)
+	apptest.Replace(t, path, text)
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -19,6 +19,7 @@
 	"linenloom/internal/mgmt"
 	"linenloom/internal/operator"
 	"linenloom/internal/proxy"
+	"linenloom/logic"
 )
 
 const (
@@ -135,7 +136,7 @@
 			fmt.Fprintln(os.Stderr, "configuration:", err)
 			return exitFailed
 		}
-		if err := file.CheckClasses(classNames(settings)); err != nil {
+		if err := file.CheckClasses(logic.ClassNames(settings.Settings.Classes)); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return exitFaulty
 		}
@@ -145,13 +146,6 @@
 	return 0
 }
 
-func classNames(c proxy.Config) (names []string) {
-	for _, class := range c.Settings.Classes {
-		names = append(names, class.Name)
-	}
-	return names
-}
-
 func (g *Program) run(file *operator.File) error {
 	// From the start, so that none of these ends the process by its default. A log that nobody reads any more
 	// must not do so either.
@@ -173,13 +167,10 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	if err := file.CheckClasses(classNames(settings)); err != nil {
-		return err
-	}
-	shared, err := share(cfg, &settings, log)
-	if err != nil {
+	if err := file.CheckClasses(logic.ClassNames(settings.Settings.Classes)); err != nil {
 		return err
 	}
+	shared := share(cfg, &settings, log)
 	defer shared.dir.Close()
 	p, err := proxy.New(settings, log)
 	if err != nil {
--- a/internal/app/reload.go
+++ b/internal/app/reload.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	if r.extproc != nil {
-		if err := r.file.CheckClasses(classNames(now)); err != nil {
+		if err := r.file.CheckClasses(logic.ClassNames(now.Settings.Classes)); err != nil {
 			return err
 		}
 	}
@@ -71,7 +71,7 @@
 		r.log.Warn("reload: changes of listen, mgmt, limits and settings other than classes and attempts need a restart")
 	}
 	r.cfg = cfg
-	r.log.Info("reload", "discovery", cfg.Discovery, "classes", classNames(now), "attempts", now.Settings.TryLimit)
+	r.log.Info("reload", "discovery", cfg.Discovery, "classes", logic.ClassNames(now.Settings.Classes), "attempts", now.Settings.TryLimit)
 	r.p.Follow(cfg.Discovery)
 	return nil
 }
--- a/internal/app/reload_test.go
+++ b/internal/app/reload_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"linenloom/internal/app/apptest"
 	"linenloom/internal/operator"
 	"linenloom/internal/proxy"
 	"linenloom/logic"
@@ -30,7 +31,7 @@
 	path := filepath.Join(dir, "config.json")
 	t.Setenv("LB_CONFIG", path)
 	t.Setenv("LB_LISTEN", "127.0.0.1:0")
-	replace(t, path, configWith(t, nil))
+	apptest.Replace(t, path, apptest.ConfigWith(t, base, nil))
 	cfg, err := loadConfig(os.Getenv)
 	if err != nil {
 		t.Fatal(err)
@@ -44,7 +45,7 @@
 		t.Fatal(err)
 	}
 	operators := filepath.Join(dir, "operator.toml")
-	replace(t, operators, []byte("[extproc]\nlisten = \"127.0.0.1:0\"\n[[extproc.map]]\nmethods = [\"GET\"]\npath = \"/{key}\"\nclass = \"tile-read\"\n"))
+	apptest.Replace(t, operators, []byte("[extproc]\nlisten = \"127.0.0.1:0\"\n[[extproc.map]]\nmethods = [\"GET\"]\npath = \"/{key}\"\nclass = \"tile-read\"\n"))
 	file, err := operator.Load(operators)
 	if err != nil {
 		t.Fatal(err)
@@ -56,7 +57,7 @@
 	// edit writes the configuration with its settings changed.
 	edit := func(change func(settings map[string]any, classes []any) []any) {
 		var c map[string]any
-		if err := json.Unmarshal(configWith(t, map[string]any{"discovery": "127.0.0.1:77"}), &c); err != nil {
+		if err := json.Unmarshal(apptest.ConfigWith(t, base, map[string]any{"discovery": "127.0.0.1:77"}), &c); err != nil {
 			t.Fatal(err)
 		}
 		s := c["settings"].(map[string]any)
@@ -65,7 +66,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		replace(t, path, text)
+		apptest.Replace(t, path, text)
 	}
 	reload := func() error {
 		r.mu.Lock()
@@ -128,8 +129,8 @@
 	path := filepath.Join(t.TempDir(), "config.json")
 	t.Setenv("LB_CONFIG", path)
 	t.Setenv("LB_LISTEN", "127.0.0.1:0")
-	first := configWith(t, nil)
-	replace(t, path, first)
+	first := apptest.ConfigWith(t, base, nil)
+	apptest.Replace(t, path, first)
 	cfg, err := loadConfig(os.Getenv)
 	if err != nil {
 		t.Fatal(err)
@@ -144,10 +145,10 @@
 	}
 	r := &reloader{p: p, cfg: cfg, classes: settings.Settings.Classes, tries: settings.Settings.TryLimit, file: &operator.File{},
 		log: slog.New(slog.DiscardHandler)}
-	replace(t, path, []byte(strings.Replace(string(first), `"repeat":"once"`, `"repeat":"repeatable"`, 1)))
+	apptest.Replace(t, path, []byte(strings.Replace(string(first), `"repeat":"once"`, `"repeat":"repeatable"`, 1)))
 	r.reload()
 	ends := r.settle
-	replace(t, path, first)
+	apptest.Replace(t, path, first)
 	r.reload()
 	if ends == nil || ends.Stop() {
 		t.Error("the file that was taken back still has its time to come")
--- a/internal/app/share.go
+++ b/internal/app/share.go
@@ -22,6 +22,8 @@
 	leastMemoryMB = 14
 	// outsideHeap is what a process takes beside the memory that its runtime counts.
 	outsideHeap = 4 << 20
+	// mostShare is the part of the memory that either may take: what one holds can't be given back at once.
+	mostShare = 0.6
 )
 
 // sharing keeps the limits of a proxy over two processes, while one follows the other.
@@ -36,7 +38,7 @@
 }
 
 // share opens the directory that the processes of a proxy share, and takes what stands there into the settings.
-func share(cfg *config, settings *proxy.Config, log *slog.Logger) (*sharing, error) {
+func share(cfg *config, settings *proxy.Config, log *slog.Logger) *sharing {
 	s := &sharing{cfg: cfg, log: log, sockets: cfg.Limits.Sockets, memory: cfg.Limits.MemoryMB}
 	path := os.Getenv("TMPDIR")
 	if at, err := netip.ParseAddrPort(cfg.Listen); err == nil && at.Port() == 0 {
@@ -54,7 +56,7 @@
 		s.keep(nil)
 		settings.Sockets, settings.MemoryMB = s.sockets, int(s.memory)
 	}
-	return s, nil
+	return s
 }
 
 // heapLimit is the memory limit of the runtime for a limit of the process.
@@ -70,7 +72,6 @@
 			return
 		case <-tick.C:
 		}
-		was := s.alone
 		if !s.alone {
 			alone, err := s.dir.Promote()
 			if err != nil {
@@ -83,7 +84,7 @@
 		switch {
 		case !s.alone || s.dir.Followed():
 			s.keep(p)
-		case !was || s.sockets != s.cfg.Limits.Sockets: // alone again
+		case s.sockets != s.cfg.Limits.Sockets || s.memory != s.cfg.Limits.MemoryMB: // alone again
 			s.set(p, s.cfg.Limits.Sockets, s.cfg.Limits.MemoryMB)
 		}
 	}
@@ -100,10 +101,9 @@
 	if err != nil {
 		s.log.Error("handover", "err", err)
 	}
-	// Nobody may take more than half of the memory: what one holds can't be given back at once.
 	left := s.cfg.Limits.MemoryMB - float64(theirs.Memory+outsideHeap)/(1<<20)
 	s.set(p, max(leastSockets, s.cfg.Limits.Sockets-int(theirs.Descriptors)-keptBack),
-		max(leastMemoryMB, math.Floor(min(s.cfg.Limits.MemoryMB*0.6, left))))
+		max(leastMemoryMB, math.Floor(min(s.cfg.Limits.MemoryMB*mostShare, left))))
 }
 
 func (s *sharing) set(p *proxy.Proxy, sockets int, memory float64) {
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -134,12 +134,11 @@
 
 func (f *Front) compile(file *operator.File) (*config, error) {
 	c := &config{ExtProc: file.ExtProc, classes: map[string]*logic.Class{}}
-	var names []string
-	for _, class := range f.p.Classes() {
-		c.classes[class.Name] = &class
-		names = append(names, class.Name)
+	classes := f.p.Classes()
+	for i, class := range classes {
+		c.classes[class.Name] = &classes[i]
 	}
-	if err := file.CheckClasses(names); err != nil {
+	if err := file.CheckClasses(logic.ClassNames(classes)); err != nil {
 		return nil, err
 	}
 	var err error
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -32,8 +32,8 @@
 	Turn int64 `json:"turn"`
 }
 
-// Set is which members are out. The zero value is empty. A Set that has been handed out is never changed: With... make
-// new ones.
+// Set is which members are out. The zero value is empty. A Set that has been handed out is never changed: Enter, Exit
+// and Merge make new ones.
 type Set struct{ entries map[string]entry }
 
 // ValidID tells whether a text can be a member's id.
@@ -115,9 +115,6 @@
 	return float64(e.Exited)
 }
 
-// Empty tells whether nothing has ever been asked for.
-func (s Set) Empty() bool { return len(s.entries) == 0 }
-
 // Outs counts the members that are out.
 func (s Set) Outs() (n int) {
 	for _, e := range s.entries {
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -116,7 +116,7 @@
 	f.Fuzz(func(t *testing.T, text []byte) {
 		var s Set
 		if json.Unmarshal(text, &s) != nil {
-			if !s.Empty() {
+			if len(s.entries) > 0 {
 				t.Fatal("a faulty record was read in part")
 			}
 			return
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -168,11 +169,8 @@
 func (c *call) Close() error {
 	c.once.Do(func() {
 		c.f.mu.Lock()
-		for i, o := range c.f.open {
-			if o == c {
-				c.f.open = append(c.f.open[:i], c.f.open[i+1:]...)
-				break
-			}
+		if i := slices.Index(c.f.open, c); i >= 0 {
+			c.f.open = slices.Delete(c.f.open, i, i+1)
 		}
 		c.f.mu.Unlock()
 		go c.f.p.Do(func() { c.f.p.Descriptors(-1) }) // the host's lock may be held by who closes
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -322,10 +322,7 @@
 	}
 	was := p.cfg.Settings.Classes
 	p.cfg.Settings.Classes, p.cfg.Settings.TryLimit = slices.Clone(classes), tryLimit
-	var names []string
-	for _, c := range classes {
-		names = append(names, c.Name)
-	}
+	names := logic.ClassNames(classes)
 	p.reasons = p.reasons.For(names)
 	if p.reasonsTold != nil {
 		p.reasonsTold = p.reasonsTold.For(names)
--- a/internal/proxy/listen.go
+++ b/internal/proxy/listen.go
@@ -53,8 +53,8 @@
 	return listener, nil
 }
 
-// taken tells whether somebody listens at an address already. It binds the address without sharing it, and lets it go.
-func taken(addr string) bool {
+// listenedAt tells whether somebody listens at an address already. It binds the address without sharing it, and lets it go.
+func listenedAt(addr string) bool {
 	at, err := netip.ParseAddrPort(addr)
 	if err != nil || at.Port() == 0 {
 		return false
--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -21,9 +21,10 @@
 	longPiece = 32 << 10
 	// longShare is the part of the memory for long values that are written, beside bufferShare for everything else.
 	longShare = 0.25
-	// longPace is how long each piece of longStep bytes of a long value may take to arrive. Slower, a client would hold its
-	// room for minutes.
+	// longStep is how much of a long value has to come within commandTime. Slower, a client would hold its room for minutes.
 	longStep = 64 << 10
+	// longestWait is how long a long value waits for room before it is refused.
+	longestWait = 10 * time.Second
 	// aloneFor is for how long no read is written behind others after a long value was seen: it would wait for all of one.
 	aloneFor = 10 * time.Second
 	// passLook is how often a read that stands behind a long value is looked at, past its time-out.
@@ -129,9 +130,6 @@
 	return nil
 }
 
-// longestWait is how long a long value waits for room before it is refused.
-const longestWait = 10 * time.Second
-
 // pieces reads a long value, which has to keep a least pace.
 func (c *client) pieces(value []byte) error {
 	for len(value) > 0 {
@@ -208,9 +206,14 @@
 	return a, nil
 }
 
-// unwanted ends an attempt whose client has gone in the middle of the value: the member has done its part.
+// passed ends an attempt whose member has done its part.
+func (u *upstream) passed(a *attempt, note int) {
+	u.p.Do(func() { u.p.end(a, logic.StatusOK, note) })
+}
+
+// unwanted ends an attempt whose client has gone in the middle of the value.
 func (u *upstream) unwanted(a *attempt) error {
-	u.p.Do(func() { u.p.end(a, logic.StatusOK, 0) })
+	u.passed(a, 0)
 	return net.ErrClosed
 }
 
@@ -227,7 +230,7 @@
 		_, err = readWord(in)
 	}
 	// The value is whole; what is wrong behind it ends the connection only.
-	u.p.Do(func() { u.p.end(a, logic.StatusOK, note) })
+	u.passed(a, note)
 	return err
 }
 
@@ -238,7 +241,7 @@
 	if err != nil {
 		return err
 	}
-	u.p.Do(func() { u.p.end(a, logic.StatusOK, 0) })
+	u.passed(a, 0)
 	if answer.Close {
 		return io.EOF
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -284,7 +284,7 @@
 	m := logic.Member{
 		ID: MemberID(e.ID), Zone: slices.Index(p.cfg.Zones, e.Locality), Cell: e.Cell,
 		Kind: slices.Index(p.cfg.Kinds, e.Flavor), State: logic.Gone, Weight: e.Size,
-		StartedAt: time.Duration(e.UpSinceMS * float64(time.Millisecond)),
+		StartedAt: time.Duration(p.out.UpSince(e.ID, e.UpSinceMS) * float64(time.Millisecond)),
 	}
 	switch e.Phase {
 	case discovery.PhaseInService:
@@ -296,7 +296,6 @@
 	if m.State == logic.Ready && p.out.Out(e.ID) {
 		m.State = logic.Draining
 	}
-	m.StartedAt = time.Duration(p.out.UpSince(e.ID, e.UpSinceMS) * float64(time.Millisecond))
 	return m
 }
 
@@ -394,14 +393,11 @@
 
 // countReasons makes the counts for the settings' classes and tenants.
 func countReasons(s *logic.Settings) *reasons.Counts {
-	var classes, tenants []string
-	for _, c := range s.Classes {
-		classes = append(classes, c.Name)
-	}
+	var tenants []string
 	for _, t := range s.Tenants {
 		tenants = append(tenants, t.Name)
 	}
-	return reasons.New(classes, tenants)
+	return reasons.New(logic.ClassNames(s.Classes), tenants)
 }
 
 // newReasons tells why requests have waited, been refused or failed since it was last asked, under the lock.
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -136,7 +136,7 @@
 
 func newRedisFront(p *Proxy, addr string) (*redisFront, error) {
 	f := &redisFront{p: p, reuse: 1, address: addr, clients: map[*client]struct{}{}, taken: make(chan error, 1)}
-	if taken(addr) {
+	if listenedAt(addr) {
 		p.log.Info("another process listens here, to be followed", "listen", addr)
 		return f, nil
 	}
@@ -279,9 +279,9 @@
 }
 
 // dropClient closes the idle client that is missed least: first those that have connected and asked nothing,
-// then those idle for long or stuck in the middle of a command, and of each the oldest. A crowd that only connects pushes out its own like, not
-// the clients that are being served; clients that come with a first question of theirs in such a crowd may
-// have to connect again.
+// then those idle for long or stuck in the middle of a command, and of each the oldest. A crowd that only
+// connects pushes out its own like, not the clients that are being served; clients that come with a first
+// question of theirs in such a crowd may have to connect again.
 func (f *redisFront) dropClient() bool {
 	var victim *client
 	least := 0
@@ -732,9 +732,9 @@
 		delete(c.f.clients, c)
 		if c.asked {
 			c.f.asked--
-		}
-		if c.kept && c.asked && !c.again || c.f.reuse >= reuseLeast && c.asked && !c.again {
-			c.f.reuse -= c.f.reuse / reuseOf
+			if !c.again && (c.kept || c.f.reuse >= reuseLeast) {
+				c.f.reuse -= c.f.reuse / reuseOf
+			}
 		}
 		c.p.Descriptors(-1)
 	}
@@ -756,7 +756,6 @@
 	pending := c.pending
 	c.pending = nil
 	for _, o := range pending {
-		o.wakeTurn()
 		c.p.held -= len(o.reply)
 		o.reply = nil
 		c.p.Withdraw(&o.Request)
--- a/internal/proxy/writer.go
+++ b/internal/proxy/writer.go
@@ -119,6 +119,23 @@
 	w.p.held -= n - other
 }
 
+// piece takes what is written next off the queue. A side that takes a long value slowly is there as long as it takes
+// something, so no more than writePiece goes out under one time limit.
+func (w *writer) piece() (piece net.Buffers, size int) {
+	for len(w.queue) > 0 && size < writePiece {
+		b := w.queue[0]
+		if rest := writePiece - size; len(b) > rest {
+			w.queue[0], b = b[rest:], b[:rest]
+		} else {
+			w.queue[0] = nil
+			w.queue = w.queue[1:]
+		}
+		piece = append(piece, b)
+		size += len(b)
+	}
+	return piece, size
+}
+
 // drain writes the backlog.
 func (w *writer) drain() {
 	for {
@@ -132,20 +149,13 @@
 			w.p.leave()
 			return
 		}
-		// Piece by piece: a side that takes a long value slowly is there as long as it takes something.
-		b := w.queue[0]
-		if len(b) > writePiece {
-			w.queue[0], b = b[writePiece:], b[:writePiece]
-		} else {
-			w.queue[0] = nil
-			w.queue = w.queue[1:]
-		}
-		w.begun += int64(len(b))
+		piece, size := w.piece()
+		w.begun += int64(size)
 		w.p.leave()
 		w.conn.SetWriteDeadline(time.Now().Add(stallLimit))
-		_, err := w.conn.Write(b)
+		_, err := piece.WriteTo(w.conn)
 		w.p.enter()
-		w.release(len(b))
+		w.release(size)
 		if err != nil {
 			w.fail()
 			w.drop()
--- a/internal/retune/retune.go
+++ b/internal/retune/retune.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 
@@ -63,7 +64,7 @@
 			*faults = append(*faults, fmt.Sprintf("%s is no object", name(at)))
 			return
 		}
-		for _, key := range sorted(was) {
+		for _, key := range slices.Sorted(maps.Keys(was)) {
 			path := strings.TrimPrefix(at+"."+key, ".")
 			value, there := has[key]
 			switch {
@@ -97,41 +98,20 @@
 }
 
 // common is what all entries of a list have: an object with the keys of each; nil, if they are none.
-func common(list []any) any {
-	var all map[string]any
+func common(list []any) (all map[string]any) {
 	for _, e := range list {
 		o, ok := e.(map[string]any)
 		if !ok {
 			return nil
 		}
 		if all == nil {
-			all = map[string]any{}
-			for k, v := range o {
-				all[k] = v
-			}
-			continue
-		}
-		for k := range all {
-			if _, there := o[k]; !there {
-				delete(all, k)
-			}
+			all = maps.Clone(o)
 		}
-	}
-	if all == nil {
-		return nil
+		maps.DeleteFunc(all, func(key string, _ any) bool { _, there := o[key]; return !there })
 	}
 	return all
 }
 
-func sorted(m map[string]any) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // Between are the classes and the number of attempts that hold while clients may still go by the old configuration: what
 // either allows is not allowed unless the other does. A class that is dropped stays until then.
 func Between(was, now []logic.Class, wasTries, nowTries int) ([]logic.Class, int) {
--- a/logic/api.go
+++ b/logic/api.go
@@ -91,6 +91,15 @@
 	Stream     bool
 }
 
+// ClassNames are the names of classes, in their order.
+func ClassNames(classes []Class) []string {
+	names := make([]string, len(classes))
+	for i, c := range classes {
+		names[i] = c.Name
+	}
+	return names
+}
+
 // Tenant has a share of the service.
 type Tenant struct {
 	Name  string
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,6 +38,7 @@
 	throttleSlack = 8                     // fewer asked than this tell nothing
 	spillOver     = 6                     // busy candidates passed over before a read is refused
 	ejectChance   = 3000                  // a streak that comes about by chance in fewer attempts ejects nobody
+	mostTries     = 32                    // as many again may find no connection, and a flight has 64 bits
 	maxStreak     = 8                     // but one this long always does
 	coldShare     = 0.5                   // of the fall multiple: the rest is left for what this proxy can't see
 )
@@ -68,7 +69,7 @@
 		return nil, err
 	}
 	s.Instances = max(1, s.Instances)
-	s.TryLimit = min(s.TryLimit, 32) // as many again may find no connection, and a flight has 64 bits
+	s.TryLimit = min(s.TryLimit, mostTries)
 	pcg := rand.NewPCG(seed, uint64(s.Self))
 	b := &Balancer{
 		s: s, do: do, pcg: pcg, rng: rand.New(pcg),
@@ -94,7 +95,7 @@
 // Retune takes over other classes and another number of attempts, for requests that come from now on.
 func (b *Balancer) Retune(now time.Duration, classes []Class, tryLimit int) error {
 	s := b.s
-	s.Classes, s.TryLimit = slices.Clone(classes), min(tryLimit, 32) // requests in hand hold on to the old ones
+	s.Classes, s.TryLimit = slices.Clone(classes), min(tryLimit, mostTries) // requests in hand hold on to the old ones
 	if err := s.check(); err != nil {
 		return err
 	}
@@ -742,11 +743,11 @@
 // most that the list has held counts, since answers from before a loss would promise too much.
 func (b *Balancer) warmWeight() float64 {
 	if b.now-b.warmAt >= 500*time.Millisecond { // not at every request: it grows with the fleet
+		size := 0.0
 		b.warm, b.warmAt = 0, b.now
-		size := b.size()
 		for _, n := range b.caches {
 			if !b.local || n.m.Zone == b.s.Zone {
-				b.warm += n.weight * b.ramp(n)
+				b.warm, size = b.warm+n.weight*b.ramp(n), size+n.weight
 			}
 		}
 		b.allCold = b.warm < size/2
