linenlab answers stages crowds: no room, the origin's line, another's fetch

Change: four crowds in internal/lab/crowds.go, each on a process whose log has to name the reason, so that a case that stages something else fails: reads in line when the origin leaves, reads that wait for another's fetch when the boxes leave, more reads in line than a slow origin gets through, boxes so slow that their limits fall. Stand-in boxes tell which reads they have heard of.

Found: a crowd of reads that miss, in the first second of a proxy, is refused out_of_tries (92 of 120 within 8 ms): the host says no connection, and each time counts.

--- a/internal/lab/answers.go
+++ b/internal/lab/answers.go
@@ -3,12 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
-	"slices"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"linenloom/internal/extproc/caller"
@@ -86,14 +82,17 @@
 		r.AtMost(front+": worst of all, ms after the last outcome", float64(worst)/float64(time.Millisecond),
 			float64(mostLate)/float64(time.Millisecond))
 	}
-	late, n, err := e.lineEnds(ctx)
-	if err != nil {
-		return r, fmt.Errorf("the line: %w", err)
+	for _, c := range crowdCases {
+		e.Log("answers: %s", c.name)
+		late, n, err := c.play(e)
+		if err != nil {
+			return r, fmt.Errorf("%s: %w", c.name, err)
+		}
+		r.Tell(c.name+": reads given up", float64(n))
+		r.AtMost(c.name+": worst, ms after it was due", float64(late)/float64(time.Millisecond),
+			float64(mostLate)/float64(time.Millisecond))
 	}
-	r.Tell("reads in line when the origin leaves the list", float64(n))
-	r.AtMost("the line's last answer, ms after the list has changed", float64(late)/float64(time.Millisecond),
-		float64(mostLate)/float64(time.Millisecond))
-	return r, nil
+	return r, ctx.Err()
 }
 
 // answerTimes plays a case and tells the longest time from the last outcome to the final answer.
@@ -200,74 +199,3 @@
 	}
 	return worst, nil
 }
-
-// lineEnds puts reads in line for an origin that stalls, takes the origin off the list, and tells how long after that the
-// last of those in line had its answer.
-func (e *Env) lineEnds(ctx context.Context) (worst time.Duration, n int, err error) {
-	fleet, err := standin.NewFleet(3, 64)
-	if err != nil {
-		return 0, 0, err
-	}
-	defer fleet.Close()
-	addr, err := freeAddr()
-	if err != nil {
-		return 0, 0, err
-	}
-	text, err := fleet.Config("line", addr, "8c1f30d27a5be964", 64, 512)
-	if err != nil {
-		return 0, 0, err
-	}
-	p, err := e.proxy("line", addr, text)
-	if err != nil {
-		return 0, 0, err
-	}
-	defer p.Kill()
-	fleet.Origin.SetFault(standin.Stall)
-	const reads = 24
-	heard := make([]time.Time, reads)
-	errs := make([]error, reads)
-	var early atomic.Int32 // refused before the origin left, for want of room
-	var left atomic.Bool
-	var g sync.WaitGroup
-	for i := range reads {
-		g.Go(func() {
-			rc, err := dialRedis(addr)
-			if err != nil {
-				errs[i] = err
-				return
-			}
-			defer rc.conn.Close()
-			_, errs[i] = rc.ask("OBJ.GET", fmt.Sprint("m", i), fmt.Sprint("line", i), "c=tile-read,d=3000")
-			heard[i] = time.Now()
-			if !left.Load() {
-				early.Add(1)
-			}
-		})
-	}
-	missed := func() bool {
-		n := int(early.Load())
-		for _, b := range fleet.Boxes {
-			_, misses := b.Reads()
-			n += misses
-		}
-		return n >= reads
-	}
-	if err := eventually("every read has missed", missed); err != nil {
-		return 0, 0, err
-	}
-	time.Sleep(20 * time.Millisecond) // what has missed comes to the origin, or into line
-	stalled := fleet.Origin.Began()
-	left.Store(true)
-	removed := time.Now()
-	fleet.RemoveOrigin()
-	g.Wait()
-	if err := errors.Join(errs...); err != nil {
-		return 0, 0, err
-	}
-	// Those that the origin has already are out, and wait on; they are the last to hear.
-	slices.SortFunc(heard, time.Time.Compare)
-	if n = reads - stalled - int(early.Load()); n <= 0 {
-		return 0, 0, fmt.Errorf("no read was in line: %d at the origin, %d refused before", stalled, early.Load())
-	}
-	return heard[reads-stalled-1].Sub(removed), n, ctx.Err()
-}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -181,6 +181,7 @@
 	missed func(id string, b *Box)
 	hits   int
 	misses int
+	onRead func(id string) // told of each read's coming; nil: nobody is
 }
 
 func newBox(id, zone string, missed func(string, *Box)) (*Box, error) {
@@ -203,6 +204,13 @@
 	b.mu.Unlock()
 }
 
+// OnRead has f told of the id of each read that comes from now on, before it is worked on.
+func (b *Box) OnRead(f func(id string)) {
+	b.mu.Lock()
+	b.onRead = f
+	b.mu.Unlock()
+}
+
 // Reads is how many reads found a value, and how many did not.
 func (b *Box) Reads() (hits, misses int) {
 	b.mu.Lock()
@@ -272,6 +280,12 @@
 var errGone = fmt.Errorf("standin: %w", net.ErrClosed)
 
 func (b *Box) read(key, id string) ([]byte, error) {
+	b.mu.Lock()
+	told := b.onRead
+	b.mu.Unlock()
+	if told != nil {
+		told(id)
+	}
 	f, service := b.begin()
 	defer b.end()
 	switch f {
