Callers that vanish: their calls are given up at once, and the test sees it if not

Need: the tests of silent streams and of callers that vanish had been seen to fail for one of their bounds. Broken on purpose in nine ways, three went unseen: a stream's end that the call is not told of, a wait that does not hear the caller's cancel, a withdrawal left out. All three ended by themselves at the request's deadline, and the test waited for that.

Change: the test wants all calls given up while the boxes still hold them, and no request counted as refused or failed that nobody waited for.

--- a/internal/extproc/server/hard_test.go
+++ b/internal/extproc/server/hard_test.go
@@ -16,6 +16,7 @@
 
 	"linenloom/internal/extproc/caller"
 	"linenloom/internal/proxy"
+	"linenloom/internal/reasons"
 	"linenloom/internal/standin"
 )
 
@@ -117,6 +118,7 @@
 
 // Whatever becomes of a caller, nothing stays in hand.
 func TestCallersThatVanish(t *testing.T) {
+	const vanish = 10 // what the module lets out to two boxes that it knows nothing of
 	for _, mode := range []string{"answer", "route"} {
 		t.Run(mode, func(t *testing.T) {
 			fleet := newFleet(t, 2)
@@ -126,18 +128,25 @@
 			}
 			ctx, leave := context.WithCancel(context.Background())
 			var calls []<-chan caller.Result
-			for i := range 20 {
+			for i := range vanish {
 				calls = append(calls, r.start(ctx, read(fmt.Sprint("k", i), fmt.Sprint("r", i))))
 			}
-			r.eventually("all are in hand", func() bool { return r.f.Counts().Taken == 20 && r.f.Counts().Calls > 0 })
+			r.eventually("all are in hand", func() bool { return r.f.Counts().Taken == vanish && r.f.Counts().Calls == vanish })
 			leave()
 			for _, c := range calls {
 				await(t, c, "a call ends")
 			}
+			// At once, and not only when their time is up: the boxes still hold what they were sent.
+			r.eventually("all are given up", func() bool { return r.f.Counts().Abandoned == vanish })
 			for _, b := range fleet.Boxes {
 				b.Close()
 			}
 			r.quiet()
+			for _, row := range r.p.Reasons().Rows() {
+				if row.What != reasons.Waited {
+					t.Errorf("%d requests that nobody waited for were %v: %s", row.Count, row.What, reasons.Name(row.Why))
+				}
+			}
 		})
 	}
 	// In mode route, a caller that is asked to come again and does not.
