--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -19,6 +19,7 @@
 	"linenloom/internal/extproc"
 	"linenloom/internal/proxy"
 	"linenloom/internal/reasons"
+	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
 
@@ -603,8 +604,8 @@
 	if h.attempt > 1 {
 		attrs = append(attrs, ",r=1"...)
 	}
-	c.req.Command = proxy.Command{Write: s.target.Write, Key: []byte(s.target.Key), ReqID: []byte(id), Attrs: attrs, Value: s.body,
-		Only: h.only}
+	c.req.Command = proxy.Command{Only: h.only, Message: upstream.Message{
+		Write: s.target.Write, Key: []byte(s.target.Key), ReqID: []byte(id), Attrs: attrs, Value: s.body}}
 	if c.req.Taker = c; s.route() {
 		c.req.Taker = routed{c}
 	}
--- a/internal/proxy/idle.go
+++ b/internal/pool/idle.go
@@ -1,4 +1,4 @@
-package proxy
+package pool
 
 import "time"
 
--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"linenloom/internal/reasons"
+	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
 
@@ -19,17 +20,17 @@
 	if r == nil {
 		return // it would be a fault of the module; there is no one to send for
 	}
-	a := &attempt{req: r, n: len(r.attempts), to: to, sentAt: p.now, end: -1}
-	a.until = r.deadline
+	a := &attempt{req: r, n: int32(len(r.attempts)), to: to, sentAt: p.now}
+	a.Until = r.deadline
 	if timeout > 0 {
-		a.until = min(a.until, p.now+timeout)
+		a.Until = min(a.Until, p.now+timeout)
 	}
 	r.attempts = append(r.attempts, a)
 	if p.cfg.OnSend != nil {
 		p.cfg.OnSend(id, to)
 	}
 	r.out++
-	if r.done || a.until <= p.now {
+	if r.done || a.Until <= p.now {
 		p.end(a, logic.StatusMoot, 0)
 		return
 	}
@@ -38,13 +39,13 @@
 		p.end(a, logic.StatusConnectFailed, 0)
 		return
 	}
-	p.schedule(due{at: a.until, attempt: a})
 	if c, ok := r.Taker.(Carrier); ok {
 		a.carried = true
-		c.Carry(&Attempt{p: p, a: a, Addr: m.addr, Origin: m.origin})
+		p.schedule(due{Due: upstream.Due{At: a.Until}, attempt: a})
+		c.Carry(&Attempt{p: p, a: a, Addr: m.Addr, Origin: m.Origin})
 		return
 	}
-	p.dispatch(m, a)
+	p.exchange(m, a)
 }
 
 // Refuse is the final answer that a retry is harmless.
@@ -85,7 +86,7 @@
 	if r == nil || attempt < 0 || attempt >= len(r.attempts) {
 		return
 	}
-	if a := r.attempts[attempt]; !a.ended && (!r.done || a.conn == nil) {
+	if a := r.attempts[attempt]; !a.Ended && (!r.done || !a.Sent()) {
 		x.p.abandon(a, logic.StatusCancelled)
 	}
 }
@@ -93,7 +94,7 @@
 // CloseIdle closes idle connections to a member.
 func (x actions) CloseIdle(id logic.MemberID) {
 	if m := x.p.members[id]; m != nil {
-		x.p.closeIdle(m, 0)
+		x.p.ups.CloseIdle(&m.Member, 0)
 	}
 }
 
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"linenloom/internal/reasons"
+	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
 
@@ -37,10 +38,7 @@
 
 // Command is what a client asks, in the platform's terms, whatever front it came by.
 type Command struct {
-	Write bool
-	// Key, the request's id and the list of names and values, as members are told them.
-	Key, ReqID, Attrs []byte
-	Value             []byte // of a write; its capacity counts as held
+	upstream.Message // the capacity of its value counts as held
 	// Only, if not nil, is the addresses of the members that the client lets the request go to, with or without port.
 	Only []string
 }
@@ -50,6 +48,7 @@
 type Request struct {
 	Command
 	Taker    Taker
+	p        *Proxy // once it is taken
 	id       logic.RequestID
 	class    int // its place in the counts of reasons; below 0: it is dropped since
 	effect   logic.Effect
@@ -83,19 +82,10 @@
 // Taker gets a request's single final answer, under the host's lock; it must not block.
 type Taker interface{ Answer(Answer) }
 
-// Passer is a Taker that takes a long value piece by piece, as it comes from a member. The calls come in this order, from
-// a goroutine of their own and not under the host's lock, and may block until the client has taken what came before. Once
-// one has returned an error, nobody takes anything any more and no further call is made.
+// Passer is a Taker that takes a long value piece by piece, as it comes from a member.
 type Passer interface {
 	Taker
-	// Begin begins a value of n bytes.
-	Begin(n int) error
-	// Pass passes on the next piece, which may be used again once it returns.
-	Pass(piece []byte) error
-	// Finish ends the value, which then is the request's answer.
-	Finish() error
-	// Cut ends a value that can't be finished, so that the client can tell that it is not whole.
-	Cut()
+	upstream.Passer
 }
 
 // Carrier is a Taker whose client makes the attempts itself, over connections that the host has no part in. The
@@ -118,14 +108,14 @@
 // the attempt still stands; one that has ended, or whose member is no longer ready, must not be given. It may be asked
 // again of an attempt that was given and has surely not been sent yet: if its member has gone, that one never ran.
 func (x *Attempt) Give() bool {
-	if m := x.p.members[x.a.to]; !x.a.ended && (m == nil || m.state != logic.Ready || m.addr != x.Addr) {
+	if m := x.p.members[x.a.to]; !x.a.Ended && (m == nil || m.state != logic.Ready || m.Addr != x.Addr) {
 		x.p.end(x.a, logic.StatusConnectFailed, 0)
 	}
-	if x.a.ended {
+	if x.a.Ended {
 		return false
 	}
 	if !x.a.given {
-		x.a.given, x.a.began = true, x.p.now
+		x.a.given, x.a.Began = true, x.p.now
 	}
 	return true
 }
@@ -134,22 +124,22 @@
 func (x *Attempt) Given() bool { return x.a.given }
 
 // Ended tells whether the attempt has its outcome.
-func (x *Attempt) Ended() bool { return x.a.ended }
+func (x *Attempt) Ended() bool { return x.a.Ended }
 
 // Left is how long the attempt may still take.
-func (x *Attempt) Left() time.Duration { return x.a.until - x.p.now }
+func (x *Attempt) Left() time.Duration { return x.a.Until - x.p.now }
 
 // End gives the attempt its outcome, with a note as in logic.Outcome; later ones are dropped.
 func (x *Attempt) End(s logic.Status, note int) { x.p.end(x.a, s, note) }
 
 // Spares names up to most further members that the client may go on to by itself where this one fails it, in order.
 func (x *Attempt) Spares(most int) (addrs []string) {
-	if x.a.ended {
+	if x.a.Ended {
 		return nil
 	}
 	for _, id := range x.p.bal.Spares(x.a.req.id, most) {
 		if m := x.p.members[id]; m != nil && m.state == logic.Ready {
-			addrs = append(addrs, m.addr)
+			addrs = append(addrs, m.Addr)
 		}
 	}
 	return addrs
@@ -157,11 +147,11 @@
 
 // Moved notes that the client has gone on by itself to the member at an address. It tells whether there is one.
 func (x *Attempt) Moved(addr string) bool {
-	if x.a.ended {
+	if x.a.Ended {
 		return false
 	}
 	for id, m := range x.p.members {
-		if m.addr == addr {
+		if m.Addr == addr {
 			x.p.bal.Moved(x.p.now, x.a.req.id, x.a.to, id)
 			x.a.to, x.Addr = id, addr
 			return true
@@ -173,7 +163,7 @@
 // DeliverElsewhere ends an attempt that somebody who is no member has served: the request is served, and nothing is
 // learnt of the member that was named.
 func (x *Attempt) DeliverElsewhere() {
-	if !x.a.ended {
+	if !x.a.Ended {
 		x.a.req.done = true
 		x.p.end(x.a, logic.StatusCancelled, 0)
 	}
@@ -181,7 +171,7 @@
 
 // Deliver ends an attempt whose answer the client has: the request is served, and gets no further answer.
 func (x *Attempt) Deliver(note int) {
-	if !x.a.ended {
+	if !x.a.Ended {
 		x.a.req.done = true
 		x.p.end(x.a, logic.StatusOK, note)
 	}
@@ -193,7 +183,7 @@
 		return true
 	}
 	for _, a := range r.attempts {
-		if !a.ended && (!a.carried || a.given) {
+		if !a.Ended && (!a.carried || a.given) {
 			return true
 		}
 	}
@@ -228,7 +218,7 @@
 	}
 	p.ids.add(r.ReqID, p.now)
 	p.nextID++ // after 2^32 it begins anew, long after the request that had the number
-	r.id = p.nextID
+	r.id, r.p = p.nextID, p
 	lr.ID = r.id
 	if r.Only != nil {
 		lr.Only = p.named(r.Only)
@@ -249,8 +239,8 @@
 		set[a] = struct{}{}
 	}
 	for id, m := range p.members {
-		_, whole := set[m.addr]
-		host, _, _ := net.SplitHostPort(m.addr)
+		_, whole := set[m.Addr]
+		host, _, _ := net.SplitHostPort(m.Addr)
 		if _, byHost := set[host]; whole || byHost {
 			only = append(only, id)
 		}
@@ -269,7 +259,7 @@
 	}
 	p.bal.Narrow(p.now, r.id, only)
 	for _, a := range r.attempts {
-		if only != nil && a.carried && !a.given && !a.ended && !slices.Contains(only, a.to) {
+		if only != nil && a.carried && !a.given && !a.Ended && !slices.Contains(only, a.to) {
 			p.end(a, logic.StatusNoConn, 0)
 		}
 	}
@@ -362,7 +352,7 @@
 		}
 	}
 	for _, m := range p.members {
-		if p.closeIdle(m, 0) > 0 {
+		if p.ups.CloseIdle(&m.Member, 0) > 0 {
 			return true
 		}
 	}
@@ -387,8 +377,8 @@
 			if m.state == logic.Ready {
 				l.Ready++
 			}
-			for _, u := range m.conns {
-				if u.current != nil || u.pinged {
+			for _, u := range m.Conns {
+				if u.Busy() {
 					l.Busy++
 				}
 			}
--- a/internal/proxy/idle_test.go
+++ b/internal/proxy/idle_test.go
@@ -11,38 +11,6 @@
 	"linenloom/internal/resp"
 )
 
-func TestIdleLimitFollowsWhatBreaks(t *testing.T) {
-	const most = 4 * time.Second
-	for name, c := range map[string]struct {
-		young, old  float64 // share that breaks at connections just used, and at those idle for 200 ms
-		tries       float64 // of each
-		least, past time.Duration
-	}{
-		"all hold":              {0, 0, 50, most, most},
-		"all break alike":       {0.5, 0.5, 50, most, most},
-		"a few of the old":      {0.05, 0.2, 50, most, most},
-		"too few to tell":       {0, 1, 3, most, most},
-		"most of the old break": {0.05, 0.5, 50, 100 * time.Millisecond, 200 * time.Millisecond},
-	} {
-		t.Run(name, func(t *testing.T) {
-			i := newIdleTimes(most)
-			old := i.class(200 * time.Millisecond)
-			i.used[0], i.broke[0] = c.tries, c.young*c.tries
-			i.used[old], i.broke[old] = c.tries, c.old*c.tries
-			i.sweep(most)
-			if i.limit < c.least || i.limit > c.past {
-				t.Errorf("the limit is %v, want %v to %v", i.limit, c.least, c.past)
-			}
-			for range 1000 {
-				i.sweep(most)
-			}
-			if i.limit != most {
-				t.Errorf("the limit is %v for good", i.limit)
-			}
-		})
-	}
-}
-
 // Connections that don't live as long as the settings say are found out and not used for so long.
 func TestStaleConnectionsAreFoundOut(t *testing.T) {
 	var broke atomic.Int32
@@ -69,14 +37,14 @@
 		}
 		p.eventually("the connection is free", func() bool {
 			for _, m := range p.members {
-				for _, u := range m.conns {
-					if u.current != nil || p.now < u.restEnd { // it rests after an answer, as ever
+				for _, u := range m.Conns {
+					if !u.Rested(p.now) { // it rests after an answer, as ever
 						return false
 					}
-					u.used -= 200 * time.Millisecond // as if it stood idle so long
+					u.Backdate(200 * time.Millisecond) // as if it stood idle so long
 				}
 			}
-			p.idle.sweep(p.cfg.ConnIdle)
+			p.ups.Learn()
 			return true
 		})
 	}
--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -2,15 +2,11 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"slices"
 	"time"
 
 	"linenloom/internal/resp"
-	"linenloom/logic"
 )
 
 // Values past resp.MaxValue are long. One that is read goes to the client piece by piece as the member gives it, at the
@@ -18,17 +14,12 @@
 // since it may have to be sent again, but only as many as there is room for: the others are not read until then, which
 // costs their clients nothing, as their time counts from the last byte.
 const (
-	longPiece = 32 << 10
 	// longShare is the part of the memory for long values that are written, beside bufferShare for everything else.
 	longShare = 0.25
 	// longStep is how much of a long value has to come within commandTime. Slower, a client would hold its room for minutes.
 	longStep = 64 << 10
 	// longestWait is how long a long value waits for room before it is refused.
 	longestWait = 10 * time.Second
-	// aloneFor is for how long no read is written behind others after a long value was seen: it would wait for all of one.
-	aloneFor = 10 * time.Second
-	// passLook is how often a read that stands behind a long value is looked at, past its time-out.
-	passLook = 100 * time.Millisecond
 )
 
 // room is what may be held of long values. Who comes first is let in first, so that none waits for ever.
@@ -144,110 +135,6 @@
 	return nil
 }
 
-// passes begins to pass on a long value: the request is served, and bound to this attempt.
-func (u *upstream) passes(n int) (Passer, *attempt, error) {
-	p := u.p
-	p.enter()
-	defer p.leave()
-	p.alone = p.now + aloneFor
-	a := u.current
-	if a == nil || a.ended {
-		return nil, nil, net.ErrClosed
-	}
-	if a.req.done { // nobody waits for it
-		p.end(a, logic.StatusOK, 0)
-		return nil, nil, net.ErrClosed
-	}
-	to, ok := a.req.Taker.(Passer)
-	if !ok {
-		// This client's front takes no long values. The member has done its part, and another would end alike.
-		p.log.Debug("a value is too long for its client", "bytes", n)
-		p.end(a, logic.StatusRejected, 0)
-		return nil, nil, net.ErrClosed
-	}
-	a.req.done, a.passing, a.firstAt = true, true, p.now
-	p.bal.StreamStarted(p.now, a.req.id, a.n)
-	return to, a, nil
-}
-
-// pass passes on n bytes of in as a's value; end, if not nil, reads what follows them before they count as whole.
-func (u *upstream) pass(in io.Reader, n int, end func() error) (*attempt, error) {
-	to, a, err := u.passes(n)
-	if err != nil {
-		return nil, err
-	}
-	u.slow = true
-	defer func() { u.slow = false }()
-	if err := to.Begin(n); err != nil {
-		return nil, u.unwanted(a)
-	}
-	buf := u.p.buffers.Get().(*[]byte)
-	defer u.p.buffers.Put(buf)
-	*buf = slices.Grow((*buf)[:0], longPiece)
-	for piece := (*buf)[:longPiece]; n > 0; {
-		m, err := in.Read(piece[:min(n, len(piece))])
-		if m > 0 && to.Pass(piece[:m]) != nil {
-			return nil, u.unwanted(a)
-		}
-		if n -= m; err != nil && n > 0 {
-			to.Cut()
-			return nil, fmt.Errorf("%w: %w", errCut, err)
-		}
-	}
-	if end != nil {
-		if err := end(); err != nil {
-			to.Cut()
-			return nil, err
-		}
-	}
-	if to.Finish() != nil {
-		return nil, u.unwanted(a)
-	}
-	return a, nil
-}
-
-// passed ends an attempt whose member has done its part.
-func (u *upstream) passed(a *attempt, note int) {
-	u.p.Do(func() { u.p.end(a, logic.StatusOK, note) })
-}
-
-// unwanted ends an attempt whose client has gone in the middle of the value.
-func (u *upstream) unwanted(a *attempt) error {
-	u.passed(a, 0)
-	return net.ErrClosed
-}
-
-// passRESP passes on a long value of a cache.
-func (u *upstream) passRESP(in *resp.Reader, n int) error {
-	a, err := u.pass(in, n, in.End)
-	if err != nil {
-		return err
-	}
-	word, err := readWord(in)
-	note := 0
-	if err == nil {
-		note = noteOf(word)
-		_, err = readWord(in)
-	}
-	// The value is whole; what is wrong behind it ends the connection only.
-	u.passed(a, note)
-	return err
-}
-
-// passHTTP passes on a long value of an origin.
-func (u *upstream) passHTTP(answer *http.Response, limit *capped, n int) error {
-	limit.left += n
-	a, err := u.pass(answer.Body, n, nil)
-	if err != nil {
-		return err
-	}
-	u.passed(a, 0)
-	if answer.Close {
-		return io.EOF
-	}
-	return nil
-}
-
 // errGone tells that a client takes nothing any more.
 var errGone = errors.New("the client has gone")
 
@@ -271,12 +158,12 @@
 	p := c.p
 	for {
 		p.enter()
-		if c.closed || c.w.failed || !slices.Contains(c.pending, o) {
+		if c.closed || c.w.Failed() || !slices.Contains(c.pending, o) {
 			p.leave()
 			return errGone
 		}
-		if c.pending[0] == o && !c.w.busy {
-			c.w.send(b, false)
+		if c.pending[0] == o && !c.w.Busy() {
+			c.w.Send(b, false)
 			if last {
 				c.pop()
 				c.flush()
--- a/internal/proxy/long_test.go
+++ b/internal/proxy/long_test.go
@@ -13,6 +13,7 @@
 
 	"linenloom/internal/discovery"
 	"linenloom/internal/resp"
+	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
 
@@ -273,8 +274,8 @@
 	for i := range reads {
 		taker := make(plainTaker, 1)
 		p.Do(func() {
-			r := &Request{Taker: taker, Command: Command{Key: fmt.Appendf(nil, "k%d", i), ReqID: fmt.Appendf(nil, "r%d", i),
-				Attrs: []byte("c=tile-read,d=8000")}}
+			r := &Request{Taker: taker, Command: Command{Message: upstream.Message{Key: fmt.Appendf(nil, "k%d", i),
+				ReqID: fmt.Appendf(nil, "r%d", i), Attrs: []byte("c=tile-read,d=8000")}}}
 			if err := p.Submit(r); err != nil {
 				t.Error(err)
 			}
--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -56,7 +56,7 @@
 	waiting.send(get("a2", "id2"))
 	p.eventually("a dial has failed", func() bool {
 		for _, m := range p.members {
-			return m.full > 0
+			return m.Backoff() > 0
 		}
 		return false
 	})
@@ -74,47 +74,14 @@
 	}
 }
 
-// The backoff grows while dials fail, counts dials that fail together once, and ends with one that comes up.
-func TestDialBackoffDoublesAndEnds(t *testing.T) {
-	node := cache(t, func(a asked) string { return hit("value") })
-	p := start(t, testConfig(), entry("s-1", node, "large"))
-	p.eventually("the member is known", func() bool { return len(p.members) == 1 })
-	p.enter()
-	var m *member
-	for _, m = range p.members {
-	}
-	var got []time.Duration
-	for range 9 {
-		p.dialFailed(m, io.EOF)
-		p.dialFailed(m, io.EOF)
-		got = append(got, m.backoff)
-		p.now = m.full
-	}
-	p.leave()
-	for i, want := 0, dialBackoff; i < len(got); i, want = i+1, min(2*want, dialBackoffMax) {
-		if got[i] != want {
-			t.Errorf("backoff %d is %v, not %v", i, got[i], want)
-		}
-	}
-	c := p.dial()
-	c.send(get("a1", "id1"))
-	if got := c.answer(); got != "value" {
-		t.Errorf("answered %q", got)
-	}
-	p.enter()
-	if m.backoff != 0 {
-		t.Errorf("the backoff outlives a connection: %v", m.backoff)
-	}
-	p.leave()
-}
-
 // The member's latency is counted from when it was written to: the wait for a connection is the proxy's own.
 func TestWaitForAConnectionIsNoLatency(t *testing.T) {
 	p := start(t, testConfig())
 	p.enter()
 	defer p.leave()
 	r := &Request{done: true}
-	waited := &attempt{req: r, sentAt: p.now - time.Second, began: p.now - 10*time.Millisecond}
+	waited := &attempt{req: r, sentAt: p.now - time.Second}
+	waited.Began = p.now - 10*time.Millisecond
 	never := &attempt{req: r, sentAt: p.now - time.Second}
 	r.out = 2
 	p.end(waited, logic.StatusOK, 0)
@@ -187,7 +154,7 @@
 	})
 	p := start(t, testConfig(), entry("o-1", o, "origin"))
 	p.enter()
-	p.hold = 500 * time.Millisecond // the reset is seen by then, however slow the machine
+	p.ups.SetHold(500 * time.Millisecond) // the reset is seen by then, however slow the machine
 	p.leave()
 	c := p.dial()
 	for i := range 3 {
@@ -201,7 +168,7 @@
 		}
 		p.eventually("the connection is free", func() bool {
 			for _, m := range p.members {
-				return len(m.conns) == 1 && m.conns[0].current == nil && p.now >= m.conns[0].restEnd
+				return len(m.Conns) == 1 && m.Conns[0].Rested(p.now)
 			}
 			return false
 		})
@@ -261,13 +228,13 @@
 		}
 		p.eventually("the connection is free", func() bool {
 			for _, m := range p.members {
-				return len(m.conns) == 1 && m.conns[0].current == nil && p.now >= m.conns[0].restEnd
+				return len(m.Conns) == 1 && m.Conns[0].Rested(p.now)
 			}
 			return false
 		})
 		p.enter()
 		for _, m := range p.members {
-			if fresh := m.conns[0].idle < 0; fresh != want {
+			if fresh := m.Conns[0].Fresh(); fresh != want {
 				t.Errorf("read %d counts as first on its connection: %v", i, fresh)
 			}
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -2,13 +2,10 @@
 //
 // The Balancer decides; this package only carries out. One mutex guards the Balancer and every table here:
 // the process has one core, so finer locks would buy nothing, and with a single one the Balancer's view and
-// the sockets' state can't drift apart. Nothing blocks under it: writes are tried without waiting (writer),
+// the sockets' state can't drift apart. Nothing blocks under it: writes are tried without waiting (package sender),
 // dials and reads have goroutines of their own.
 //
-// Members are spoken to over connections made here rather than through a pooled Redis client or
-// http.Transport. Those send a request again by themselves, probe with commands of their own, and don't
-// tell whether a request's last byte was written, which is what separates an attempt that never ran from
-// one that may have.
+// What goes on with members is package upstream's, and which connection carries what package pool's.
 package proxy
 
 import (
@@ -25,7 +22,9 @@
 
 	"linenloom/internal/discovery"
 	"linenloom/internal/maintenance"
+	"linenloom/internal/pool"
 	"linenloom/internal/reasons"
+	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
 
@@ -87,29 +86,19 @@
 	frontFDs int // descriptors that fronts hold
 	nextID   logic.RequestID
 
-	upstreams   int // connections to members, those being dialled included
-	dialling    int
-	dialQueue   []*member // they wait for others' dials to end
-	rested      []*member // where attempts wait for connections to rest
-	restedSpare []*member
+	ups         *upstream.Set
 	restTimer   *time.Timer
-	restAt      time.Duration
 	ids         ids
-	serving     bool // clients are taken
-	stopping    bool // no request is taken any more
-	idle        idleTimes
-	hold        time.Duration              // see holdTime
-	slowHead    time.Duration              // see slowHead
+	serving     bool                       // clients are taken
+	stopping    bool                       // no request is taken any more
 	out         maintenance.Set            // members out of use, whatever the list says
 	watches     []*watch                   // the one that counts, and one that has yet to tell its first list
 	startWatch  func(w *watch, whole bool) // nil while the proxy does not run
 	revision    int64                      // of the list
 	held        int                        // bytes of bodies and unsent answers, but for long values
 	long        room                       // for long values
-	alone       time.Duration              // until then no read is written behind another: see passes
 	heldMax     int
 	scratch     []byte
-	buffers     sync.Pool
 	reasons     *reasons.Counts
 	reasonsTold *reasons.Counts // as last logged
 	shortOfFDs  bool
@@ -124,9 +113,7 @@
 	p := &Proxy{
 		cfg: cfg, log: log, started: time.Now(),
 		members: map[logic.MemberID]*member{}, requests: map[logic.RequestID]*Request{},
-		ids:  newIDs(),
-		hold: holdTime, slowHead: slowHead,
-		idle:    newIdleTimes(cfg.ConnIdle * idleShare / 100),
+		ids:     newIDs(),
 		heldMax: heldMax(cfg.MemoryMB), out: cfg.Out,
 	}
 	// The module's clock is monotonic and begins at the wall's time, so that start times, which members
@@ -138,7 +125,11 @@
 	p.now = p.offset
 	p.timers = newTimers(tickOf(&p.cfg.Settings), p.now)
 	p.reasons = countReasons(&p.cfg.Settings)
-	p.buffers.New = func() any { return new([]byte) }
+	p.ups = upstream.New(pool.Config{
+		ConnIdle: cfg.ConnIdle, ConnectTimeout: cfg.Settings.ConnectTimeout, Multiplex: cfg.Multiplex,
+		Instances: cfg.Settings.Instances, Sockets: cfg.Sockets, CanProbe: cfg.Settings.CanProbe,
+	}, host{p}, log)
+	p.ups.Advance(p.now)
 	bal, err := logic.New(cfg.Settings, cfg.Seed, actions{p})
 	if err != nil {
 		return nil, fmt.Errorf("balancer: %w", err)
@@ -161,7 +152,7 @@
 	p.enter()
 	p.timer = time.AfterFunc(time.Hour, p.ring)
 	p.wakeAt = p.now + time.Hour
-	p.restTimer = time.AfterFunc(time.Hour, p.restOver)
+	p.restTimer = time.AfterFunc(time.Hour, func() { p.Do(p.ups.Wake) })
 	p.bal.Start(p.now)
 	p.apply(logic.ListCached, p.cfg.Known)
 	p.leave()
@@ -222,9 +213,7 @@
 		f.Close()
 	}
 	for _, m := range p.members {
-		for _, u := range slices.Clone(m.conns) {
-			u.close()
-		}
+		p.ups.Shut(&m.Member)
 	}
 }
 
@@ -232,6 +221,7 @@
 func (p *Proxy) enter() {
 	p.mu.Lock()
 	p.now = p.offset + p.elapsed()
+	p.ups.Advance(p.now)
 }
 
 func (p *Proxy) elapsed() time.Duration {
@@ -272,7 +262,7 @@
 		for id, m := range p.members {
 			if !listed[id] && m.state != logic.Gone {
 				m.state = logic.Gone
-				p.retire(m)
+				p.ups.Change(&m.Member, false, false)
 			}
 		}
 	}
@@ -333,7 +323,10 @@
 
 // Limit changes how many descriptors and how much memory this process may use, while another one shares the limits.
 func (p *Proxy) Limit(descriptors, memoryMB int) {
-	p.Do(func() { p.cfg.Sockets, p.cfg.MemoryMB, p.heldMax = descriptors, memoryMB, heldMax(memoryMB) })
+	p.Do(func() {
+		p.cfg.Sockets, p.cfg.MemoryMB, p.heldMax = descriptors, memoryMB, heldMax(memoryMB)
+		p.ups.SetSockets(descriptors)
+	})
 }
 
 // MemberID is the module's number for a member's id.
@@ -376,11 +369,10 @@
 		if n%int(reasonsEvery/crowdEvery) == 0 {
 			why = p.newReasons()
 		}
-		p.idle.sweep(p.cfg.ConnIdle * idleShare / 100)
+		p.ups.Learn()
 		for id, m := range p.members {
-			p.closeIdle(m, p.idle.limit)
-			p.warm(m)
-			if m.state == logic.Gone && len(m.conns) == 0 && m.dials == 0 && len(m.waiting) == 0 {
+			p.ups.Sweep(&m.Member, len(p.members))
+			if m.state == logic.Gone && m.Idle() {
 				delete(p.members, id)
 			}
 		}
@@ -428,4 +420,52 @@
 }
 
 // sockets counts the descriptors in use on both sides.
-func (p *Proxy) sockets() int { return p.frontFDs + p.upstreams }
+func (p *Proxy) sockets() int { return p.frontFDs + p.ups.Open() }
+
+// member is what this package knows of a member: what the list has, and the connections to it.
+type member struct {
+	upstream.Member
+	id      logic.MemberID
+	listed  discovery.Member // as the list has it
+	state   logic.State
+	started time.Duration
+}
+
+// update takes a list entry.
+func (p *Proxy) update(e logic.Member, listed discovery.Member) {
+	addr := listed.HostPort
+	m := p.members[e.ID]
+	if m == nil {
+		if e.State == logic.Gone {
+			return
+		}
+		m = &member{id: e.ID, started: e.StartedAt}
+		m.Addr = addr
+		p.members[e.ID] = m
+	}
+	m.Origin = e.Kind == p.cfg.Settings.OriginKind && p.cfg.Settings.Mode == logic.Aside
+	m.listed = listed
+	moved := m.Addr != addr || m.started != e.StartedAt
+	m.Addr, m.started, m.state = addr, e.StartedAt, e.State
+	p.ups.Change(&m.Member, e.State == logic.Ready, moved)
+}
+
+// host is what package upstream sees of a Proxy.
+type host struct{ *Proxy }
+
+var _ upstream.Host = host{}
+
+func (h host) Enter()  { h.enter() }
+func (h host) Leave()  { h.leave() }
+func (h host) Lock()   { h.mu.Lock() }
+func (h host) Unlock() { h.mu.Unlock() }
+
+func (h host) At(d upstream.Due)       { h.schedule(due{Due: d}) }
+func (h host) WakeAt(at time.Duration) { h.restTimer.Reset(at - h.now) }
+
+func (h host) Spare(make bool) bool {
+	if !make {
+		return h.sockets() < h.cfg.Sockets-spareSockets
+	}
+	return h.sockets() < h.cfg.Sockets-spareSockets/2 || h.makeRoom()
+}
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"linenloom/internal/resp"
+	"linenloom/internal/sender"
 )
 
 const (
@@ -84,7 +85,7 @@
 	f       *redisFront
 	conn    *net.TCPConn
 	in      *resp.Reader
-	w       *writer
+	w       *sender.Sender
 	pending []*owed       // in the order of their commands
 	mid     bool          // a command has been read in part
 	heard   atomic.Int64  // when bytes of it came last, since the start of the proxy
@@ -187,7 +188,7 @@
 func (f *redisFront) Owes() (owed bool) {
 	for c := range f.clients {
 		// One on which something has come that was not read is free, and not hung up.
-		if c.hangUp(false); !c.free() || !c.hung && !c.w.failed {
+		if c.hangUp(false); !c.free() || !c.hung && !c.w.Failed() {
 			owed = true
 		}
 	}
@@ -250,7 +251,7 @@
 // newClient takes a connection in; nil, if there is no room for it.
 func (f *redisFront) newClient(conn *net.TCPConn) (*client, error) {
 	p := f.p
-	w, err := newWriter(p, conn)
+	w, err := sender.New(host{p}, conn)
 	if err != nil {
 		return nil, err
 	}
@@ -264,7 +265,7 @@
 	}
 	c := &client{p: p, f: f, conn: conn, w: w, active: p.now, limited: true}
 	c.in = resp.NewReader(c, clientBuffer)
-	w.idle, w.lost = c.flush, c.lost
+	w.Idle, w.Lost = c.flush, c.lost
 	conn.SetReadDeadline(time.Now().Add(commandTime)) // for the first command, whether it begins or not
 	f.clients[c] = struct{}{}
 	f.count++
@@ -361,7 +362,7 @@
 
 // free tells whether the connection can be closed without losing anything.
 func (c *client) free() bool {
-	return len(c.pending) == 0 && !c.w.busy && !c.mid
+	return len(c.pending) == 0 && !c.w.Busy() && !c.mid
 }
 
 // errFaulty ends a connection on which too many commands could not be carried out.
@@ -403,7 +404,7 @@
 // hangUp ends the sending side once everything pending is answered. The client sees the end and closes.
 func (c *client) hangUp(final bool) {
 	c.ended = c.ended || final
-	if c.free() && !c.w.failed && !c.hung && (c.ended || c.quiet()) {
+	if c.free() && !c.w.Failed() && !c.hung && (c.ended || c.quiet()) {
 		c.ended, c.hung = true, true
 		c.conn.CloseWrite()
 		c.wake()
@@ -412,9 +413,9 @@
 
 // quiet tells whether nothing has come that was not read yet: a command that has is answered before its connection ends.
 func (c *client) quiet() bool {
-	saw := peekEnd
-	c.w.raw.Control(func(fd uintptr) { saw = peek(fd) })
-	return saw != peekBytes
+	saw := sender.End
+	c.w.Raw().Control(func(fd uintptr) { saw = sender.Peek(fd) })
+	return saw != sender.Bytes
 }
 
 // read reads commands and submits them.
@@ -474,14 +475,14 @@
 
 // crowded tells whether the client has to take in answers before more is read from it.
 func (c *client) crowded() bool {
-	return len(c.pending) >= maxPipeline || c.w.backlog > maxUnsent || c.w.busy && c.p.held > c.p.heldMax
+	return len(c.pending) >= maxPipeline || c.w.Backlog() > maxUnsent || c.w.Busy() && c.p.held > c.p.heldMax
 }
 
 // awaitAnswers waits until everything pending is answered or the connection has ended.
 func (c *client) awaitAnswers() {
 	for {
 		c.p.enter()
-		if c.closed || c.w.failed || c.free() {
+		if c.closed || c.w.Failed() || c.free() {
 			c.p.leave()
 			return
 		}
@@ -630,7 +631,7 @@
 }
 
 func (c *client) error(text string) {
-	c.say(string(resp.AppendError(nil, string(appendLine(nil, text)))))
+	c.say(string(resp.AppendError(nil, string(resp.AppendLine(nil, text)))))
 }
 
 // submit hands over a request that has been read whole.
@@ -675,8 +676,8 @@
 // answer gives a request its final answer. It goes out now if it is its turn; the caller may then use the
 // bytes again.
 func (c *client) answer(o *owed, reply []byte) {
-	if len(c.pending) > 0 && c.pending[0] == o && !c.w.busy {
-		c.w.send(reply, false)
+	if len(c.pending) > 0 && c.pending[0] == o && !c.w.Busy() {
+		c.w.Send(reply, false)
 		c.pop()
 		c.flush()
 		return
@@ -689,18 +690,18 @@
 
 // flush writes the answers whose turn has come.
 func (c *client) flush() {
-	for len(c.pending) > 0 && !c.w.busy {
+	for len(c.pending) > 0 && !c.w.Busy() {
 		o := c.pending[0]
 		if o.reply == nil {
 			o.wakeTurn()
 			return
 		}
 		c.p.held -= len(o.reply)
-		c.w.send(o.reply, true)
+		c.w.Send(o.reply, true)
 		o.reply = nil
 		c.pop()
 	}
-	if !c.w.busy {
+	if !c.w.Busy() {
 		c.wake()
 	}
 	if c.ended {
@@ -752,7 +753,7 @@
 // gone cleans up after a connection that has ended: nobody waits for what is pending.
 func (c *client) gone() {
 	c.close()
-	c.w.failed = true
+	c.w.Fail()
 	pending := c.pending
 	c.pending = nil
 	for _, o := range pending {
--- a/internal/proxy/redis_test.go
+++ b/internal/proxy/redis_test.go
@@ -209,19 +209,6 @@
 	return origin(t, func(*http.Request) string { sent.Add(1); return "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nshort" })
 }
 
-// What the writer has handed to its goroutine may be out at any moment.
-func TestUnsentKnowsWhatMayBeOut(t *testing.T) {
-	u := &upstream{w: &writer{taken: 100, begun: 60}}
-	for _, c := range []struct {
-		end  int64
-		want bool
-	}{{60, false}, {61, true}, {100, true}} {
-		if got := u.unsent(&attempt{end: c.end}); got != c.want {
-			t.Errorf("unsent with the last byte at %d: %v, want %v", c.end, got, c.want)
-		}
-	}
-}
-
 func TestIDsAreBounded(t *testing.T) {
 	s := newIDs()
 	for i := range 5 * idsKept {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -9,49 +9,98 @@
 	"strconv"
 	"time"
 
-	"linenloom/internal/resp"
+	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
 
-// attempt is one sending of a request to a member.
+// attempt is one sending of a request to a member: an exchange made here, or one that a Carrier's client makes.
 type attempt struct {
-	req     *Request
-	n       int
+	upstream.Exchange
+	req     *Request // nil once the request is over
 	to      logic.MemberID
 	sentAt  time.Duration
-	began   time.Duration // when it was written to a connection; 0: not yet
-	until   time.Duration // it is given up then
-	conn    *upstream     // nil while it waits for one
-	end     int64         // place of its last byte in what the connection sends
-	ended   bool
-	carried bool          // by a Carrier
-	given   bool          // its client has been told of it
-	passing bool          // its value is being passed on
-	firstAt time.Duration // when that began
-	again   bool          // a dial for it was refused at once, and one more is made
+	n       int32
+	carried bool // by a Carrier
+	given   bool // its client has been told of it
+}
+
+var _ upstream.Client = (*attempt)(nil)
+
+// exchange hands an attempt over to the connections of its member.
+func (p *Proxy) exchange(m *member, a *attempt) {
+	r, x := a.req, &a.Exchange
+	x.Write, x.Once = r.Write, r.effect == logic.Once
+	x.Msg, x.By = &r.Message, a
+	p.ups.Exchange(&m.Member, x)
+}
+
+// Served gives the client the value of the first good answer.
+func (a *attempt) Served(value []byte) {
+	if r := a.req; !r.done {
+		r.done = true
+		r.Taker.Answer(Answer{Kind: Served, Value: value})
+	}
+}
+
+// Pass binds the request to an attempt that has begun to answer with a long value.
+func (a *attempt) Pass(n int) upstream.Passer {
+	r := a.req
+	p := r.p
+	if r.done { // nobody waits for it
+		p.end(a, logic.StatusOK, 0)
+		return nil
+	}
+	to, ok := r.Taker.(Passer)
+	if !ok {
+		// This client's front takes no long values. The member has done its part, and another would end alike.
+		p.log.Debug("a value is too long for its client", "bytes", n)
+		p.end(a, logic.StatusRejected, 0)
+		return nil
+	}
+	r.done = true
+	p.bal.StreamStarted(p.now, r.id, int(a.n))
+	return to
+}
+
+// Done takes the outcome of an exchange.
+func (a *attempt) Done(s logic.Status, note int) { a.req.p.end(a, s, note) }
+
+// Deadline is the client's.
+func (a *attempt) Deadline() time.Duration { return a.req.deadline }
+
+// abandon stops waiting for an attempt.
+func (p *Proxy) abandon(a *attempt, s logic.Status) {
+	if !a.carried {
+		p.ups.GiveUp(&a.Exchange, s)
+		return
+	}
+	if s == logic.StatusTimeout && !a.given {
+		s = logic.StatusConnectFailed
+	}
+	p.end(a, s, 0)
 }
 
 // end gives an attempt its outcome; later ones are dropped.
 func (p *Proxy) end(a *attempt, s logic.Status, note int) {
-	if a.ended {
+	if a.Ended {
 		return
 	}
-	a.ended = true
+	a.Ended = true
 	r := a.req
 	r.out--
 	r.ran = r.ran || !s.NeverRan()
 	// The wait for a connection is this proxy's own: as the member's latency it would cut the member's limit.
 	since := a.sentAt
-	if a.began > 0 {
-		since = a.began
+	if a.Began > 0 {
+		since = a.Began
 	}
 	until := p.now
-	if a.passing { // the rest goes at the pace of the client
-		until = a.firstAt
+	if at := a.Passing(); at > 0 { // the rest goes at the pace of the client
+		until = at
 	}
 	p.outcomes = append(p.outcomes, logic.Outcome{
-		Request: r.id, Attempt: a.n, Member: a.to, Status: s, Elapsed: until - since, Note: note,
-		Final: r.done, Fresh: a.conn != nil && a.conn.idle < 0,
+		Request: r.id, Attempt: int(a.n), Member: a.to, Status: s, Elapsed: until - since, Note: note,
+		Final: r.done, Fresh: a.Fresh(),
 	})
 	p.settle(r)
 }
@@ -63,7 +112,7 @@
 		delete(p.requests, r.id)
 		p.letGo(r)
 		for _, a := range r.attempts { // timers still name them
-			a.req = nil
+			a.req, a.Msg = nil, nil
 		}
 	}
 }
@@ -84,7 +133,7 @@
 	}
 	var wait float64
 	var hasClass, hasWait bool
-	for name, value := range c.names() {
+	for name, value := range upstream.Names(c.Attrs) {
 		switch name {
 		case "c":
 			if hasClass {
@@ -172,44 +221,3 @@
 	}
 	return f
 }
-
-// names ranges over the list of names and values.
-func (c *Command) names() func(yield func(string, []byte) bool) {
-	return func(yield func(string, []byte) bool) {
-		for rest := c.Attrs; len(rest) > 0; {
-			var item []byte
-			item, rest, _ = bytes.Cut(rest, []byte{','})
-			if name, value, ok := bytes.Cut(item, []byte{'='}); ok && !yield(string(name), value) {
-				return
-			}
-		}
-	}
-}
-
-// appendCommand appends the command for a cache: as it came, but for how long the sender waits.
-func (c *Command) appendCommand(b []byte, wait time.Duration) []byte {
-	attrs := make([]byte, 0, len(c.Attrs)+16)
-	for name, value := range c.names() {
-		if name != "d" {
-			attrs = append(attrs, name...)
-			attrs = append(attrs, '=')
-			attrs = append(attrs, value...)
-			attrs = append(attrs, ',')
-		}
-	}
-	attrs = append(attrs, "d="...)
-	attrs = strconv.AppendInt(attrs, max(1, wait.Milliseconds()), 10)
-	name, n := "OBJ.GET", 4
-	if c.Write {
-		name, n = "OBJ.SET", 5
-	}
-	b = resp.AppendArray(b, n)
-	b = resp.AppendBulk(b, name)
-	b = resp.AppendBulk(b, c.Key)
-	b = resp.AppendBulk(b, c.ReqID)
-	b = resp.AppendBulk(b, attrs)
-	if c.Write {
-		b = resp.AppendBulkHead(b, len(c.Value))
-	}
-	return b
-}
--- a/internal/proxy/scale_test.go
+++ b/internal/proxy/scale_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,7 +12,9 @@
 	"time"
 
 	"linenloom/internal/discovery"
+	"linenloom/internal/pool"
 	"linenloom/internal/resp"
+	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
 
@@ -91,7 +92,7 @@
 			}
 			p.eventually("nothing is in hand", func() bool {
 				for _, m := range p.members {
-					if len(m.waiting) > 0 {
+					if len(m.Waiting) > 0 {
 						return false
 					}
 				}
@@ -130,70 +131,6 @@
 	}
 }
 
-// Waiting is for a short wait: not at a cache that is stuck, not where the line would take the attempt's time, and not
-// where nothing is known.
-func TestWhoMayWait(t *testing.T) {
-	p := &Proxy{now: time.Hour}
-	p.cfg.Settings.ConnectTimeout = 250 * time.Millisecond
-	at := func(used time.Duration) []*upstream {
-		return []*upstream{{used: p.now - used}, {used: p.now - time.Second}}
-	}
-	line := func(n int) []*attempt { return make([]*attempt, n) }
-	for name, c := range map[string]struct {
-		m    member
-		left time.Duration
-		want bool
-	}{
-		"a short line":          {member{turn: time.Millisecond, conns: at(0), waiting: line(9)}, 400 * time.Millisecond, true},
-		"a long line":           {member{turn: time.Millisecond, conns: at(0), waiting: line(999)}, 400 * time.Millisecond, false},
-		"little time":           {member{turn: time.Millisecond, conns: at(0), waiting: line(9)}, 30 * time.Millisecond, false},
-		"slow answers":          {member{turn: 100 * time.Millisecond, conns: at(0), waiting: line(2)}, 400 * time.Millisecond, false},
-		"stuck":                 {member{turn: time.Millisecond, conns: at(60 * time.Millisecond), waiting: line(2)}, 400 * time.Millisecond, false},
-		"no connection":         {member{turn: time.Millisecond, waiting: line(2)}, 400 * time.Millisecond, false},
-		"nothing known":         {member{conns: at(0), waiting: line(2)}, 400 * time.Millisecond, false},
-		"as long as a dial may": {member{turn: 2 * time.Millisecond, conns: at(0), waiting: line(130)}, time.Hour, false},
-	} {
-		if got := p.mayWait(&c.m, &attempt{until: p.now + c.left}); got != c.want {
-			t.Errorf("%s: %v", name, got)
-		}
-	}
-}
-
-// In line are first those whose time ends first; of the same time, those that came first.
-func TestLineIsOrderedByTime(t *testing.T) {
-	m := &member{}
-	for i, until := range []time.Duration{5, 3, 9, 3, 1, 5} {
-		m.wait(&attempt{until: until, n: i})
-	}
-	var got []int
-	for _, a := range m.waiting {
-		got = append(got, a.n)
-	}
-	if !slices.Equal(got, []int{4, 1, 3, 0, 5, 2}) {
-		t.Errorf("%v", got)
-	}
-}
-
-// A member that drains with a line before it gets nothing of the line.
-func TestDrainEndsTheLine(t *testing.T) {
-	p := &Proxy{cfg: testConfig(), requests: map[logic.RequestID]*Request{}}
-	p.cfg.Settings.ConnectTimeout = time.Second
-	p.timers = newTimers(time.Millisecond, 0)
-	m := &member{state: logic.Draining}
-	for i := range 5 {
-		m.wait(&attempt{req: &Request{out: 1}, n: i})
-	}
-	p.retire(m)
-	if len(m.waiting) != 0 || len(p.outcomes) != 5 {
-		t.Fatalf("%d wait, %d have ended", len(m.waiting), len(p.outcomes))
-	}
-	for _, o := range p.outcomes {
-		if !o.Status.NeverRan() {
-			t.Errorf("%v may have run", o.Status)
-		}
-	}
-}
-
 // The wheel against a list: whatever is set and however time goes on, all fall due in the tick after their time, once,
 // and what lies far ahead as well; and earliest never tells a time after that of a timer.
 func TestTimersAgainstAList(t *testing.T) {
@@ -234,7 +171,7 @@
 				if next%3 > 0 {
 					w.pushToken(now, at, next)
 				} else {
-					w.push(now, due{at: at, token: next})
+					w.push(now, due{Due: upstream.Due{At: at}, token: next})
 				}
 			}
 			soonest := time.Duration(1<<62 - 1)
@@ -271,7 +208,7 @@
 		now += 30 * time.Microsecond
 		w.pushToken(now, now+800*time.Millisecond, uint64(i))
 		w.pushToken(now, now+3*time.Second, uint64(i))
-		w.push(now, due{at: now + 480*time.Millisecond, token: uint64(i)})
+		w.push(now, due{Due: upstream.Due{At: now + 480*time.Millisecond}, token: uint64(i)})
 		if i%64 == 0 {
 			w.run(now, func(uint64) {}, func(due) {})
 		}
@@ -285,11 +222,11 @@
 	node := listen(t, func(conn net.Conn) { serve(conn, resp.NewReader(conn, 4096), conns.Add(1)) })
 	o := origin(t, func(r *http.Request) string { return page("value of " + r.URL.Path[1:]) })
 	cfg := testConfig()
-	cfg.Multiplex, cfg.Settings.Instances = 64, nodeSockets // so that each proxy has one connection to a cache
+	cfg.Multiplex, cfg.Settings.Instances = 64, pool.NodeSockets // so that each proxy has one connection to a cache
 	p := start(t, cfg, entry("s-1", node, "large"), entry("o-1", o, "origin"))
-	p.eventually("it is set up", func() bool { p.slowHead = patience; return len(p.members) == 2 })
+	p.eventually("it is set up", func() bool { p.ups.SetSlowHead(patience); return len(p.members) == 2 })
 	c := p.dial()
-	for i := range cleanFirst + 4 {
+	for i := range pool.CleanFirst + 4 {
 		c.send(get(fmt.Sprint("w", i), fmt.Sprint("w", i)))
 		if got := c.answer(); got != fmt.Sprint("value of w", i) {
 			t.Fatalf("warming up: answered %q", got)
@@ -370,8 +307,8 @@
 				}
 				p.eventually("the cache is asked one at a time", func() bool {
 					for _, m := range p.members {
-						if !m.origin {
-							return spoil == nil || m.cleanNeed >= cleanFirst || name == "half an answer"
+						if !m.Origin {
+							return spoil == nil || m.Wary() > 0 || name == "half an answer"
 						}
 					}
 					return false
@@ -407,15 +344,15 @@
 			}
 		})
 	}
-	var u *upstream
+	var u *pool.Conn[*upstream.Exchange]
 	out := func(n int) func() bool {
 		return func() bool {
 			for _, m := range p.members {
-				if !m.origin && len(m.conns) == 1 {
-					u = m.conns[0]
+				if !m.Origin && len(m.Conns) == 1 {
+					u = m.Conns[0]
 				}
 			}
-			return u != nil && u.current != nil && len(u.behind) == n
+			return u != nil && u.Current != nil && len(u.Behind) == n
 		}
 	}
 	ask(0)
@@ -426,7 +363,7 @@
 	p.eventually("three are behind", out(3))
 	var ended []logic.Outcome
 	p.enter()
-	p.abandon(u.behind[0], logic.StatusTimeout) // as if its time were up
+	p.ups.GiveUp(u.Behind[0], logic.StatusTimeout) // as if its time were up
 	ended = append(ended, p.outcomes...)
 	p.leave()
 	if len(ended) != 4 {
@@ -441,50 +378,6 @@
 	g.Wait()
 }
 
-// The same key twice in a row does not travel together: a second copy of the first answer could not be told from the
-// second's. Nor does anything travel behind a write, or to a cache that has yet to show that its answers are clean.
-func TestWhatTravelsAlone(t *testing.T) {
-	p := &Proxy{now: time.Hour, slowHead: time.Second}
-	p.cfg.Multiplex = 4
-	p.cfg.Settings.Classes = []logic.Class{{}, {Effect: logic.Once}}
-	read := func(key string) *attempt { return &attempt{req: &Request{Command: Command{Key: []byte(key)}}} }
-	conn := func() *upstream {
-		return &upstream{kept: true, w: &writer{}, current: read("k1"), headAt: p.now, tail: []byte("k1")}
-	}
-	for name, c := range map[string]struct {
-		edit func(m *member, u *upstream, a *attempt)
-		want bool
-	}{
-		"another key":       {func(*member, *upstream, *attempt) {}, true},
-		"the same key":      {func(_ *member, u *upstream, _ *attempt) { u.tail = []byte("k2") }, false},
-		"a write":           {func(_ *member, _ *upstream, a *attempt) { a.req.Write = true }, false},
-		"behind a write":    {func(_ *member, u *upstream, _ *attempt) { u.alone = true }, false},
-		"an order":          {func(_ *member, _ *upstream, a *attempt) { a.req.effect = logic.Once }, false},
-		"an origin":         {func(m *member, _ *upstream, _ *attempt) { m.origin = true }, false},
-		"an unknown cache":  {func(m *member, _ *upstream, _ *attempt) { m.clean = cleanFirst - 1 }, false},
-		"a spoilt one":      {func(m *member, _ *upstream, _ *attempt) { m.spoilt() }, false},
-		"a full connection": {func(_ *member, u *upstream, _ *attempt) { u.behind = make([]*attempt, 3) }, false},
-		"a slow head":       {func(_ *member, u *upstream, _ *attempt) { u.headAt -= 2 * time.Second }, false},
-		"a new connection":  {func(_ *member, u *upstream, _ *attempt) { u.kept = false }, false},
-		"one that is busy":  {func(_ *member, u *upstream, _ *attempt) { u.w.busy = true }, false},
-		"one that is free":  {func(_ *member, u *upstream, _ *attempt) { u.current = nil }, false},
-	} {
-		m, u, a := &member{clean: cleanFirst}, conn(), read("k2")
-		m.conns = []*upstream{u}
-		c.edit(m, u, a)
-		if got := p.join(m, a) != nil; got != c.want {
-			t.Errorf("%s: %v", name, got)
-		}
-	}
-	m := &member{}
-	for range 20 {
-		m.spoilt()
-	}
-	if m.cleanNeed != cleanMost {
-		t.Errorf("after many spoilt answers %d clean ones are asked for", m.cleanNeed)
-	}
-}
-
 // gated is a proxy before one cache, which holds the read of key "gate" and with it its one connection, and a line of
 // reads that wait for that.
 func gated(t *testing.T, clients int) (p *testProxy, crowd []*testClient, asked *atomic.Int32, release chan struct{}) {
@@ -506,14 +399,14 @@
 		}
 	})
 	cfg := testConfig()
-	cfg.Settings.Instances = nodeSockets // one connection to the cache, and one request at a time on it
+	cfg.Settings.Instances = pool.NodeSockets // one connection to the cache, and one request at a time on it
 	o := origin(t, func(r *http.Request) string { return page("value of " + r.URL.Path[1:]) })
 	p = start(t, cfg, entry("s-1", node, "large"), entry("o-1", o, "origin"))
 	first := p.dial()
 	first.send(get("gate", "gate"))
 	p.eventually("the cache is held", func() bool {
 		for _, m := range p.members {
-			if !m.origin && len(m.conns) == 1 && m.conns[0].current != nil {
+			if !m.Origin && len(m.Conns) == 1 && m.Conns[0].Current != nil {
 				return true
 			}
 		}
@@ -524,14 +417,14 @@
 		c.send(get(fmt.Sprint("a", i), fmt.Sprint("id", i)))
 		crowd = append(crowd, c)
 	}
-	p.eventually("there is a line", func() bool { return p.inLine() >= waitingRoom })
+	p.eventually("there is a line", func() bool { return p.inLine() >= pool.WaitingRoom })
 	return p, append(crowd, first), asked, release
 }
 
 // inLine counts, under the lock, the attempts that wait for a connection.
 func (p *testProxy) inLine() (n int) {
 	for _, m := range p.members {
-		n += len(m.waiting)
+		n += len(m.Waiting)
 	}
 	return n
 }
@@ -552,13 +445,13 @@
 
 // Clients that leave the line take their requests with them: the cache is never asked for them.
 func TestClientsLeaveTheLine(t *testing.T) {
-	p, crowd, asked, release := gated(t, waitingRoom)
-	for _, c := range crowd[:waitingRoom] {
+	p, crowd, asked, release := gated(t, pool.WaitingRoom)
+	for _, c := range crowd[:pool.WaitingRoom] {
 		c.conn.Close()
 	}
 	p.eventually("the line is empty", func() bool { return p.inLine() == 0 })
 	close(release)
-	if got := crowd[waitingRoom].answer(); got != "value of gate" {
+	if got := crowd[pool.WaitingRoom].answer(); got != "value of gate" {
 		t.Errorf("the one that stayed was answered %q", got)
 	}
 	p.eventually("nothing is in hand", func() bool { return len(p.requests) == 0 })
@@ -587,36 +480,36 @@
 	})
 	o := origin(t, func(r *http.Request) string { return page("value of " + r.URL.Path[1:]) })
 	cfg := testConfig()
-	cfg.Multiplex, cfg.Settings.Instances = together, nodeSockets
+	cfg.Multiplex, cfg.Settings.Instances = together, pool.NodeSockets
 	members := []discovery.Member{entry("s-1", node, "large"), entry("o-1", o, "origin")}
 	r := newRegistry(t, discovery.List{Revision: 1, Complete: true, Members: members})
 	p := startAt(t, cfg, r)
 	<-r.watched
 	c := p.dial()
-	for i := range cleanFirst + 4 {
+	for i := range pool.CleanFirst + 4 {
 		c.send(get(fmt.Sprint("w", i), fmt.Sprint("w", i)))
 		c.answer()
 	}
-	p.eventually("the window for more is long", func() bool { p.slowHead = patience; return true })
+	p.eventually("the window for more is long", func() bool { p.ups.SetSlowHead(patience); return true })
 	var crowd []*testClient
-	for i := range together + waitingRoom {
+	for i := range together + pool.WaitingRoom {
 		c := p.dial()
 		c.send(get(fmt.Sprint("a", i), fmt.Sprint("id", i)))
 		crowd = append(crowd, c)
 	}
-	var u *upstream
+	var u *pool.Conn[*upstream.Exchange]
 	p.eventually("reads are out together and more wait", func() bool {
 		for _, m := range p.members {
-			if !m.origin && len(m.conns) == 1 {
-				u = m.conns[0]
+			if !m.Origin && len(m.Conns) == 1 {
+				u = m.Conns[0]
 			}
 		}
-		return u != nil && len(u.behind) == together-1 && p.inLine() > 0
+		return u != nil && len(u.Behind) == together-1 && p.inLine() > 0
 	})
 	gone := members[0]
 	gone.Phase = discovery.PhaseTerminating
 	r.tell(discovery.List{Revision: 2, Members: []discovery.Member{gone}})
-	p.eventually("the drain is known", func() bool { return u.retired && p.inLine() == 0 })
+	p.eventually("the drain is known", func() bool { return u.Retired && p.inLine() == 0 })
 	close(release)
 	served := 0
 	for i, c := range crowd {
@@ -630,7 +523,7 @@
 	if served < together {
 		t.Errorf("%d served of the %d that were out", served, together)
 	}
-	p.eventually("its connection has ended", func() bool { return u.closed })
+	p.eventually("its connection has ended", func() bool { return u.Closed })
 	if n := asked.Load(); n != together {
 		t.Errorf("the cache was asked %d times, want %d", n, together)
 	}
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -5,19 +5,15 @@
 	"math/bits"
 	"time"
 
+	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
 
-// due is something to do at a time: the end of an attempt or of its wait for a connection, and the like. None is
-// withdrawn; one that is no longer wanted does nothing.
+// due is something to do at a time. None is withdrawn; one that is no longer wanted does nothing.
 type due struct {
-	at      time.Duration
-	attempt *attempt
-	connect bool      // the wait for a connection ends
-	pinged  *upstream // the answer to a PING is due
-	held    bool      // the rest of the attempt is written
-	dial    *member   // the backoff after a failed dial ends
-	token   uint64
+	upstream.Due          // what it is of the exchanges with members
+	attempt      *attempt // else: its time ends
+	token        uint64
 }
 
 const (
@@ -81,7 +77,7 @@
 
 // pushToken sets a timer of the module's.
 func (t *timers) pushToken(now, at time.Duration, token uint64) {
-	t.put(now, due{at: at, token: token}, true)
+	t.put(now, due{Due: upstream.Due{At: at}, token: token}, true)
 }
 
 func (t *timers) put(now time.Duration, d due, module bool) {
@@ -89,11 +85,11 @@
 		t.next = max(t.next, int64(now/t.tick))
 	}
 	t.count++
-	tick, near := t.place(d.at)
+	tick, near := t.place(d.At)
 	t.soonest = min(t.soonest, time.Duration(tick)*t.tick)
 	if !near {
-		if len(t.far) == 0 || d.at < t.farNext {
-			t.farNext = d.at
+		if len(t.far) == 0 || d.At < t.farNext {
+			t.farNext = d.At
 		}
 		t.far = append(t.far, farDue{d, module})
 		return
@@ -208,7 +204,7 @@
 		for _, d := range far { // those that are still far go back
 			t.count--
 			switch {
-			case d.at > now:
+			case d.At > now:
 				t.put(now, d.due, d.module)
 			case d.module:
 				token(d.token)
@@ -255,15 +251,9 @@
 
 func (p *Proxy) ringDue(d due) {
 	switch {
-	case d.pinged != nil:
-		p.pingLate(d.pinged, time.Duration(d.token))
-	case d.dial != nil:
-		p.dial(d.dial)
-	case d.held:
-		p.release(d.attempt)
-	case d.connect:
-		p.connectTimeout(d.attempt)
-	case !d.attempt.ended && !d.attempt.passing:
+	case d.attempt == nil:
+		p.ups.Ring(d.Due)
+	case !d.attempt.Ended:
 		p.abandon(d.attempt, logic.StatusTimeout)
 	}
 }
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -9,7 +9,9 @@
 	"sync/atomic"
 	"testing"
 
+	"linenloom/internal/pool"
 	"linenloom/internal/resp"
+	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
 
@@ -154,7 +156,7 @@
 		}
 		<-closed
 	}
-	p.eventually("no connection is left", func() bool { return p.upstreams == 0 })
+	p.eventually("no connection is left", func() bool { return p.ups.Open() == 0 })
 }
 
 // Members that come and go leave nothing behind, be it under new ids at an old address.
@@ -176,7 +178,7 @@
 		}
 	}
 	p.eventually("one member and its connection are left", func() bool {
-		return len(p.members) == 1 && p.upstreams == 1
+		return len(p.members) == 1 && p.ups.Open() == 1
 	})
 }
 
@@ -207,10 +209,10 @@
 	if got := <-pings; got != first {
 		t.Fatal("the PING came on another connection")
 	}
-	free := func() *upstream {
+	free := func() *pool.Conn[*upstream.Exchange] {
 		for _, m := range p.members {
-			if len(m.conns) == 1 && m.conns[0].current == nil && !m.conns[0].pinged && p.now >= m.conns[0].restEnd {
-				return m.conns[0]
+			if len(m.Conns) == 1 && m.Conns[0].Rested(p.now) {
+				return m.Conns[0]
 			}
 		}
 		return nil
@@ -218,7 +220,7 @@
 	p.eventually("the connection is free", func() bool {
 		u := free()
 		if u != nil {
-			u.used -= cfg.ConnIdle * warmShare / 100 // as if it stood idle so long
+			u.Backdate(cfg.ConnIdle * pool.WarmShare / 100) // as if it stood idle so long
 		}
 		return u != nil
 	})
@@ -250,19 +252,20 @@
 	for _, m = range p.members {
 	}
 	var over *attempt
-	r := &Request{done: true, Command: Command{Key: []byte("k"), ReqID: []byte("i"), Attrs: []byte("c=tile-read")}}
-	for range cacheSockets + waitingRoom + 1 {
-		over = &attempt{req: r, to: m.id, end: -1, until: p.now + patience}
+	r := &Request{p: p.Proxy, done: true, Command: Command{Message: upstream.Message{Key: []byte("k"), ReqID: []byte("i"), Attrs: []byte("c=tile-read")}}}
+	for range pool.CacheSockets + pool.WaitingRoom + 1 {
+		over = &attempt{req: r, to: m.id}
+		over.Until = p.now + patience
 		r.attempts, r.out = append(r.attempts, over), r.out+1
-		p.dispatch(m, over)
+		p.exchange(m, over)
 	}
-	if !over.ended || len(p.outcomes) != 1 {
+	if !over.Ended || len(p.outcomes) != 1 {
 		t.Error("an attempt too many waits")
 	} else if s := p.outcomes[0].Status; s != logic.StatusNoConn {
 		t.Errorf("the pool's own shortage is told as status %d of the cache", s)
 	}
 	p.leave()
-	for range cacheSockets {
+	for range pool.CacheSockets {
 		<-asks
 	}
 	close(release)
@@ -294,7 +297,7 @@
 	close(release)
 	p.eventually("its request is over", func() bool {
 		for _, m := range p.members {
-			return len(p.requests) == 0 && len(m.conns) == 1 && m.conns[0].current == nil
+			return len(p.requests) == 0 && len(m.Conns) == 1 && m.Conns[0].Current == nil
 		}
 		return false
 	})
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -174,3 +174,15 @@
 	b = strconv.AppendInt(b, int64(n), 10)
 	return append(b, "\r\n"...)
 }
+
+// AppendLine appends text without what could end a line.
+func AppendLine[T []byte | string](b []byte, text T) []byte {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' || c == 0x7f {
+			b = append(b, ' ')
+		} else {
+			b = append(b, c)
+		}
+	}
+	return b
+}
--- /dev/null
+++ b/internal/sender/sender.go
@@ -0,0 +1,220 @@
+// Package sender is the sending side of a connection under a host's one lock: what the kernel takes without waiting is
+// written at once, and the rest by a goroutine. It never reads, and never waits under the lock.
+package sender
+
+import (
+	"net"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// StallLimit is how long the other side may take nothing of what is written to it, before it counts as gone.
+const StallLimit = 3 * time.Second
+
+// writePiece is how much is written at once of what did not go out at first.
+const writePiece = 64 << 10
+
+// Host is whose lock guards a Sender.
+type Host interface {
+	Enter()
+	Leave()
+	Hold(n int) (over bool) // counts n bytes more, or -n less, as held
+}
+
+// Sender is the sending side of a connection. It writes at once, under the host's lock, what the kernel
+// takes without waiting, and leaves the rest to a goroutine: most messages are small and need no hand-off,
+// and a peer that reads slowly holds up nobody else.
+type Sender struct {
+	host   Host
+	conn   *net.TCPConn
+	raw    syscall.RawConn
+	Idle   func() // if set, called under the lock when a backlog is gone
+	Lost   func() // if set, called under the lock when the other side takes nothing any more
+	busy   bool   // a goroutine has the sending side
+	failed bool
+	queue  net.Buffers
+	// Places in the stream of bytes: what was given to send, and what the kernel has or may have by now. What
+	// the goroutine is writing may be out at any moment, so it counts as begun from when it is handed over.
+	taken, begun int64
+	backlog      int // bytes that wait or are being written by the goroutine
+	elsewhere    int // of them, those that are counted with the value that they are of
+
+	// The arguments and results of step; a closure for each write would be garbage.
+	buf  []byte
+	n    int
+	err  error
+	step func(fd uintptr) bool
+}
+
+// New makes the sending side of a connection.
+func New(host Host, conn *net.TCPConn) (*Sender, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	w := &Sender{host: host, conn: conn, raw: raw}
+	w.step = func(fd uintptr) bool {
+		for {
+			w.n, w.err = syscall.Write(int(fd), w.buf)
+			if w.err != syscall.EINTR {
+				return true
+			}
+		}
+	}
+	return w, nil
+}
+
+// Send writes b, or queues what does not go out at once. The caller holds the lock and may use b again,
+// unless keep says that it never changes, which saves the queue a copy.
+func (w *Sender) Send(b []byte, keep bool) {
+	w.taken += int64(len(b))
+	if w.failed {
+		return
+	}
+	if !w.busy {
+		w.buf, w.n, w.err = b, 0, nil
+		err := w.raw.Write(w.step)
+		w.buf = nil
+		if err == nil && w.err != syscall.EAGAIN {
+			err = w.err
+		}
+		if err != nil {
+			w.Fail()
+			return
+		}
+		n := max(0, w.n)
+		w.begun += int64(n)
+		if b = b[n:]; len(b) == 0 {
+			return
+		}
+		w.busy = true
+		defer func() { go w.drain() }()
+	}
+	if !keep {
+		b = slices.Clone(b)
+	}
+	w.queue = append(w.queue, b)
+	w.backlog += len(b)
+	w.host.Hold(len(b))
+}
+
+// SendCounted sends bytes that never change and whose room is counted already.
+func (w *Sender) SendCounted(b []byte) {
+	was := w.backlog
+	w.Send(b, true)
+	w.elsewhere += w.backlog - was
+	w.host.Hold(was - w.backlog)
+}
+
+// Fail ends the connection; its reader finds out and cleans up.
+func (w *Sender) Fail() {
+	w.failed = true
+	w.conn.Close()
+}
+
+// Drop lets go of what has not been handed over and keeps it from going out.
+func (w *Sender) Drop() {
+	w.failed = true
+	for _, b := range w.queue {
+		w.release(len(b))
+	}
+	w.queue = nil
+}
+
+func (w *Sender) release(n int) {
+	other := min(n, w.elsewhere)
+	w.elsewhere -= other
+	w.backlog -= n
+	w.host.Hold(other - n)
+}
+
+// piece takes what is written next off the queue. A side that takes a long value slowly is there as long as it takes
+// something, so no more than writePiece goes out under one time limit.
+func (w *Sender) piece() (piece net.Buffers, size int) {
+	for len(w.queue) > 0 && size < writePiece {
+		b := w.queue[0]
+		if rest := writePiece - size; len(b) > rest {
+			w.queue[0], b = b[rest:], b[:rest]
+		} else {
+			w.queue[0] = nil
+			w.queue = w.queue[1:]
+		}
+		piece = append(piece, b)
+		size += len(b)
+	}
+	return piece, size
+}
+
+// drain writes the backlog.
+func (w *Sender) drain() {
+	for {
+		w.host.Enter()
+		if len(w.queue) == 0 {
+			w.busy = false
+			w.conn.SetWriteDeadline(time.Time{})
+			if w.Idle != nil {
+				w.Idle()
+			}
+			w.host.Leave()
+			return
+		}
+		piece, size := w.piece()
+		w.begun += int64(size)
+		w.host.Leave()
+		w.conn.SetWriteDeadline(time.Now().Add(StallLimit))
+		_, err := piece.WriteTo(w.conn)
+		w.host.Enter()
+		w.release(size)
+		if err != nil {
+			w.Fail()
+			w.Drop()
+			if w.Lost != nil {
+				w.Lost()
+			}
+		}
+		w.host.Leave()
+	}
+}
+
+// Raw gives access to the connection's descriptor.
+func (w *Sender) Raw() syscall.RawConn { return w.raw }
+
+// Busy tells whether something waits to be written.
+func (w *Sender) Busy() bool { return w.busy }
+
+// Backlog is how many bytes wait or are being written.
+func (w *Sender) Backlog() int { return w.backlog }
+
+// Failed tells whether the sending side has ended.
+func (w *Sender) Failed() bool { return w.failed }
+
+// Taken is the place, in the stream of bytes, behind what was given to send.
+func (w *Sender) Taken() int64 { return w.taken }
+
+// Unsent tells whether the bytes up to a place are surely not all out, and won't go out once the sender has failed.
+func (w *Sender) Unsent(end int64) bool { return end > w.begun }
+
+// What Peek can see.
+const (
+	Nothing = iota
+	Bytes
+	End
+)
+
+// Peek looks at what has come on a socket and leaves it there.
+func Peek(fd uintptr) int {
+	var b [1]byte
+	for {
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			return Nothing
+		case err != nil || n == 0:
+			return End
+		default:
+			return Bytes
+		}
+	}
+}
--- a/internal/proxy/codec.go
+++ b/internal/upstream/codec.go
@@ -1,4 +1,4 @@
-package proxy
+package upstream
 
 import (
 	"bufio"
@@ -6,14 +6,127 @@
 	"errors"
 	"fmt"
 	"io"
+	"iter"
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
+	"time"
 
 	"linenloom/internal/resp"
 	"linenloom/logic"
 )
 
+// Codec is a protocol that members speak. It has no state: what it must remember between answers stands in the Conn and
+// in the function that Reader gives.
+type Codec interface {
+	// Append appends an exchange to b: all of it for a read, and for a write what comes before its value. The receiver
+	// is told to wait for so long at the most.
+	Append(b []byte, x *Exchange, addr string, wait time.Duration) []byte
+	// End is what follows the value of a write.
+	End() []byte
+	// Ping is what a member answers at once; nil, where there is no such thing.
+	Ping() []byte
+	// Holds tells whether a member carries a write out only once its last byte has come, so that it pays to hold that back
+	// until the connection is seen to stand.
+	Holds() bool
+	// Reader gives the function that reads one answer, tells it to the connection (result, pass) and says how many bytes
+	// beyond it have come.
+	Reader(u *Conn) func() (beyond int, err error)
+}
+
+// resp2 is what caches speak: the platform's commands in RESP2.
+type resp2 struct{}
+
+// http1 is what origins speak: HTTP/1.1, one request at a time.
+type http1 struct{}
+
+var (
+	_ Codec = resp2{}
+	_ Codec = http1{}
+)
+
+var (
+	lineEnd = []byte("\r\n")
+	ping    = []byte("*1\r\n$4\r\nPING\r\n")
+)
+
+func (resp2) End() []byte  { return lineEnd }
+func (resp2) Ping() []byte { return ping }
+func (resp2) Holds() bool  { return false }
+
+func (resp2) Reader(u *Conn) func() (int, error) {
+	in := resp.NewReader(u, readBuffer)
+	return func() (int, error) {
+		err := u.readRESP(in)
+		return in.Buffered(), err
+	}
+}
+
+func (http1) End() []byte  { return nil }
+func (http1) Ping() []byte { return nil }
+func (http1) Holds() bool  { return true }
+
+func (http1) Reader(u *Conn) func() (int, error) {
+	limit := &capped{r: u}
+	in := bufio.NewReaderSize(limit, readBuffer)
+	return func() (int, error) {
+		limit.left = originHead + resp.MaxValue
+		err := u.readHTTP(in, limit)
+		return in.Buffered(), err
+	}
+}
+
+// maxInterim is how many 1xx answers may come ahead of one that counts.
+const maxInterim = 16
+
+// originHead is how many bytes an origin may send beside its value.
+const originHead = 64 << 10
+
+// maxWord is the longest word beside a value.
+const maxWord = 2 << 10
+
+// Names ranges over a list of names and values.
+func Names(attrs []byte) iter.Seq2[string, []byte] {
+	return func(yield func(string, []byte) bool) {
+		for rest := attrs; len(rest) > 0; {
+			var item []byte
+			item, rest, _ = bytes.Cut(rest, []byte{','})
+			if name, value, ok := bytes.Cut(item, []byte{'='}); ok && !yield(string(name), value) {
+				return
+			}
+		}
+	}
+}
+
+// Append appends the command for a cache: as it came, but for how long the sender waits.
+func (resp2) Append(b []byte, x *Exchange, _ string, wait time.Duration) []byte {
+	attrs := make([]byte, 0, len(x.Msg.Attrs)+16)
+	for name, value := range Names(x.Msg.Attrs) {
+		if name != "d" {
+			attrs = append(attrs, name...)
+			attrs = append(attrs, '=')
+			attrs = append(attrs, value...)
+			attrs = append(attrs, ',')
+		}
+	}
+	attrs = append(attrs, "d="...)
+	attrs = strconv.AppendInt(attrs, max(1, wait.Milliseconds()), 10)
+	name, n := "OBJ.GET", 4
+	if x.Write {
+		name, n = "OBJ.SET", 5
+	}
+	b = resp.AppendArray(b, n)
+	b = resp.AppendBulk(b, name)
+	b = resp.AppendBulk(b, x.Msg.Key)
+	b = resp.AppendBulk(b, x.Msg.ReqID)
+	b = resp.AppendBulk(b, attrs)
+	if x.Write {
+		b = resp.AppendBulkHead(b, len(x.Msg.Value))
+	}
+	return b
+}
+
 // notes are the words in which caches tell how a read went.
 func noteOf(word []byte) int {
 	switch string(word) {
@@ -28,12 +141,12 @@
 }
 
 // readRESP reads one answer of a cache.
-func (u *upstream) readRESP(in *resp.Reader) error {
+func (u *Conn) readRESP(in *resp.Reader) error {
 	h, err := in.Head()
 	switch {
 	case err != nil:
 		return err
-	case u.pinged: // by this goroutine's own order of events: await saw it under the lock
+	case u.Pinged: // by this goroutine's own order of events: await saw it under the lock
 		if h.Kind != '+' && h.Kind != '-' {
 			return resp.ErrProtocol
 		}
@@ -63,7 +176,7 @@
 
 // readArray reads an answer's elements. It counts once the value and how the read went are there; what comes
 // after, a report that is not used, can't spoil it, only the connection.
-func (u *upstream) readArray(in *resp.Reader) error {
+func (u *Conn) readArray(in *resp.Reader) error {
 	h, err := in.Head()
 	if err != nil {
 		return err
@@ -71,8 +184,8 @@
 	if h.Kind != '$' {
 		return resp.ErrProtocol
 	}
-	buf := u.p.buffers.Get().(*[]byte)
-	defer u.p.buffers.Put(buf)
+	buf := u.s.buffers.Get().(*[]byte)
+	defer u.s.buffers.Put(buf)
 	status := logic.StatusMiss
 	value := (*buf)[:0]
 	if h.N > resp.MaxValue {
@@ -106,25 +219,25 @@
 		return bytes.Clone(h.Text), nil
 	case h.Kind == '$' && h.N < 0:
 		return nil, nil
-	case h.Kind == '$' && h.N <= maxText:
+	case h.Kind == '$' && h.N <= maxWord:
 		return in.Bulk(nil, h.N)
 	}
 	return nil, resp.ErrProtocol
 }
 
-// appendHTTP appends the request for an origin, without a write's value; http.Request.Write would copy that
+// Append appends the request for an origin, without a write's value; http.Request.Write would copy that
 // too. The texts are a client's: none may end its line and begin another.
-func appendHTTP(b []byte, r *Request, addr string) []byte {
+func (http1) Append(b []byte, x *Exchange, addr string, _ time.Duration) []byte {
 	method := http.MethodGet
-	if r.Write {
+	if x.Write {
 		method = http.MethodPut
 	}
-	path := url.URL{Path: "/" + string(r.Key)}
+	path := url.URL{Path: "/" + string(x.Msg.Key)}
 	b = fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path.EscapedPath(), addr)
-	b = appendHeader(b, "X-Request-ID", r.ReqID)
-	b = appendHeader(b, "X-Attrs", r.Attrs)
-	if r.Write {
-		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(r.Value))
+	b = appendHeader(b, "X-Request-ID", x.Msg.ReqID)
+	b = appendHeader(b, "X-Attrs", x.Msg.Attrs)
+	if x.Write {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(x.Msg.Value))
 	}
 	return append(b, "\r\n"...)
 }
@@ -132,22 +245,10 @@
 func appendHeader(b []byte, name string, value []byte) []byte {
 	b = append(b, name...)
 	b = append(b, ": "...)
-	b = appendLine(b, value)
+	b = resp.AppendLine(b, value)
 	return append(b, "\r\n"...)
 }
 
-// appendLine appends text without what could end a line.
-func appendLine[T []byte | string](b []byte, text T) []byte {
-	for i := range len(text) {
-		if c := text[i]; c < ' ' || c == 0x7f {
-			b = append(b, ' ')
-		} else {
-			b = append(b, c)
-		}
-	}
-	return b
-}
-
 // capped bounds what an origin may send before its value.
 type capped struct {
 	r    io.Reader
@@ -164,7 +265,7 @@
 }
 
 // readHTTP reads one answer of an origin.
-func (u *upstream) readHTTP(in *bufio.Reader, limit *capped) error {
+func (u *Conn) readHTTP(in *bufio.Reader, limit *capped) error {
 	for range maxInterim {
 		answer, err := http.ReadResponse(in, nil)
 		switch {
@@ -180,7 +281,7 @@
 }
 
 // readAnswer reads an answer's value. Only one that tells its length can be told from a part of it.
-func (u *upstream) readAnswer(answer *http.Response, limit *capped) error {
+func (u *Conn) readAnswer(answer *http.Response, limit *capped) error {
 	chunked := len(answer.TransferEncoding) > 0
 	if n := answer.ContentLength; n > resp.MaxValue && n <= resp.MaxLong && statusOf(answer) == logic.StatusOK {
 		return u.passHTTP(answer, limit, int(n))
--- /dev/null
+++ b/internal/upstream/long.go
@@ -0,0 +1,115 @@
+package upstream
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"linenloom/internal/resp"
+	"linenloom/logic"
+)
+
+// aloneFor is for how long no read is written behind others after a long value was seen: it would wait for all of one.
+const aloneFor = 10 * time.Second
+
+// longPiece is how much is held of a long value on its way through.
+const longPiece = 32 << 10
+
+// passes begins to pass on a long value: the request is served, and bound to this exchange.
+func (u *Conn) passes(n int) (Passer, *Exchange, error) {
+	h := u.s.host
+	h.Enter()
+	defer h.Leave()
+	u.s.Apart(aloneFor)
+	x := u.Current
+	if x == nil || x.Ended {
+		return nil, nil, net.ErrClosed
+	}
+	to := x.By.Pass(n)
+	if to == nil {
+		return nil, nil, net.ErrClosed
+	}
+	x.firstAt = h.Now()
+	return to, x, nil
+}
+
+// pass passes on n bytes of in as the value of the exchange in front; end, if not nil, reads what follows them before they count as whole.
+func (u *Conn) pass(in io.Reader, n int, end func() error) (*Exchange, error) {
+	to, x, err := u.passes(n)
+	if err != nil {
+		return nil, err
+	}
+	u.slow = true
+	defer func() { u.slow = false }()
+	if err := to.Begin(n); err != nil {
+		return nil, u.unwanted(x)
+	}
+	buf := u.s.buffers.Get().(*[]byte)
+	defer u.s.buffers.Put(buf)
+	*buf = slices.Grow((*buf)[:0], longPiece)
+	for piece := (*buf)[:longPiece]; n > 0; {
+		m, err := in.Read(piece[:min(n, len(piece))])
+		if m > 0 && to.Pass(piece[:m]) != nil {
+			return nil, u.unwanted(x)
+		}
+		if n -= m; err != nil && n > 0 {
+			to.Cut()
+			return nil, fmt.Errorf("%w: %w", errCut, err)
+		}
+	}
+	if end != nil {
+		if err := end(); err != nil {
+			to.Cut()
+			return nil, err
+		}
+	}
+	if to.Finish() != nil {
+		return nil, u.unwanted(x)
+	}
+	return x, nil
+}
+
+// passed ends an exchange whose member has done its part.
+func (u *Conn) passed(x *Exchange, note int) {
+	u.s.host.Do(func() { x.ended(logic.StatusOK, note) })
+}
+
+// unwanted ends an exchange whose client has gone in the middle of the value.
+func (u *Conn) unwanted(x *Exchange) error {
+	u.passed(x, 0)
+	return net.ErrClosed
+}
+
+// passRESP passes on a long value of a cache.
+func (u *Conn) passRESP(in *resp.Reader, n int) error {
+	x, err := u.pass(in, n, in.End)
+	if err != nil {
+		return err
+	}
+	word, err := readWord(in)
+	note := 0
+	if err == nil {
+		note = noteOf(word)
+		_, err = readWord(in)
+	}
+	// The value is whole; what is wrong behind it ends the connection only.
+	u.passed(x, note)
+	return err
+}
+
+// passHTTP passes on a long value of an origin.
+func (u *Conn) passHTTP(answer *http.Response, limit *capped, n int) error {
+	limit.left += n
+	x, err := u.pass(answer.Body, n, nil)
+	if err != nil {
+		return err
+	}
+	u.passed(x, 0)
+	if answer.Close {
+		return io.EOF
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,237 @@
+// Package upstream makes exchanges with members: a host hands it a request for a member under a time, and hears its one
+// outcome. Connections, their protocols (Codec) and what can go wrong on them are its own; which connection carries what
+// is package pool's to decide.
+//
+// It never chooses a member, never sends anything again by itself, and tells of each exchange whether it can have run.
+// Its state is guarded by the host's one lock, under which it never waits.
+//
+// Connections are made here rather than through a pooled Redis client or http.Transport. Those send a request again by
+// themselves, probe with commands of their own, and don't tell whether a request's last byte was written, which is what
+// separates an attempt that never ran from one that may have.
+package upstream
+
+import (
+	"context"
+	"errors"
+	"hash/maphash"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"linenloom/internal/pool"
+	"linenloom/internal/sender"
+	"linenloom/logic"
+)
+
+// Exchange is one sending of a message to a member. The host makes it with what is exported, and keeps it until its end.
+type Exchange struct {
+	pool.Request
+	Msg *Message // nil once the host is through with it
+	By  Client
+
+	m       *Member
+	conn    *Conn         // nil while it waits for one
+	end     int64         // place of its last byte in what the connection sends
+	firstAt time.Duration // when its value began to be passed on; 0: it is not
+}
+
+// Message is what a member is asked. It stays as it is as long as an exchange has it.
+type Message struct {
+	Write bool
+	// Key, the request's id and the list of names and values, as members are told them.
+	Key, ReqID, Attrs []byte
+	Value             []byte // of a write
+}
+
+// Client is who hears of an exchange, under the host's lock.
+type Client interface {
+	// Served brings the value of a good answer, which is valid during the call only; Done follows.
+	Served(value []byte)
+	// Pass says that a long value of n bytes has begun, and asks who takes it; nil: nobody, and the exchange has ended.
+	Pass(n int) Passer
+	// Deadline is its client's, which a value that is passed on may take until.
+	Deadline() time.Duration
+	// Done is the exchange's one outcome. It has to set Ended.
+	Done(s logic.Status, note int)
+}
+
+// Passer takes a long value piece by piece, as it comes from a member. The calls come in this order, from
+// a goroutine of their own and not under the host's lock, and may block until the client has taken what came before. Once
+// one has returned an error, nobody takes anything any more and no further call is made.
+type Passer interface {
+	// Begin begins a value of n bytes.
+	Begin(n int) error
+	// Pass passes on the next piece, which may be used again once it returns.
+	Pass(piece []byte) error
+	// Finish ends the value, which then is the request's answer.
+	Finish() error
+	// Cut ends a value that can't be finished, so that the client can tell that it is not whole.
+	Cut()
+}
+
+// Host is what exchanges need of their host. Enter begins an event; Lock only looks.
+type Host interface {
+	sender.Host
+	sync.Locker
+	Now() time.Duration
+	Do(f func())             // under the lock, as one event
+	At(d Due)                // call Ring with it then
+	WakeAt(at time.Duration) // call Wake then; the latest call counts
+	Spare(make bool) bool    // there is a descriptor to spare; make: one may be made free for it
+}
+
+// Due is something to do at a time. None is withdrawn; one that is no longer wanted does nothing.
+type Due struct {
+	At   time.Duration
+	what uint8
+	x    *Exchange
+	conn *Conn
+	m    *Member
+	sent time.Duration
+}
+
+const (
+	dueEnd     = iota // of the exchange's time
+	dueConnect        // of its wait for a connection
+	dueHeld           // the rest of it is written
+	duePing           // the answer to a ping
+	dueDial           // the end of the backoff after a dial that failed
+)
+
+// Member is a member's connections; the host embeds it in what it knows of the member.
+type Member = pool.Member[*Exchange]
+
+// Set is the exchanges and connections of a proxy.
+type Set struct {
+	*pool.Pool[*Exchange]
+	host    Host
+	log     *slog.Logger
+	connect time.Duration // time-out
+	once    time.Duration // see holdTime
+	scratch []byte
+	buffers sync.Pool
+	seed    maphash.Seed
+}
+
+// New makes a Set.
+func New(cfg pool.Config, host Host, log *slog.Logger) *Set {
+	s := &Set{host: host, log: log, connect: cfg.ConnectTimeout, once: holdTime, seed: maphash.MakeSeed()}
+	s.buffers.New = func() any { return new([]byte) }
+	s.Pool = pool.New(cfg, actions{s})
+	return s
+}
+
+// SetHold changes how long the last byte of a write is held back, for tests.
+func (s *Set) SetHold(d time.Duration) { s.once = d }
+
+// Exchange sends a message to a member that is ready. Its outcome comes by its Client, for its time's end too.
+func (s *Set) Exchange(m *Member, x *Exchange) {
+	x.m, x.end = m, -1
+	s.host.At(Due{At: x.Until, what: dueEnd, x: x})
+	s.Place(m, x)
+}
+
+// Key is the key that is asked for.
+func (x *Exchange) Key() []byte { return x.Msg.Key }
+
+// Fresh tells whether it was the first on its connection, and waited for a handshake.
+func (x *Exchange) Fresh() bool { return x.conn != nil && x.conn.Fresh() }
+
+// Sent tells whether it is on a connection, or was.
+func (x *Exchange) Sent() bool { return x.conn != nil }
+
+// Passing tells since when its value has been passed on; 0: it is not.
+func (x *Exchange) Passing() (since time.Duration) { return x.firstAt }
+
+// Shut closes the connections to a member, whatever is on them.
+func (s *Set) Shut(m *Member) {
+	for len(m.Conns) > 0 {
+		s.Close(m.Conns[len(m.Conns)-1])
+	}
+}
+
+// Ring does what has fallen due.
+func (s *Set) Ring(d Due) {
+	switch d.what {
+	case duePing:
+		s.PingLate(&d.conn.Conn, d.sent)
+	case dueDial:
+		s.Redial(d.m)
+	case dueHeld:
+		s.release(d.x)
+	case dueConnect:
+		if d.x.conn == nil && !d.x.Ended {
+			s.Late(d.x.m, d.x)
+		}
+	case dueEnd:
+		if !d.x.Ended && d.x.firstAt == 0 {
+			s.GiveUp(d.x, logic.StatusTimeout)
+		}
+	}
+}
+
+// statusFor names why a request got no connection.
+func statusFor(v pool.Verdict) logic.Status {
+	if v == pool.Short {
+		return logic.StatusNoConn
+	}
+	return logic.StatusConnectFailed
+}
+
+// actions carries out what the pool decides.
+type actions struct{ s *Set }
+
+var _ pool.Actions[*Exchange] = actions{}
+
+func (a actions) Dial(m *Member, warm bool) { go a.s.dial(m, m.Addr, m.Epoch, warm) }
+
+func (a actions) End(x *Exchange, v pool.Verdict) { x.ended(statusFor(v), 0) }
+
+func (a actions) Room(make bool) bool { return a.s.host.Spare(make) }
+
+func (a actions) ConnectBy(x *Exchange, at time.Duration) {
+	a.s.host.At(Due{At: at, what: dueConnect, x: x})
+}
+
+func (a actions) DialAt(m *Member, at time.Duration) {
+	a.s.host.At(Due{At: at, what: dueDial, m: m})
+}
+
+func (a actions) PingBy(c *pool.Conn[*Exchange], at, sent time.Duration) {
+	a.s.host.At(Due{At: at, what: duePing, conn: c.Link.(*Conn), sent: sent})
+}
+
+func (a actions) WakeAt(at time.Duration) { a.s.host.WakeAt(at) }
+
+// ended gives an exchange its outcome; later ones are dropped.
+func (x *Exchange) ended(st logic.Status, note int) {
+	if !x.Ended {
+		x.By.Done(st, note)
+	}
+}
+
+// dial opens a connection and reads its answers until it ends.
+func (s *Set) dial(m *Member, addr string, epoch int, warm bool) {
+	d := net.Dialer{Timeout: s.connect, KeepAlive: -1}
+	conn, err := d.DialContext(context.Background(), "tcp", addr)
+	var u *Conn
+	s.host.Do(func() {
+		if err == nil {
+			u, err = s.newConn(m, conn.(*net.TCPConn))
+		}
+		if err != nil {
+			var slow net.Error
+			s.Dialled(m, nil, epoch, warm, !(errors.As(err, &slow) && slow.Timeout()))
+			return
+		}
+		s.Dialled(m, &u.Conn, epoch, warm, false)
+	})
+	if err != nil {
+		if conn != nil {
+			conn.Close()
+		}
+		return
+	}
+	u.fail(u.serve())
+}
