The module asks how long a connection would be waited for, and chooses

Cause: the host decided by itself whether an attempt may wait for a connection, and ended it with 'no connection' if not. Each such end sent the read on to the next candidate at once, and from the fourth on counted for a try. A crowd that comes before a cache has answered anything went through all of its tries within milliseconds.

Change: Actions.Wait. The module takes a wait of up to a twelfth of the request's time, else another candidate, else holds the read and looks again every 10 ms for a quarter of its time, and refuses it for a reason of its own, no_connection. The pool turns away nothing that it has told a wait for; its property test holds it to that.

--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -457,10 +457,11 @@
 func (h host) SetTimer(at time.Duration, token uint64) {
 	h.w.timers = append(h.w.timers, timer{max(at, h.w.Now), token})
 }
-func (h host) Cancel(logic.RequestID, int) {}
-func (h host) Probe(logic.MemberID)        {}
-func (h host) CloseIdle(logic.MemberID)    {}
-func (h host) Watch(bool)                  {}
-func (h host) Fetch()                      {}
-func (h host) Tell(int, []byte)            {}
-func (h host) Log(string)                  {}
+func (h host) Cancel(logic.RequestID, int)                        {}
+func (h host) Probe(logic.MemberID)                               {}
+func (h host) Wait(logic.RequestID, logic.MemberID) time.Duration { return 0 }
+func (h host) CloseIdle(logic.MemberID)                           {}
+func (h host) Watch(bool)                                         {}
+func (h host) Fetch()                                             {}
+func (h host) Tell(int, []byte)                                   {}
+func (h host) Log(string)                                         {}
--- a/internal/extproc/server/answer.go
+++ b/internal/extproc/server/answer.go
@@ -70,7 +70,7 @@
 func (s *stream) refuse(after time.Duration) error {
 	code := 503
 	switch s.why {
-	case logic.NoRoom, logic.ColdBudget, logic.Throttled, logic.RetryBudget, logic.OriginLine, reasons.HostFull:
+	case logic.NoRoom, logic.NoConnection, logic.ColdBudget, logic.Throttled, logic.RetryBudget, logic.OriginLine, reasons.HostFull:
 		code = s.cfg.ShedStatus
 	}
 	seconds := max(1, int((after+time.Second-1)/time.Second))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,10 +18,8 @@
 	NodeSockets  = 28
 	CacheSockets = 6
 	// WaitingRoom is how many requests may wait at a cache for one of its connections, beside the dials, whatever the
-	// wait. More may where it is short: a place at the right cache, soon, beats a miss elsewhere, and a refusal. The wait
-	// is told from how long a connection is taken for a request lately and may be this part of the request's time.
+	// wait. Of more it is told how long that is (Wait), from how long a connection is taken for a request lately.
 	WaitingRoom = 2
-	waitShare   = 8
 	// stuckTurns is after how many times that long without a request on any connection begun a cache counts as stuck,
 	// and nothing more waits for it. It should exceed what answers vary by.
 	turnOf        = 16 // the latest request counts for one in so many
@@ -289,18 +287,19 @@
 
 // Place sends a request on a connection that is free, or has it wait for one.
 func (p *Pool[X]) Place(m *Member[X], x X) {
+	told := p.Wait(m)
 	if c := p.pick(m, x); c != nil {
 		p.start(c, x)
 		return
 	}
-	// A long line here would be load that the host takes for the member's own. It is told at once that
-	// there is no more room, and can send elsewhere.
-	more := len(m.Conns)+m.dials < p.Most(m) && (len(m.Conns) == 0 || p.now >= m.full)
+	more := p.more(m)
 	if c := p.join(m, x); c != nil && !more {
 		p.start(c, x)
 		return
 	}
-	if !m.Origin && !more && len(m.Waiting) >= m.dials+WaitingRoom && !p.mayWait(m, x) {
+	// A long line here would be load that the host takes for the member's own. It is told at once that
+	// there is no more room, and can send elsewhere.
+	if told < 0 {
 		p.do.End(x, Short)
 		return
 	}
@@ -310,6 +309,30 @@
 	p.dial(m)
 }
 
+// more tells whether another connection may be opened.
+func (p *Pool[X]) more(m *Member[X]) bool {
+	return len(m.Conns)+m.dials < p.Most(m) && (len(m.Conns) == 0 || p.now >= m.full)
+}
+
+// Wait tells how long a request would wait for a connection to a member, beside a handshake; below 0: it would be turned
+// away, as its wait would be in vain. Place turns nothing else away.
+func (p *Pool[X]) Wait(m *Member[X]) time.Duration {
+	if m.Origin || len(m.Waiting) < m.dials+WaitingRoom || p.more(m) {
+		return 0
+	}
+	var none X
+	together := p.now >= p.alone && p.cfg.Multiplex > 1 && m.clean >= max(CleanFirst, m.cleanNeed)
+	for _, c := range m.Conns {
+		switch {
+		case c.Retired || c.Pinged || !c.Link.Clear():
+		case c.Current == none && p.now >= c.restEnd,
+			together && c.Kept && c.Current != none && !c.alone && 1+len(c.Behind) < p.cfg.Multiplex && p.now-c.headAt <= p.slowHead:
+			return 0
+		}
+	}
+	return p.line(m)
+}
+
 // join finds the connection to a cache behind whose requests a read waits least; nil, if it should not. What is written
 // behind others shares their fate, so it has to be a read, which may be sent again, and the cache quick and clean.
 func (p *Pool[X]) join(m *Member[X], x X) *Conn[X] {
@@ -336,11 +359,12 @@
 	m.clean, m.cleanNeed = 0, min(max(CleanFirst, 2*m.cleanNeed), cleanMost)
 }
 
-// mayWait tells whether a request has a short wait for a connection to a cache ahead of it.
-func (p *Pool[X]) mayWait(m *Member[X], x X) bool {
+// line is how long a request would stand in line for a connection to a cache; below 0: nothing tells, the cache is stuck, or
+// its wait would be as long as that for a connection may be.
+func (p *Pool[X]) line(m *Member[X]) time.Duration {
 	soon := len(m.Conns) + m.dials
 	if m.turn == 0 || soon == 0 {
-		return false
+		return -1
 	}
 	if m.dials == 0 {
 		latest := m.Conns[0].used
@@ -348,11 +372,14 @@
 			latest = max(latest, c.used)
 		}
 		if p.now-latest > max(stuckLeast, stuckTurns*m.turn) {
-			return false
+			return -1
 		}
 	}
 	wait := m.turn * time.Duration(len(m.Waiting)+1) / time.Duration(soon)
-	return wait <= min((x.Pooled().Until-p.now)/waitShare, p.cfg.ConnectTimeout/2)
+	if wait > p.cfg.ConnectTimeout/2 {
+		return -1
+	}
+	return wait
 }
 
 // wait puts a request in line, those whose time ends first in front.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -170,9 +170,8 @@
 	}
 }
 
-// Waiting is for a short wait: not at a cache that is stuck, not where the line would take the request's time, and not
-// where nothing is known.
-func TestWhoMayWait(t *testing.T) {
+// The line is told as long as it is, and as hopeless at a cache that is stuck, or that nothing is known of.
+func TestHowLongTheLineIs(t *testing.T) {
 	w := newWorld(t, usual)
 	at := func(used time.Duration) []*Conn[*fake] {
 		return []*Conn[*fake]{{used: w.now - used}, {used: w.now - time.Second}}
@@ -180,20 +179,18 @@
 	line := func(n int) []*fake { return make([]*fake, n) }
 	for name, c := range map[string]struct {
 		m    Member[*fake]
-		left time.Duration
-		want bool
+		want time.Duration
 	}{
-		"a short line":          {Member[*fake]{turn: time.Millisecond, Conns: at(0), Waiting: line(9)}, 400 * time.Millisecond, true},
-		"a long line":           {Member[*fake]{turn: time.Millisecond, Conns: at(0), Waiting: line(999)}, 400 * time.Millisecond, false},
-		"little time":           {Member[*fake]{turn: time.Millisecond, Conns: at(0), Waiting: line(9)}, 30 * time.Millisecond, false},
-		"slow answers":          {Member[*fake]{turn: 100 * time.Millisecond, Conns: at(0), Waiting: line(2)}, 400 * time.Millisecond, false},
-		"stuck":                 {Member[*fake]{turn: time.Millisecond, Conns: at(60 * time.Millisecond), Waiting: line(2)}, 400 * time.Millisecond, false},
-		"no connection":         {Member[*fake]{turn: time.Millisecond, Waiting: line(2)}, 400 * time.Millisecond, false},
-		"nothing known":         {Member[*fake]{Conns: at(0), Waiting: line(2)}, 400 * time.Millisecond, false},
-		"as long as a dial may": {Member[*fake]{turn: 2 * time.Millisecond, Conns: at(0), Waiting: line(130)}, time.Hour, false},
+		"a short line":          {Member[*fake]{turn: time.Millisecond, Conns: at(0), Waiting: line(9)}, 5 * time.Millisecond},
+		"a long line":           {Member[*fake]{turn: time.Millisecond, Conns: at(0), Waiting: line(99)}, 50 * time.Millisecond},
+		"slow answers":          {Member[*fake]{turn: 80 * time.Millisecond, Conns: at(0), Waiting: line(2)}, 120 * time.Millisecond},
+		"stuck":                 {Member[*fake]{turn: time.Millisecond, Conns: at(60 * time.Millisecond), Waiting: line(2)}, -1},
+		"no connection":         {Member[*fake]{turn: time.Millisecond, Waiting: line(2)}, -1},
+		"nothing known":         {Member[*fake]{Conns: at(0), Waiting: line(2)}, -1},
+		"as long as a dial may": {Member[*fake]{turn: 2 * time.Millisecond, Conns: at(0), Waiting: line(130)}, -1},
 	} {
-		if got := w.p.mayWait(&c.m, &fake{Request: Request{Until: w.now + c.left}}); got != c.want {
-			t.Errorf("%s: %v", name, got)
+		if got := w.p.line(&c.m); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
 		}
 	}
 }
@@ -355,7 +352,11 @@
 						x.Once = rng.IntN(2) == 0
 					}
 					all = append(all, x)
+					wait := w.p.Wait(m)
 					w.p.Place(m, x)
+					if taken := len(x.verdict) == 0; wait >= 0 && !taken {
+						t.Fatalf("a wait of %v was told, and the request turned away", wait)
+					}
 				case k < 9 && l != nil && !l.closed:
 					w.answer(l)
 				case k == 9 && l != nil && !l.closed:
--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -91,6 +91,19 @@
 	}
 }
 
+// Wait tells how long a connection to a member would be waited for.
+func (x actions) Wait(id logic.RequestID, to logic.MemberID) time.Duration {
+	if r := x.p.requests[id]; r != nil {
+		if _, own := r.Taker.(Carrier); own {
+			return 0
+		}
+	}
+	if m := x.p.members[to]; m != nil {
+		return x.p.ups.Wait(&m.Member)
+	}
+	return 0
+}
+
 // CloseIdle closes idle connections to a member.
 func (x actions) CloseIdle(id logic.MemberID) {
 	if m := x.p.members[id]; m != nil {
--- a/internal/proxy/scale_test.go
+++ b/internal/proxy/scale_test.go
@@ -106,6 +106,44 @@
 	}
 }
 
+// A crowd of reads that comes before a proxy has heard anything of its caches waits for their first answers: it is not turned
+// away for want of connections.
+func TestCrowdBeforeTheFirstAnswers(t *testing.T) {
+	const clients = 200
+	release := make(chan struct{})
+	cfg := testConfig()
+	cfg.Sockets = 1024
+	cfg.Settings.Classes[0].Aim, cfg.Settings.Classes[0].Deadline = time.Hour, time.Hour
+	o := origin(t, func(r *http.Request) string { return page("value of " + r.URL.Path[1:]) })
+	members := []discovery.Member{entry("o-1", o, "origin")}
+	for i := range 3 {
+		members = append(members, entry(fmt.Sprint("s-", i), cache(t, func(asked) string { <-release; return miss }), "large"))
+	}
+	p := start(t, cfg, members...)
+	var served, turned atomic.Int64
+	var g sync.WaitGroup
+	for i := range clients {
+		c := p.dial()
+		c.send(words("OBJ.GET", fmt.Sprintf("a%d", i), fmt.Sprintf("id%d", i), "c=tile-read,d=3600000"))
+		g.Go(func() {
+			if c.answer() == fmt.Sprintf("value of a%d", i) {
+				served.Add(1)
+			} else {
+				turned.Add(1)
+			}
+		})
+	}
+	p.eventually("all have come", func() bool { return len(p.requests)+int(turned.Load()) == clients })
+	if n := turned.Load(); n > 0 {
+		t.Errorf("%d of %d turned away: %v", n, clients, p.Reasons().Attrs())
+	}
+	close(release)
+	g.Wait()
+	if n := served.Load(); n != clients {
+		t.Errorf("%d of %d served: %v", n, clients, p.Reasons().Attrs())
+	}
+}
+
 func readAll(conn net.Conn) {
 	b := make([]byte, 4096)
 	for {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -406,6 +406,9 @@
 // Probe implements logic.Actions.
 func (a Actions) Probe(m logic.MemberID) { a.member(acAskLoad, m) }
 
+// Wait implements logic.Actions; the simulator's instances lack no connection.
+func (a Actions) Wait(logic.RequestID, logic.MemberID) time.Duration { return 0 }
+
 // CloseIdle implements logic.Actions.
 func (a Actions) CloseIdle(m logic.MemberID) { a.member(acLetGo, m) }
 
--- a/logic/api.go
+++ b/logic/api.go
@@ -272,6 +272,10 @@
 	Fail(id RequestID, why Reason)
 	// Hold notes that the request waits, with nothing out; nothing is to be done.
 	Hold(id RequestID, why Reason)
+	// Wait asks how long an attempt of the request would wait for a connection to a member if it were sent now, beside
+	// the time that a handshake takes; below 0: nothing is known of that, or the wait would be in vain. It is the host's own
+	// shortage and tells nothing of the member. A host whose clients make their attempts themselves tells 0.
+	Wait(id RequestID, m MemberID) time.Duration
 	// Cancel stops waiting for one attempt; its Outcome follows.
 	Cancel(id RequestID, attempt int)
 	// Probe checks a member; a Probed event follows.
--- a/logic/bench_test.go
+++ b/logic/bench_test.go
@@ -16,6 +16,7 @@
 func (*quiet) Fail(RequestID, Reason)                           {}
 func (*quiet) Cancel(RequestID, int)                            {}
 func (*quiet) Probe(MemberID)                                   {}
+func (*quiet) Wait(RequestID, MemberID) time.Duration           { return 0 }
 func (*quiet) CloseIdle(MemberID)                               {}
 func (*quiet) Watch(bool)                                       {}
 func (*quiet) Fetch()                                           {}
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -17,15 +17,16 @@
 func (printer) Refuse(id logic.RequestID, _ time.Duration, _ logic.Reason) {
 	fmt.Printf("refuse request %d\n", id)
 }
-func (printer) Fail(id logic.RequestID, _ logic.Reason) { fmt.Printf("fail request %d\n", id) }
-func (printer) Cancel(logic.RequestID, int)             {}
-func (printer) Probe(logic.MemberID)                    {}
-func (printer) CloseIdle(logic.MemberID)                {}
-func (printer) SetTimer(time.Duration, uint64)          {}
-func (printer) Watch(bool)                              {}
-func (printer) Fetch()                                  {}
-func (printer) Tell(int, []byte)                        {}
-func (printer) Log(string)                              {}
+func (printer) Fail(id logic.RequestID, _ logic.Reason)            { fmt.Printf("fail request %d\n", id) }
+func (printer) Cancel(logic.RequestID, int)                        {}
+func (printer) Probe(logic.MemberID)                               {}
+func (printer) Wait(logic.RequestID, logic.MemberID) time.Duration { return 0 }
+func (printer) CloseIdle(logic.MemberID)                           {}
+func (printer) SetTimer(time.Duration, uint64)                     {}
+func (printer) Watch(bool)                                         {}
+func (printer) Fetch()                                             {}
+func (printer) Tell(int, []byte)                                   {}
+func (printer) Log(string)                                         {}
 
 // A hit, a miss fetched from the origin, and a refusal.
 func Example() {
--- a/logic/host_test.go
+++ b/logic/host_test.go
@@ -23,7 +23,8 @@
 	cold   map[MemberID][]time.Duration // sends to a member while it is cold
 	watch  int
 	broken []string
-	why    []Reason // of the final answers
+	why    []Reason                     // of the final answers
+	wait   func(MemberID) time.Duration // for a connection; nil: none
 }
 
 type timerAt struct {
@@ -138,6 +139,13 @@
 
 func (h *fakeHost) Hold(id RequestID, why Reason) {}
 
+func (h *fakeHost) Wait(_ RequestID, m MemberID) time.Duration {
+	if h.wait == nil {
+		return 0
+	}
+	return h.wait(m)
+}
+
 func (h *fakeHost) Fail(id RequestID, why Reason) {
 	h.note("fail %d", id)
 	h.why = append(h.why, why)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,6 +37,7 @@
 	throttleAt    = 2                     // a read may be refused when the caches answer less than one in this many
 	throttleSlack = 8                     // fewer asked than this tell nothing
 	spillOver     = 6                     // busy candidates passed over before a read is refused
+	waitShare     = 12                    // part of its time that a read may wait for a connection: the right cache beats a miss elsewhere
 	ejectChance   = 3000                  // a streak that comes about by chance in fewer attempts ejects nobody
 	mostTries     = 32                    // as many again may find no connection, and a flight has 64 bits
 	maxStreak     = 8                     // but one this long always does
@@ -515,8 +516,8 @@
 	switch {
 	case n != nil:
 		b.send(f, n, b.patience(f, n))
-	case why == NoRoom && b.unknown(f):
-		if b.hold(f, NoRoom) {
+	case b.lookAgain(f, why):
+		if b.hold(f, why) {
 			b.timer(f, b.now+firstLook, tickResume)
 		}
 	default:
@@ -524,16 +525,20 @@
 	}
 }
 
-// unknown tells whether a read finds no room only because too little is known yet of the cache that has its slot, whose
-// limit then is a guess, and has never been cut. A crowd that comes at once at a proxy just started waits for the first
-// answers, which raise the limits of those that can take it. Where none come in a quarter of its time it is refused.
-func (b *Balancer) unknown(f *flight) bool {
+// lookAgain tells whether a read that nobody takes now is to look again: where this proxy is short of connections, and where
+// too little is known yet of the cache that has its slot, whose limit then is a guess, and has never been cut. A crowd that
+// comes at once at a proxy just started waits for the first answers, which raise the limits of those that can take it, and
+// tell how long a connection is taken. Where none come in a quarter of its time it is refused.
+func (b *Balancer) lookAgain(f *flight, why Reason) bool {
+	if why != NoRoom && why != NoConnection || b.now+firstLook >= f.aim-(f.aim-f.askedAt)*3/4 {
+		return false
+	}
 	for _, r := range b.order(f.slot) {
 		if b.usable(f, r.n) && b.owns(r.n, f.slot) {
-			return r.n.seen < knownAfter && r.n.limit >= startLimit && b.now+firstLook < f.aim-(f.aim-f.askedAt)*3/4
+			return r.n.seen < knownAfter && r.n.limit >= startLimit
 		}
 	}
-	return false
+	return why == NoConnection
 }
 
 // follow lets a request wait for another's fetch, for so long at the most.
@@ -646,7 +651,7 @@
 		if b.usable(f, n) {
 			return n, NoReason
 		}
-		if last == nil && b.maySend(f, n) && b.coldRoom(n) {
+		if last == nil && b.maySend(f, n) && b.coldRoom(n) && b.linked(f, n) {
 			last = n
 		}
 	}
@@ -661,9 +666,18 @@
 	if why := b.hopeless(f); why != NoReason {
 		return why
 	}
+	if slices.ContainsFunc(b.caches, func(n *node) bool { return b.maySend(f, n) && !b.linked(f, n) }) {
+		return NoConnection
+	}
 	return ColdBudget
 }
 
+// linked tells whether there is a connection to a member in good time, as the host tells.
+func (b *Balancer) linked(f *flight, n *node) bool {
+	w := b.do.Wait(f.ID, n.m.ID)
+	return w >= 0 && w <= (f.aim-b.now)/waitShare
+}
+
 // abroad is a cache with room in another zone that has the slot in that zone's table. The proxies there ask it
 // for the same keys, so a read is more likely found than at a second candidate here, and costs less than a
 // refusal; nil where all zones share a table.
@@ -686,7 +700,7 @@
 }
 
 func (b *Balancer) usable(f *flight, n *node) bool {
-	return n.outUntil <= b.now && !slices.Contains(f.tried, n) && b.maySend(f, n) && b.coldRoom(n)
+	return n.outUntil <= b.now && !slices.Contains(f.tried, n) && b.maySend(f, n) && b.coldRoom(n) && b.linked(f, n)
 }
 
 // sent is how many attempts the request has had on the wire.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1133,3 +1133,60 @@
 	}
 	h.check()
 }
+
+// A read for which this proxy has no connection goes to another candidate that it has one to, waits where it has none at
+// all, and is refused, for that reason, once a quarter of its time has passed.
+func TestShortOfConnections(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(4)...)
+	first := h.ask(Request{ID: 1, Key: 9}).sent[0].to
+	h.end(1, 0, StatusOK)
+	for name, c := range map[string]struct {
+		wait func(MemberID) time.Duration
+		sent int
+		same bool
+	}{
+		"a short line":    {func(MemberID) time.Duration { return ms }, 1, true},
+		"a long line":     {func(m MemberID) time.Duration { return time.Duration(m&1|1) * time.Hour }, 0, false},
+		"stuck":           {func(m MemberID) time.Duration { return -time.Duration(b2i(m == first)) }, 1, false},
+		"none to anybody": {func(MemberID) time.Duration { return -1 }, 0, false},
+	} {
+		h.wait = c.wait
+		id := RequestID(len(h.open) + 1)
+		asked := h.now
+		r := h.ask(Request{ID: id, Key: 9})
+		if len(r.sent) != c.sent || c.sent > 0 && (r.sent[0].to == first) != c.same {
+			t.Errorf("%s: sent %+v; the key's own is %d", name, r.sent, first)
+		}
+		if c.sent > 0 {
+			h.end(id, 0, StatusOK)
+			continue
+		}
+		h.why = nil
+		aim := h.b.flights[id].aim - asked
+		h.run(aim/4 - firstLook)
+		if r.answered > 0 {
+			t.Errorf("%s: answered within a quarter of its time", name)
+		}
+		h.run(2 * firstLook)
+		if r.answered != 1 || !slices.Equal(h.why, []Reason{NoConnection}) {
+			t.Errorf("%s: %d answers after a quarter of its time: %v", name, r.answered, h.why)
+		}
+	}
+	h.wait = func(MemberID) time.Duration { return -1 }
+	r := h.ask(Request{ID: 100, Key: 9})
+	h.wait = nil
+	h.run(2 * firstLook)
+	if len(r.sent) != 1 {
+		t.Errorf("sent %d times once there was a connection", len(r.sent))
+	}
+	h.end(100, 0, StatusOK)
+	h.check()
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/logic/random_test.go
+++ b/logic/random_test.go
@@ -25,6 +25,14 @@
 			}
 		})
 	}
+	t.Run("short of connections", func(t *testing.T) {
+		for seed := range uint64(2) {
+			waits := rand.New(rand.NewPCG(seed, 7))
+			driveRandom(t, testSettings(), seed, func(h *fakeHost) {
+				h.wait = func(MemberID) time.Duration { return time.Duration(waits.IntN(60)-20) * ms }
+			}).check()
+		}
+	})
 }
 
 func TestSameSeedSameActions(t *testing.T) {
@@ -37,9 +45,12 @@
 	}
 }
 
-func driveRandom(t *testing.T, s Settings, seed uint64) *fakeHost {
+func driveRandom(t *testing.T, s Settings, seed uint64, edit ...func(*fakeHost)) *fakeHost {
 	t.Helper()
 	h := newHost(t, s, seed)
+	for _, f := range edit {
+		f(h)
+	}
 	rng := rand.New(rand.NewPCG(seed, 42))
 	list := withOrigin(12)
 	h.members(ListCached, list...)
