--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1160,10 +1160,17 @@
 func (b *Balancer) throttled() bool {
 	keep := math.Exp(-(b.now - b.askedAt).Seconds() / throttleSpan.Seconds())
 	b.asked, b.answered, b.askedAt = b.asked*keep+1, b.answered*keep, b.now
-	young := float64(b.out)
-	if b.now-b.heardAt > seconds(max(0.02, 3*b.latency)) {
-		young = min(young, float64(startLimit*len(b.caches)))
+	young, span := float64(b.out), seconds(max(0.02, 3*b.latency))
+	if past := b.now - b.youngAt; past > span { // what was asked since then can't all have been answered
+		if b.elder = b.young; past > 2*span {
+			b.elder = 0
+		}
+		b.young, b.youngAt = 0, b.now
+	}
+	if b.now-b.heardAt > span {
+		young = min(young, max(float64(startLimit*len(b.caches)), float64(b.elder+b.young)))
 	}
+	b.young++
 	return b.rng.Float64()*(b.asked+throttleSlack) < b.asked-young-throttleAt*b.answered-throttleSlack
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -869,6 +869,27 @@
 	h.check()
 }
 
+// A crowd that comes when nothing has been heard for a moment, as the proxy itself was busy taking it in, is not taken for a jam:
+// what was asked just now can't have been answered.
+func TestThrottleLeavesOutACrowdThatHasJustCome(t *testing.T) {
+	h := newHost(t, testSettings(), 1)
+	h.members(ListCached, withOrigin(8)...)
+	for _, n := range h.b.caches {
+		n.limiter = limiter{limit: 1000, latency: 0.001, pace: 0.0001, seen: 100}
+	}
+	h.ask(Request{ID: 1, Key: 1})
+	h.end(1, 0, StatusOK)
+	h.run(25 * ms) // longer than caches as quick as these are silent
+	n := 0
+	for id := RequestID(2); id < 900; id++ {
+		n += h.ask(Request{ID: id, Key: uint64(id)}).answered
+	}
+	if n > 0 {
+		t.Errorf("%d of 898 reads refused", n)
+	}
+	h.check()
+}
+
 // A fetch whose connection broke goes back in line, and those who wait for it don't ask the cache meanwhile.
 func TestBrokenFetchKeepsThoseWhoWait(t *testing.T) {
 	h := newHost(t, testSettings(), 1)
--- a/logic/types.go
+++ b/logic/types.go
@@ -96,6 +96,8 @@
 	askedAt         time.Duration
 	heardAt         time.Duration // when a cache answered last
 	out             int           // attempts at caches that have no outcome yet
+	young, elder    int           // reads asked for lately, and in the time before that
+	youngAt         time.Duration // when lately began
 	watches         int
 	refusing        time.Duration // since when this proxy has had to refuse
 	refusedAt       time.Duration
