A connection that pipelines gives way to others after eight commands

Cause: beside a tenant that floods the core, another's reads waited for as long as each of the flood's connections had something buffered: 64 turns of a millisecond and more.

Change: a reader that goes on without waiting yields after eight commands (turnMost).

--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -47,6 +48,9 @@
 	reuseLeast = 0.2
 	reuseOf    = 32
 	keepEvery  = 8
+	// turnMost is how many commands of a connection are worked on before others that have something have their turn: one
+	// that pipelines would else hold the core for as long as its buffer lasts.
+	turnMost = 8
 	// youngFor is how long a connection that has not asked yet is spared when room is needed: a client's
 	// first command may be on its way.
 	youngFor = 100 * time.Millisecond
@@ -106,6 +110,7 @@
 
 	line   shed.Line // what has come and was not read yet; the reader's own
 	corked bool      // refusals have yet to be written; the reader's own
+	turn   int       // commands worked on since it last waited or gave way; the reader's own
 }
 
 // Read reads for the parser. In the middle of a command it limits how long the rest may take.
@@ -116,6 +121,7 @@
 	if c.corked {
 		c.uncork()
 	}
+	c.turn = 0
 	n, err := c.conn.Read(b)
 	if n >= shed.LineLeast || c.line.Active() {
 		c.measure(n, n == len(b))
@@ -443,6 +449,10 @@
 func (c *client) read() error {
 	p := c.p
 	for {
+		if c.turn++; c.turn > turnMost {
+			c.turn = 0
+			runtime.Gosched()
+		}
 		if err := c.in.Wait(); err != nil {
 			return err
 		}
--- a/internal/proxy/scale_test.go
+++ b/internal/proxy/scale_test.go
@@ -356,6 +356,49 @@
 	}
 }
 
+// Answers that come byte by byte are whole all the same, with others outstanding behind them.
+func TestAnswersInPiecesOfOneByte(t *testing.T) {
+	for _, outstanding := range []int{1, 2, 32} {
+		p := lined(t, func(conn net.Conn, in *resp.Reader, _ int32) {
+			for {
+				var keys []string
+				for len(keys) == 0 || keys[0][0] == 'a' && len(keys) < outstanding {
+					key, err := nextKey(in)
+					if err != nil {
+						return
+					}
+					keys = append(keys, key)
+				}
+				for _, key := range keys {
+					for _, b := range []byte(hit("value of " + key)) {
+						if _, err := conn.Write([]byte{b}); err != nil {
+							return
+						}
+					}
+				}
+			}
+		})
+		c := p.dial()
+		var all strings.Builder
+		for i := range outstanding {
+			all.WriteString(get(fmt.Sprint("a", i), fmt.Sprint("id", i)))
+		}
+		c.send(all.String())
+		for i := range outstanding {
+			if got, want := c.answer(), fmt.Sprint("value of a", i); got != want {
+				t.Errorf("%d out: read %d was answered %q, want %q", outstanding, i, got, want)
+			}
+		}
+		p.Do(func() {
+			for _, m := range p.members {
+				if m.Wary() > 0 {
+					t.Errorf("%d out: an answer in pieces counts as spoilt", outstanding)
+				}
+			}
+		})
+	}
+}
+
 // A slow answer in front: those behind it are not judged, get theirs elsewhere, and the cache's latency is that of what
 // it was asked for and not of the line.
 func TestSlowAnswerInFront(t *testing.T) {
