--- a/internal/proxy/scale_test.go
+++ b/internal/proxy/scale_test.go
@@ -399,6 +399,48 @@
 	}
 }
 
+// Connections that keep breaking, at all caches: nothing fails, hardly a read is refused, and no cache is left out for it.
+func TestConnectionsThatKeepBreaking(t *testing.T) {
+	const caches, clients, each = 6, 40, 10
+	for name, answers := range map[string]func(nth int32) int32{
+		"after 1 to 5 answers":          func(nth int32) int32 { return 1 + nth%5 },
+		"every second one at its start": func(nth int32) int32 { return nth % 2 * 1000 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Sockets, cfg.Multiplex = 1024, 32
+			o := origin(t, func(r *http.Request) string { return page("value of " + r.URL.Path[1:]) })
+			members := []discovery.Member{entry("o-1", o, "origin")}
+			var conns atomic.Int32
+			var asked [caches]atomic.Int32
+			for i := range caches {
+				node := listen(t, func(conn net.Conn) {
+					in := resp.NewReader(conn, 4096)
+					for left := answers(conns.Add(1)); left > 0; left-- {
+						key, err := nextKey(in)
+						if err != nil {
+							return
+						}
+						asked[i].Add(1)
+						fmt.Fprint(conn, hit("value of "+key))
+					}
+				})
+				members = append(members, entry(fmt.Sprint("s-", i), node, "large"))
+			}
+			p := start(t, cfg, members...)
+			served, refused, failed := crowd(t, p, clients, each)
+			if failed > 0 || refused > clients*each/50 {
+				t.Errorf("%d served, %d refused, %d failed: %v", served, refused, failed, p.Reasons().Attrs())
+			}
+			for i := range asked {
+				if n := asked[i].Load(); n < clients*each/caches/4 {
+					t.Errorf("cache %d was asked %d times only", i, n)
+				}
+			}
+		})
+	}
+}
+
 // A slow answer in front: those behind it are not judged, get theirs elsewhere, and the cache's latency is that of what
 // it was asked for and not of the line.
 func TestSlowAnswerInFront(t *testing.T) {
