linenlab scale: memory under ever new clients

Change: 100 clients open a connection for each read, for three times the longest part; resident memory at the end against that after a third, at most 1.1 times.

--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -151,6 +151,9 @@
 			return r, fmt.Errorf("fresh start, %d clients: %w", clients, err)
 		}
 	}
+	if err := e.newClients(r, fleet); err != nil {
+		return r, fmt.Errorf("ever new clients: %w", err)
+	}
 	byRelay, err := loop(relay, 8, d, readBox(relayAddr, keysInLoad))
 	if err != nil {
 		return r, err
@@ -160,6 +163,56 @@
 	return r, nil
 }
 
+// newClients has clients come anew for every read, for three times as long as the longest part goes on, and tells whether the
+// proxy's memory grows with them: what it has at the end, of what it had after a third.
+func (e *Env) newClients(r *Report, fleet *standin.Fleet) error {
+	const clients = 100
+	e.Log("scale: %d clients, each on a new connection for every read", clients)
+	addr, err := freeAddr()
+	if err != nil {
+		return err
+	}
+	text, err := fleet.Config("new", addr, "8c1f30d27a5be964", 192, 4096)
+	if err != nil {
+		return err
+	}
+	p, err := e.proxy("new", addr, text)
+	if err != nil {
+		return err
+	}
+	defer p.Kill()
+	anew := func(w int) (func(int) error, func(), error) {
+		return func(i int) error {
+			one, done, err := quickReads(addr)(w)
+			if err != nil {
+				return err
+			}
+			defer done()
+			return one(i)
+		}, func() {}, nil
+	}
+	var all Rate
+	var early, late int
+	for part := range 3 {
+		rate, err := loop(p, clients, time.Duration(e.Seconds)*time.Second, anew)
+		if err != nil {
+			return err
+		}
+		all.add(rate)
+		if late, err = p.Resident(); err != nil {
+			return err
+		}
+		if part == 0 {
+			early = late
+		}
+	}
+	r.Tell("ever new clients: served a second", all.PerSecond())
+	r.Equal("ever new clients: refused", float64(all.Refused), 0)
+	r.Tell("ever new clients: resident MB at the end", float64(late)/1024)
+	r.AtMost("ever new clients: resident at the end, of that after a third", float64(late)/float64(early), 1.1)
+	return nil
+}
+
 // freshStart has clients come all at once a second after a proxy has started, when it knows nothing of its members yet.
 func (e *Env) freshStart(r *Report, fleet *standin.Fleet, clients int, d time.Duration) error {
 	e.Log("scale: %d clients at once, a second after the start", clients)
