--- a/internal/app/reload_test.go
+++ b/internal/app/reload_test.go
@@ -24,14 +24,12 @@
 
 func (r *reloaded) Reload(*operator.File) error { r.n++; return nil }
 
-// A file is taken over whole or not at all: its classes in two steps, and nothing of one that lacks something or drops a
-// class that the operator's file names.
-func TestReloadWholeOrNotAtAll(t *testing.T) {
-	dir := t.TempDir()
-	path := filepath.Join(dir, "config.json")
+// reloaderOf is a reloader of a proxy that has the configuration at path, and no operator's file.
+func reloaderOf(t *testing.T, path string, text []byte) *reloader {
+	t.Helper()
 	t.Setenv("LB_CONFIG", path)
 	t.Setenv("LB_LISTEN", "127.0.0.1:0")
-	apptest.Replace(t, path, apptest.ConfigWith(t, base, nil))
+	apptest.Replace(t, path, text)
 	cfg, err := loadConfig(os.Getenv)
 	if err != nil {
 		t.Fatal(err)
@@ -44,6 +42,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return &reloader{p: p, cfg: cfg, classes: settings.Settings.Classes, tries: settings.Settings.TryLimit, file: &operator.File{},
+		log: slog.New(slog.DiscardHandler)}
+}
+
+// A file is taken over whole or not at all: its classes in two steps, and nothing of one that lacks something or drops a
+// class that the operator's file names.
+func TestReloadWholeOrNotAtAll(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	r := reloaderOf(t, path, apptest.ConfigWith(t, base, nil))
+	p, cfg := r.p, r.cfg
 	operators := filepath.Join(dir, "operator.toml")
 	apptest.Replace(t, operators, []byte("[extproc]\nlisten = \"127.0.0.1:0\"\n[[extproc.map]]\nmethods = [\"GET\"]\npath = \"/{key}\"\nclass = \"tile-read\"\n"))
 	file, err := operator.Load(operators)
@@ -51,8 +60,7 @@
 		t.Fatal(err)
 	}
 	front := &reloaded{}
-	r := &reloader{p: p, cfg: cfg, classes: settings.Settings.Classes, tries: settings.Settings.TryLimit, file: file, extproc: front,
-		log: slog.New(slog.DiscardHandler)}
+	r.file, r.extproc = file, front
 
 	// edit writes the configuration with its settings changed.
 	edit := func(change func(settings map[string]any, classes []any) []any) {
@@ -127,24 +135,8 @@
 // A file that is taken back while both still hold stays taken back: what its time would have brought must not come.
 func TestReloadTakenBack(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
-	t.Setenv("LB_CONFIG", path)
-	t.Setenv("LB_LISTEN", "127.0.0.1:0")
 	first := apptest.ConfigWith(t, base, nil)
-	apptest.Replace(t, path, first)
-	cfg, err := loadConfig(os.Getenv)
-	if err != nil {
-		t.Fatal(err)
-	}
-	settings, err := cfg.proxy()
-	if err != nil {
-		t.Fatal(err)
-	}
-	p, err := proxy.New(settings, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &reloader{p: p, cfg: cfg, classes: settings.Settings.Classes, tries: settings.Settings.TryLimit, file: &operator.File{},
-		log: slog.New(slog.DiscardHandler)}
+	r := reloaderOf(t, path, first)
 	apptest.Replace(t, path, []byte(strings.Replace(string(first), `"repeat":"once"`, `"repeat":"repeatable"`, 1)))
 	r.reload()
 	ends := r.settle
@@ -153,7 +145,7 @@
 	if ends == nil || ends.Stop() {
 		t.Error("the file that was taken back still has its time to come")
 	}
-	if p.Classes()[1].Effect != logic.Once {
+	if r.p.Classes()[1].Effect != logic.Once {
 		t.Error("an order may run again")
 	}
 }
--- a/internal/lab/answers.go
+++ b/internal/lab/answers.go
@@ -102,18 +102,11 @@
 		return 0, err
 	}
 	defer fleet.Close()
-	addr, err := freeAddr()
-	if err != nil {
-		return 0, err
-	}
 	var p *Process
 	var ask func(key, id string) (string, error)
 	if front == "RESP2" {
-		text, err := fleet.Config(name, addr, "8c1f30d27a5be964", 64, 512)
-		if err != nil {
-			return 0, err
-		}
-		if p, err = e.proxy(name, addr, text); err != nil {
+		var addr string
+		if addr, p, err = e.proxy(name, fleet, 64, 512); err != nil {
 			return 0, err
 		}
 		rc, err := dialRedis(addr)
@@ -132,6 +125,10 @@
 			return rc.ask("OBJ.GET", key, id, fmt.Sprint("c=tile-read,d=", wait.Milliseconds()))
 		}
 	} else {
+		addr, err := freeAddr()
+		if err != nil {
+			return 0, err
+		}
 		if p, err = e.processor(name, fleet, "127.0.0.1:0", addr, front, "200ms"); err != nil {
 			return 0, err
 		}
--- a/internal/lab/crowds.go
+++ b/internal/lab/crowds.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"linenloom/internal/discovery"
 	"linenloom/internal/standin"
 )
 
@@ -27,10 +26,7 @@
 	{"waiting for another's fetch when the boxes leave the list (shared_fetch)", func(e *Env) (time.Duration, int, error) {
 		return e.leaves("shared", func(int) string { return "m" }, func(f *standin.Fleet) {
 			for _, b := range f.Boxes {
-				m := f.Registry.List().Members
-				at := slices.IndexFunc(m, func(m discovery.Member) bool { return m.ID == b.ID })
-				m[at].Phase = discovery.PhaseTerminated
-				f.Registry.Tell(m[at])
+				f.Remove(b)
 			}
 		})
 	}},
@@ -44,21 +40,17 @@
 	if err != nil {
 		return nil, nil, "", err
 	}
-	addr, err := freeAddr()
-	if err == nil {
-		var text []byte
-		if text, err = fleet.Config(name, addr, "8c1f30d27a5be964", 64, 512); err == nil {
-			var p *Process
-			if p, err = e.proxy(name, addr, text); err == nil {
-				if err = warm(fleet, addr, name); err == nil {
-					return fleet, p, addr, nil
-				}
-				p.Kill()
-			}
-		}
+	addr, p, err := e.proxy(name, fleet, 64, 512)
+	if err != nil {
+		fleet.Close()
+		return nil, nil, "", err
+	}
+	if err := warm(fleet, addr, name); err != nil {
+		p.Kill()
+		fleet.Close()
+		return nil, nil, "", err
 	}
-	fleet.Close()
-	return nil, nil, "", err
+	return fleet, p, addr, nil
 }
 
 // warm has a few clients read what every box holds, so that the proxy knows its boxes.
@@ -72,13 +64,13 @@
 	return nil
 }
 
-// refusedFor ends a proxy and tells how many reads it says to have refused, or had wait, for a reason.
-func refusedFor(p *Process, what, reason string) (n int, err error) {
+// refusedFor ends a proxy and tells how many reads it says to have refused for a reason.
+func refusedFor(p *Process, reason string) (n int, err error) {
 	if err := p.Stop(); err != nil {
 		return 0, err
 	}
 	for _, line := range p.Reasons() {
-		_, rest, ok := strings.Cut(line, what+`_tile-read=`)
+		_, rest, ok := strings.Cut(line, `refused_tile-read=`)
 		if !ok {
 			continue
 		}
@@ -99,16 +91,16 @@
 	return n, nil
 }
 
-// read1 is one read of a crowd.
-type read1 struct {
+// crowdRead is one read of a crowd.
+type crowdRead struct {
 	asked, heard time.Time
 	answer       string
 	id           string
 }
 
 // readAll makes reads at once, on a connection each.
-func readAll(addr, name string, n int, key func(int) string, each func()) ([]read1, error) {
-	reads := make([]read1, n)
+func readAll(addr, name string, n int, key func(int) string, each func()) ([]crowdRead, error) {
+	reads := make([]crowdRead, n)
 	errs := make([]error, n)
 	var g sync.WaitGroup
 	for i := range n {
@@ -143,7 +135,7 @@
 	const crowd = 24
 	var early atomic.Int32 // refused before, for want of room
 	var left atomic.Bool
-	var reads []read1
+	var reads []crowdRead
 	var failed error
 	done := make(chan struct{})
 	go func() {
@@ -175,20 +167,17 @@
 		return 0, 0, failed
 	}
 	// Those that the origin has already are out, and wait on; they are the last to hear.
-	slices.SortFunc(reads, func(a, b read1) int { return a.heard.Compare(b.heard) })
+	slices.SortFunc(reads, func(a, b crowdRead) int { return a.heard.Compare(b.heard) })
 	if n = crowd - stalled - int(early.Load()); n <= 0 {
 		return 0, 0, fmt.Errorf("no read waited: %d at the origin, %d refused before", stalled, early.Load())
 	}
-	counted, err := refusedFor(p, "refused", "no_member")
+	counted, err := refusedFor(p, "no_member")
 	if err == nil && counted < n {
 		err = fmt.Errorf("%d reads were refused for no_member, want %d", counted, n)
 	}
 	return reads[crowd-stalled-1].heard.Sub(removed), n, err
 }
 
-// aim is that of the reads in the stand-ins' settings.
-const aim = 800 * time.Millisecond
-
 // lineFull puts more reads in line for a slow origin than it can answer before their aim, and tells how far past it the
 // last refusal came. The time between the aim's passing and the answer is what counts; a refusal may well come sooner.
 func (e *Env) lineFull() (worst time.Duration, n int, err error) {
@@ -203,13 +192,13 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	worst = -aim
+	worst = -standin.ReadAim
 	for _, r := range reads {
 		if strings.HasPrefix(r.answer, "-BUSY") {
-			worst = max(worst, r.heard.Sub(r.asked)-aim)
+			worst = max(worst, r.heard.Sub(r.asked)-standin.ReadAim)
 		}
 	}
-	n, err = refusedFor(p, "refused", "origin_line")
+	n, err = refusedFor(p, "origin_line")
 	if err == nil && n == 0 {
 		err = fmt.Errorf("no read was refused for the line: %v", p.Reasons())
 	}
@@ -258,7 +247,7 @@
 		}
 		mu.Unlock()
 	}
-	counted, err := refusedFor(p, "refused", "no_room")
+	counted, err := refusedFor(p, "no_room")
 	if err == nil && (counted == 0 || n == 0) {
 		err = fmt.Errorf("%d reads were refused for no_room, %d of them unsent: %v", counted, n, p.Reasons())
 	}
--- a/internal/lab/extproc.go
+++ b/internal/lab/extproc.go
@@ -57,12 +57,13 @@
 // keysInLoad is how many keys the loads read; every box holds them all.
 const keysInLoad = 200
 
-func loadedFleet(boxes, size int) (*standin.Fleet, error) {
+// loadedFleet is a fleet whose every box holds the values of so many keys.
+func loadedFleet(boxes, size, held int) (*standin.Fleet, error) {
 	fleet, err := standin.NewFleet(boxes, size)
 	if err != nil {
 		return nil, err
 	}
-	keys := make([]string, keysInLoad)
+	keys := make([]string, held)
 	for i := range keys {
 		keys[i] = fmt.Sprint("k", i)
 	}
@@ -177,7 +178,7 @@
 		g.Go(func() {
 			o := &out[k]
 			o.err = func() error {
-				fleet, err := loadedFleet(4, 512)
+				fleet, err := loadedFleet(4, 512, keysInLoad)
 				if err != nil {
 					return err
 				}
@@ -324,7 +325,7 @@
 // costs compares what a call costs with the least that a processor in the same library can do, and both fronts with one
 // another and with a relay that only copies bytes. All take turns, so that what else the machine does meets each alike.
 func costs(_ context.Context, e *Env, r *Report) error {
-	fleet, err := loadedFleet(8, 2048)
+	fleet, err := loadedFleet(8, 2048, keysInLoad)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/flood.go
+++ b/internal/lab/flood.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,8 +10,6 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"linenloom/internal/resp"
 )
 
 // Flood is an open loop: reads come at a rate, whatever becomes of those before them, over connections that carry as many as
@@ -119,7 +116,7 @@
 	if c.f.Tenant != "" {
 		attrs += ",t=" + c.f.Tenant
 	}
-	var b, key, id []byte
+	var b []byte
 	for {
 		now := time.Now()
 		if now.Sub(begun) >= d {
@@ -142,13 +139,7 @@
 			}
 			r := floodRead{at, rng.IntN(c.f.Keys)}
 			c.out = append(c.out, r)
-			key = strconv.AppendInt(append(key[:0], 'k'), int64(r.key), 10)
-			id = strconv.AppendUint(id[:0], ids.Add(1), 16)
-			b = resp.AppendArray(b, 4)
-			b = resp.AppendBulk(b, "OBJ.GET")
-			b = resp.AppendBulk(b, key)
-			b = resp.AppendBulk(b, id)
-			b = resp.AppendBulk(b, attrs)
+			b = appendRead(b, r.key, attrs)
 		}
 		c.mu.Unlock()
 		if len(b) > 0 {
@@ -169,9 +160,14 @@
 func (c *floodConn) receive(sent <-chan struct{}) error {
 	in := bufio.NewReaderSize(c.conn, 32<<10)
 	done := false
+	var want []byte
 	for {
 		c.mu.Lock()
 		left := len(c.out)
+		var r floodRead
+		if left > 0 {
+			r = c.out[0]
+		}
 		c.mu.Unlock()
 		if left == 0 {
 			if done {
@@ -185,47 +181,27 @@
 			continue
 		}
 		c.conn.SetReadDeadline(time.Now().Add(patience))
-		line, err := in.ReadSlice('\n')
-		if err != nil {
-			return fmt.Errorf("lab: %d reads have no answer: %w", left, err)
+		want = appendStart(want[:0], r.key)
+		err := takeTile(in, want)
+		took := time.Since(r.due)
+		if err != nil && err != errRefused {
+			return fmt.Errorf("with %d reads out: %w", left, err)
 		}
 		c.mu.Lock()
-		r := c.out[0]
 		c.out = c.out[1:]
+		if err == errRefused && c.f.Again && took < c.f.Patience {
+			c.back++
+		}
 		c.mu.Unlock()
-		took := time.Since(r.due)
 		switch {
-		case bytes.HasPrefix(line, []byte("-BUSY")):
+		case err == errRefused:
 			c.end.Refused++
-			if c.f.Again && took < c.f.Patience {
-				c.mu.Lock()
-				c.back++
-				c.mu.Unlock()
-			}
 			continue
-		case line[0] != '$':
-			return fmt.Errorf("lab: answered %q", line)
-		}
-		n, err := strconv.Atoi(string(bytes.TrimSpace(line[1:])))
-		if err != nil || n < 0 {
-			return fmt.Errorf("lab: answered %q", line)
-		}
-		want := strconv.AppendInt([]byte("value of k"), int64(r.key), 10)
-		got, err := in.Peek(len(want) + 1)
-		if err != nil {
-			return err
-		}
-		if !bytes.Equal(got[:len(want)], want) || got[len(want)] != ' ' {
-			return fmt.Errorf("%w: %q for %q", errWrongValue, got, want)
-		}
-		if _, err := in.Discard(n + 2); err != nil {
-			return err
-		}
-		c.end.latency.RecordValue(max(1, took.Microseconds()))
-		if took <= c.f.Patience {
+		case took <= c.f.Patience:
 			c.end.InTime++
-		} else {
+		default:
 			c.end.Late++
 		}
+		c.end.latency.RecordValue(max(1, took.Microseconds()))
 	}
 }
--- a/internal/lab/overload.go
+++ b/internal/lab/overload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
@@ -19,17 +18,13 @@
 // others are told, and what a tenant that asks for little feels of one that asks for far too much.
 func Overload(_ context.Context, e *Env) (*Report, error) {
 	r := &Report{Scenario: "overload"}
-	fleet, err := loadedFleet(8, 2048)
+	fleet, err := loadedFleet(8, 2048, scaleKeys)
 	if err != nil {
 		return r, err
 	}
 	defer fleet.Close()
-	keys := make([]string, scaleKeys)
-	for i := range keys {
-		keys[i] = fmt.Sprint("k", i)
-	}
-	fleet.Fill(keys...)
-	addr, p, err := e.overloaded(fleet)
+	fleet.Tenants = overloadTenants
+	addr, p, err := e.proxy("overload", fleet, 192, 4096)
 	if err != nil {
 		return r, err
 	}
@@ -58,7 +53,7 @@
 		{"10 times, 64 connections", 10, 64, false, 0.9},
 	} {
 		e.Log("overload: %s", c.name)
-		f := Flood{Addr: addr, Tenant: "acme", Conns: c.conns, Rate: c.times * peak, Patience: aim, Again: c.again, Keys: scaleKeys, Seed: 7}
+		f := Flood{Addr: addr, Tenant: "acme", Conns: c.conns, Rate: c.times * peak, Patience: standin.ReadAim, Again: c.again, Keys: scaleKeys, Seed: 7}
 		got, err := f.Run(d)
 		if err != nil {
 			return r, fmt.Errorf("%s: %w", c.name, err)
@@ -66,7 +61,7 @@
 		r.flooded(c.name, got, peak)
 		r.AtLeast(c.name+": served in time, of the most", got.Goodput()/peak, c.least)
 		r.AtMost(c.name+": p99 of what is served, ms", float64(got.Quantile(0.99))/float64(time.Millisecond),
-			float64(aim)/float64(time.Millisecond))
+			float64(standin.ReadAim)/float64(time.Millisecond))
 	}
 	if err := e.neighbours(r, p, addr, peak, d); err != nil {
 		return r, err
@@ -97,7 +92,7 @@
 	var got *Flooded
 	var failed error
 	g.Go(func() {
-		f := Flood{Addr: addr, Tenant: "rush", Conns: 64, Rate: 4 * peak, Patience: aim, Keys: scaleKeys, Seed: 8}
+		f := Flood{Addr: addr, Tenant: "rush", Conns: 64, Rate: 4 * peak, Patience: standin.ReadAim, Keys: scaleKeys, Seed: 8}
 		got, failed = f.Run(d + d/4)
 	})
 	time.Sleep(d / 8) // the flood has begun
@@ -112,28 +107,6 @@
 	r.flooded("neighbour, 4 times", got, peak)
 	r.Tell("beside it, 8 clients: served a second", rate.PerSecond())
 	r.AtMost("beside it, 8 clients: refused, of all", float64(rate.Refused)/float64(max(1, rate.Done+rate.Refused)), 0.01)
-	r.AtMost("beside it, 8 clients: p99, ms", float64(rate.Quantile(0.99))/float64(time.Millisecond), float64(aim)/float64(time.Millisecond))
+	r.AtMost("beside it, 8 clients: p99, ms", float64(rate.Quantile(0.99))/float64(time.Millisecond), float64(standin.ReadAim)/float64(time.Millisecond))
 	return nil
 }
-
-// overloaded starts a proxy with two tenants before a fleet.
-func (e *Env) overloaded(fleet *standin.Fleet) (string, *Process, error) {
-	addr, err := freeAddr()
-	if err != nil {
-		return "", nil, err
-	}
-	text, err := fleet.Config("overload", addr, "8c1f30d27a5be964", 192, 4096)
-	if err != nil {
-		return "", nil, err
-	}
-	var config map[string]any
-	if err := json.Unmarshal(text, &config); err != nil {
-		return "", nil, err
-	}
-	config["settings"].(map[string]any)["tenants"] = overloadTenants
-	if text, err = json.Marshal(config); err != nil {
-		return "", nil, err
-	}
-	p, err := e.proxy("overload", addr, text)
-	return addr, p, err
-}
--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -28,19 +28,33 @@
 var errWrongValue = errors.New("lab: a client was served another key's value")
 
 func (r *quickReader) read(key int) error {
-	k := strconv.AppendInt([]byte{'k'}, int64(key), 10)
-	r.want = append(append(append(r.want[:0], "value of "...), k...), ' ')
-	b := resp.AppendArray(r.out[:0], 4)
-	b = resp.AppendBulk(b, "OBJ.GET")
-	b = resp.AppendBulk(b, k)
-	b = resp.AppendBulk(b, strconv.AppendUint(nil, ids.Add(1), 16))
-	b = resp.AppendBulk(b, "c=tile-read,t=acme,d=3000")
-	r.out = b
+	r.out = appendRead(r.out[:0], key, "c=tile-read,t=acme,d=3000")
 	r.conn.SetDeadline(time.Now().Add(patience))
-	if _, err := r.conn.Write(b); err != nil {
+	if _, err := r.conn.Write(r.out); err != nil {
 		return err
 	}
-	line, err := r.in.ReadSlice('\n')
+	r.want = appendStart(r.want[:0], key)
+	return takeTile(r.in, r.want)
+}
+
+// appendRead appends the command that reads the tile of a key, under an id of its own.
+func appendRead(b []byte, key int, attrs string) []byte {
+	var text [20]byte
+	b = resp.AppendArray(b, 4)
+	b = resp.AppendBulk(b, "OBJ.GET")
+	b = resp.AppendBulk(b, strconv.AppendInt(append(text[:0], 'k'), int64(key), 10))
+	b = resp.AppendBulk(b, strconv.AppendUint(text[:0], ids.Add(1), 16))
+	return resp.AppendBulk(b, attrs)
+}
+
+// appendStart appends what the tile of a key begins with.
+func appendStart(b []byte, key int) []byte {
+	return append(strconv.AppendInt(append(b, "value of k"...), int64(key), 10), ' ')
+}
+
+// takeTile reads an answer, which has to be a tile that begins as is wanted; errRefused, if it is a refusal.
+func takeTile(in *bufio.Reader, want []byte) error {
+	line, err := in.ReadSlice('\n')
 	switch {
 	case err != nil:
 		return err
@@ -53,14 +67,14 @@
 	if err != nil || n < 0 {
 		return fmt.Errorf("lab: answered %q", line)
 	}
-	got, err := r.in.Peek(len(r.want))
+	got, err := in.Peek(len(want))
 	if err != nil {
 		return err
 	}
-	if !bytes.Equal(got, r.want) {
-		return fmt.Errorf("%w: %q for %q", errWrongValue, got, r.want)
+	if !bytes.Equal(got, want) {
+		return fmt.Errorf("%w: %q for %q", errWrongValue, got, want)
 	}
-	_, err = r.in.Discard(n + 2)
+	_, err = in.Discard(n + 2)
 	return err
 }
 
@@ -75,38 +89,33 @@
 	}
 }
 
-// proxy starts linenloom before a fleet, on one core.
-func (e *Env) proxy(name, listen string, config []byte) (*Process, error) {
+// proxy starts linenloom before a fleet, on one core, and tells where it listens.
+func (e *Env) proxy(name string, fleet *standin.Fleet, memoryMB, sockets int) (addr string, p *Process, err error) {
+	if addr, err = freeAddr(); err != nil {
+		return "", nil, err
+	}
+	config, err := fleet.Config(name, addr, "8c1f30d27a5be964", memoryMB, sockets)
+	if err != nil {
+		return "", nil, err
+	}
 	path, err := e.write(name+".json", config)
 	if err != nil {
-		return nil, err
+		return "", nil, err
 	}
-	return Start("msg=ready", []string{"LB_CONFIG=" + path, "LB_LISTEN=" + listen}, e.Bin+"/linenloom")
+	p, err = Start("msg=ready", []string{"LB_CONFIG=" + path, "LB_LISTEN=" + addr}, e.Bin+"/linenloom")
+	return addr, p, err
 }
 
 // Scale is the scenario of many clients before a healthy fleet: how much is served and refused as they grow, and what a
 // read costs against a relay that copies bytes.
 func Scale(_ context.Context, e *Env) (*Report, error) {
 	r := &Report{Scenario: "scale"}
-	fleet, err := loadedFleet(8, 2048)
+	fleet, err := loadedFleet(8, 2048, scaleKeys)
 	if err != nil {
 		return r, err
 	}
 	defer fleet.Close()
-	keys := make([]string, scaleKeys)
-	for i := range keys {
-		keys[i] = fmt.Sprint("k", i)
-	}
-	fleet.Fill(keys...)
-	addr, err := freeAddr()
-	if err != nil {
-		return r, err
-	}
-	text, err := fleet.Config("scale", addr, "8c1f30d27a5be964", 192, 4096)
-	if err != nil {
-		return r, err
-	}
-	p, err := e.proxy("scale", addr, text)
+	addr, p, err := e.proxy("scale", fleet, 192, 4096)
 	if err != nil {
 		return r, err
 	}
@@ -168,15 +177,7 @@
 func (e *Env) newClients(r *Report, fleet *standin.Fleet) error {
 	const clients = 100
 	e.Log("scale: %d clients, each on a new connection for every read", clients)
-	addr, err := freeAddr()
-	if err != nil {
-		return err
-	}
-	text, err := fleet.Config("new", addr, "8c1f30d27a5be964", 192, 4096)
-	if err != nil {
-		return err
-	}
-	p, err := e.proxy("new", addr, text)
+	addr, p, err := e.proxy("new", fleet, 192, 4096)
 	if err != nil {
 		return err
 	}
@@ -216,16 +217,7 @@
 // freshStart has clients come all at once a second after a proxy has started, when it knows nothing of its members yet.
 func (e *Env) freshStart(r *Report, fleet *standin.Fleet, clients int, d time.Duration) error {
 	e.Log("scale: %d clients at once, a second after the start", clients)
-	addr, err := freeAddr()
-	if err != nil {
-		return err
-	}
-	name := fmt.Sprint("fresh-", clients)
-	text, err := fleet.Config(name, addr, "8c1f30d27a5be964", 192, 4096)
-	if err != nil {
-		return err
-	}
-	p, err := e.proxy(name, addr, text)
+	addr, p, err := e.proxy(fmt.Sprint("fresh-", clients), fleet, 192, 4096)
 	if err != nil {
 		return err
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -238,7 +238,7 @@
 		}
 		m.Waiting = nil
 	}
-	p.dial(m) // for those that wait for a dial to the old address
+	p.Redial(m) // for those that wait for a dial to the old address
 }
 
 // Retire takes a connection out of use and closes it once nothing is awaited on it.
@@ -306,7 +306,7 @@
 	m.wait(x)
 	p.awaitRest(m)
 	p.do.ConnectBy(x, p.now+p.cfg.ConnectTimeout)
-	p.dial(m)
+	p.Redial(m)
 }
 
 // more tells whether another connection may be opened.
@@ -414,9 +414,7 @@
 }
 
 // Redial opens connections for those that wait, within the bounds.
-func (p *Pool[X]) Redial(m *Member[X]) { p.dial(m) }
-
-func (p *Pool[X]) dial(m *Member[X]) {
+func (p *Pool[X]) Redial(m *Member[X]) {
 	most := p.Most(m)
 	if len(m.Conns) > 0 && p.now < m.full {
 		return
@@ -462,7 +460,7 @@
 			p.ping(c)
 		}
 	}
-	p.dial(m)
+	p.Redial(m)
 	p.dialNext()
 }
 
@@ -493,7 +491,7 @@
 		m := p.dialQueue[0]
 		p.dialQueue = p.dialQueue[1:]
 		m.queued = false
-		p.dial(m)
+		p.Redial(m)
 		if m.queued {
 			return
 		}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -79,15 +79,10 @@
 	Why        logic.Reason  // of a refusal or failure
 }
 
-// Taker gets a request's single final answer, under the host's lock; it must not block.
+// Taker gets a request's single final answer, under the host's lock; it must not block. One that is an upstream.Passer too
+// takes long values, piece by piece as they come from a member; such a value is the answer then.
 type Taker interface{ Answer(Answer) }
 
-// Passer is a Taker that takes a long value piece by piece, as it comes from a member.
-type Passer interface {
-	Taker
-	upstream.Passer
-}
-
 // Carrier is a Taker whose client makes the attempts itself, over connections that the host has no part in. The
 // front reports how each one ends; the host still ends those whose time is up.
 type Carrier interface {
--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"linenloom/internal/resp"
+	"linenloom/internal/upstream"
 )
 
 // Values past resp.MaxValue are long. One that is read goes to the client piece by piece as the member gives it, at the
@@ -138,7 +139,7 @@
 // errGone tells that a client takes nothing any more.
 var errGone = errors.New("the client has gone")
 
-var _ Passer = (*owed)(nil)
+var _ upstream.Passer = (*owed)(nil)
 
 // Begin begins the answer.
 func (o *owed) Begin(n int) error { return o.write(resp.AppendBulkHead(nil, n), false) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -128,7 +128,7 @@
 	p.ups = upstream.New(pool.Config{
 		ConnIdle: cfg.ConnIdle, ConnectTimeout: cfg.Settings.ConnectTimeout, Multiplex: cfg.Multiplex,
 		Instances: cfg.Settings.Instances, Sockets: cfg.Sockets, CanProbe: cfg.Settings.CanProbe,
-	}, host{p}, log)
+	}, host{p})
 	p.ups.Advance(p.now)
 	bal, err := logic.New(cfg.Settings, cfg.Seed, actions{p})
 	if err != nil {
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -439,11 +439,7 @@
 }
 
 // quiet tells whether nothing has come that was not read yet: a command that has is answered before its connection ends.
-func (c *client) quiet() bool {
-	saw := sender.End
-	c.w.Raw().Control(func(fd uintptr) { saw = sender.Peek(fd) })
-	return saw != sender.Bytes
-}
+func (c *client) quiet() bool { return c.w.Look() != sender.Bytes }
 
 // read reads commands and submits them.
 func (c *client) read() error {
@@ -695,12 +691,7 @@
 	case Served:
 		b = resp.AppendBulk(b, a.Value)
 	case Refused:
-		b = append(b, "-BUSY"...)
-		if ms := a.RetryAfter.Milliseconds(); ms > 0 {
-			b = append(b, ' ')
-			b = strconv.AppendInt(b, ms, 10)
-		}
-		b = append(b, "\r\n"...)
+		b = appendBusy(b, a.RetryAfter)
 	default:
 		b = resp.AppendError(b, "ERR failed")
 	}
@@ -708,6 +699,16 @@
 	p.scratch = b[:0]
 }
 
+// appendBusy appends a refusal that tells when to come back, if there is anything to tell.
+func appendBusy(b []byte, retryAfter time.Duration) []byte {
+	b = append(b, "-BUSY"...)
+	if ms := retryAfter.Milliseconds(); ms > 0 {
+		b = append(b, ' ')
+		b = strconv.AppendInt(b, ms, 10)
+	}
+	return append(b, "\r\n"...)
+}
+
 // answer gives a request its final answer. It goes out now if it is its turn; the caller may then use the
 // bytes again.
 func (c *client) answer(o *owed, reply []byte) {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -50,7 +50,7 @@
 		p.end(a, logic.StatusOK, 0)
 		return nil
 	}
-	to, ok := r.Taker.(Passer)
+	to, ok := r.Taker.(upstream.Passer)
 	if !ok {
 		// This client's front takes no long values. The member has done its part, and another would end alike.
 		p.log.Debug("a value is too long for its client", "bytes", n)
--- a/internal/proxy/scale_test.go
+++ b/internal/proxy/scale_test.go
@@ -282,6 +282,22 @@
 	return w[1], nil
 }
 
+// readTogether has a client ask for so many tiles at once, and wants each of them.
+func (p *testProxy) readTogether(n int) {
+	p.t.Helper()
+	c := p.dial()
+	var all strings.Builder
+	for i := range n {
+		all.WriteString(get(fmt.Sprint("a", i), fmt.Sprint("id", i)))
+	}
+	c.send(all.String())
+	for i := range n {
+		if got, want := c.answer(), fmt.Sprint("value of a", i); got != want {
+			p.t.Errorf("read %d of %d was answered %q, want %q", i, n, got, want)
+		}
+	}
+}
+
 // With requests outstanding on a connection, an answer that is spoilt, or comes twice, never serves anybody a wrong
 // value, and those behind it get theirs elsewhere.
 func TestSpoiltAnswersWithOthersBehind(t *testing.T) {
@@ -329,17 +345,7 @@
 						return
 					}
 				})
-				c := p.dial()
-				var all strings.Builder
-				for i := range outstanding {
-					all.WriteString(get(fmt.Sprint("a", i), fmt.Sprint("id", i)))
-				}
-				c.send(all.String())
-				for i := range outstanding {
-					if got, want := c.answer(), fmt.Sprint("value of a", i); got != want {
-						t.Errorf("read %d was answered %q, want %q", i, got, want)
-					}
-				}
+				p.readTogether(outstanding)
 				if n := most.Load(); n != int32(outstanding) {
 					t.Errorf("%d were out together, want %d", n, outstanding)
 				}
@@ -378,17 +384,7 @@
 				}
 			}
 		})
-		c := p.dial()
-		var all strings.Builder
-		for i := range outstanding {
-			all.WriteString(get(fmt.Sprint("a", i), fmt.Sprint("id", i)))
-		}
-		c.send(all.String())
-		for i := range outstanding {
-			if got, want := c.answer(), fmt.Sprint("value of a", i); got != want {
-				t.Errorf("%d out: read %d was answered %q, want %q", outstanding, i, got, want)
-			}
-		}
+		p.readTogether(outstanding)
 		p.Do(func() {
 			for _, m := range p.members {
 				if m.Wary() > 0 {
--- a/internal/proxy/shed.go
+++ b/internal/proxy/shed.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"runtime"
-	"strconv"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -72,13 +71,12 @@
 	}
 	o := c.pending[len(c.pending)-1]
 	was := len(o.reply)
-	o.reply = append(o.reply, "-BUSY"...)
+	after := time.Duration(0)
 	if s := &p.cfg.Settings; s.CanRetryAfter {
 		// Spread, so that those turned away together don't come back together.
-		after := min(waited+rand.N(waited), s.MaxRetryAfter*2/3)
-		o.reply = strconv.AppendInt(append(o.reply, ' '), max(1, after.Milliseconds()), 10)
+		after = min(waited+rand.N(waited), s.MaxRetryAfter*2/3)
 	}
-	o.reply = append(o.reply, "\r\n"...)
+	o.reply = appendBusy(o.reply, after)
 	p.held += len(o.reply) - was
 	if c.corked = true; len(o.reply) >= corkMost {
 		c.corked = false
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -45,6 +45,9 @@
 	n    int
 	err  error
 	step func(fd uintptr) bool
+	// The result of look, which is a closure for the same reason.
+	saw  int
+	look func(fd uintptr)
 }
 
 // New makes the sending side of a connection.
@@ -54,6 +57,7 @@
 		return nil, err
 	}
 	w := &Sender{host: host, conn: conn, raw: raw}
+	w.look = func(fd uintptr) { w.saw = Peek(fd) }
 	w.step = func(fd uintptr) bool {
 		for {
 			w.n, w.err = syscall.Write(int(fd), w.buf)
@@ -195,6 +199,14 @@
 // Unsent tells whether the bytes up to a place are surely not all out, and won't go out once the sender has failed.
 func (w *Sender) Unsent(end int64) bool { return end > w.begun }
 
+// Look tells what has come on the connection and was not read yet, under the lock; End, if the connection is closed.
+func (w *Sender) Look() int {
+	if err := w.raw.Control(w.look); err != nil {
+		return End
+	}
+	return w.saw
+}
+
 // What Peek can see.
 const (
 	Nothing = iota
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -121,6 +121,7 @@
 	Boxes    []*Box
 	Origin   *Origin
 	Registry *Registry
+	Tenants  []any // of its settings; none, unless set before Config
 	value    func(key string) []byte
 	mu       sync.Mutex
 	missed   map[string][]*Box // by request id, until the origin has answered
@@ -253,6 +254,9 @@
 	}
 }
 
+// ReadAim is the aim of the reads in a fleet's settings.
+const ReadAim = 800 * time.Millisecond
+
 // Settings are a platform's settings for a fleet, as its configuration has them.
 func Settings() map[string]any {
 	class := func(name string, aim, deadline float64, repeat string, worth float64) map[string]any {
@@ -261,7 +265,7 @@
 	}
 	return map[string]any{
 		"areas": []string{Zone}, "az": 0, "instances": 1, "self_index": 0,
-		"classes":    []any{class("tile-read", 800, 3000, "repeatable", 5), class("pass-order", 1500, 3000, "once", 15)},
+		"classes":    []any{class("tile-read", float64(ReadAim.Milliseconds()), 3000, "repeatable", 5), class("pass-order", 1500, 3000, "once", 15)},
 		"deductions": map[string]any{"cross_zone": 0.06}, "discovery": "automatic",
 		"family_info":    map[string]any{"mode": "aside", "origin_kind": 1, "origin_fall_ms": 3000.0, "origin_fall_multiple": 0.0},
 		"granularity_ms": 2.0, "kinds": Kinds,
@@ -276,9 +280,13 @@
 
 // Config is the configuration of a proxy before the fleet, as LB_CONFIG has it.
 func (f *Fleet) Config(name, listen, seed string, memoryMB, sockets int) ([]byte, error) {
+	settings := Settings()
+	if f.Tenants != nil {
+		settings["tenants"] = f.Tenants
+	}
 	return json.MarshalIndent(map[string]any{
 		"name": name, "listen": listen, "discovery": f.Registry.Addr(), "seed": seed,
 		"limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
-		"known":  f.Registry.List(), "settings": Settings(),
+		"known":  f.Registry.List(), "settings": settings,
 	}, "", " ")
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -46,12 +46,9 @@
 	slow    bool   // a long value is read, at its client's pace; the reader's own
 	first   bool   // the first read of an answer, which finds something at once; the reader's own
 
-	// peek is the reader's, and saw what it found; glance is under the lock. Closures made anew for each look would be
-	// garbage.
-	peek    func(fd uintptr) bool
-	saw     int
-	glance  func(fd uintptr)
-	glanced int
+	// peek is the reader's, and saw what it found. A closure made anew for each look would be garbage.
+	peek func(fd uintptr) bool
+	saw  int
 }
 
 var _ pool.Link[*Exchange] = (*Conn)(nil)
@@ -71,7 +68,6 @@
 		u.saw = sender.Peek(fd)
 		return u.saw != sender.Nothing
 	}
-	u.glance = func(fd uintptr) { u.glanced = sender.Peek(fd) }
 	return u, nil
 }
 
@@ -79,12 +75,7 @@
 func (u *Conn) Clear() bool { return !u.w.Busy() && !u.w.Failed() }
 
 // Silent tells whether nothing has come on the connection, neither bytes nor its end.
-func (u *Conn) Silent() bool {
-	if err := u.w.Raw().Control(u.glance); err != nil {
-		return false
-	}
-	return u.glanced == sender.Nothing
-}
+func (u *Conn) Silent() bool { return u.w.Look() == sender.Nothing }
 
 // Shut ends a connection that is out of the pool; its reader finds out.
 func (u *Conn) Shut() {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,7 +14,6 @@
 	"context"
 	"errors"
 	"hash/maphash"
-	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -106,7 +105,6 @@
 type Set struct {
 	*pool.Pool[*Exchange]
 	host    Host
-	log     *slog.Logger
 	connect time.Duration // time-out
 	once    time.Duration // see holdTime
 	scratch []byte
@@ -115,8 +113,8 @@
 }
 
 // New makes a Set.
-func New(cfg pool.Config, host Host, log *slog.Logger) *Set {
-	s := &Set{host: host, log: log, connect: cfg.ConnectTimeout, once: holdTime, seed: maphash.MakeSeed()}
+func New(cfg pool.Config, host Host) *Set {
+	s := &Set{host: host, connect: cfg.ConnectTimeout, once: holdTime, seed: maphash.MakeSeed()}
 	s.buffers.New = func() any { return new([]byte) }
 	s.Pool = pool.New(cfg, actions{s})
 	return s
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -533,12 +533,15 @@
 	if why != NoRoom && why != NoConnection || b.now+firstLook >= f.aim-(f.aim-f.askedAt)*3/4 {
 		return false
 	}
+	if why == NoConnection {
+		return true
+	}
 	for _, r := range b.order(f.slot) {
 		if b.usable(f, r.n) && b.owns(r.n, f.slot) {
 			return r.n.seen < knownAfter && r.n.limit >= startLimit
 		}
 	}
-	return why == NoConnection
+	return false
 }
 
 // follow lets a request wait for another's fetch, for so long at the most.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -844,21 +844,28 @@
 	}
 }
 
-// What is out and may yet be answered is no sign of a jam while the caches answer; once they have fallen silent it is.
-func TestThrottleLeavesOutWhatMayYetBeAnswered(t *testing.T) {
-	h := newHost(t, testSettings(), 1)
+// quickCaches is a host before eight caches that are known to be quick, one of which has just answered, and a function that
+// asks for reads of keys of their own and counts those refused.
+func quickCaches(t *testing.T, latency time.Duration) (h *fakeHost, refused func(from, to RequestID) int) {
+	t.Helper()
+	h = newHost(t, testSettings(), 1)
 	h.members(ListCached, withOrigin(8)...)
 	for _, n := range h.b.caches {
-		n.limiter = limiter{limit: 1000, latency: 0.01, pace: 0.0001, seen: 100}
+		n.limiter = limiter{limit: 1000, latency: latency.Seconds(), pace: 0.0001, seen: 100}
 	}
-	refused := func(from, to RequestID) (n int) {
+	h.ask(Request{ID: 1, Key: 1})
+	h.end(1, 0, StatusOK)
+	return h, func(from, to RequestID) (n int) {
 		for id := from; id < to; id++ {
 			n += h.ask(Request{ID: id, Key: uint64(id)}).answered
 		}
 		return n
 	}
-	h.ask(Request{ID: 1, Key: 1})
-	h.end(1, 0, StatusOK)
+}
+
+// What is out and may yet be answered is no sign of a jam while the caches answer; once they have fallen silent it is.
+func TestThrottleLeavesOutWhatMayYetBeAnswered(t *testing.T) {
+	h, refused := quickCaches(t, 10*ms)
 	if n := refused(2, 800); n > 0 {
 		t.Errorf("%d of 800 reads refused though the caches answer", n)
 	}
@@ -872,19 +879,9 @@
 // A crowd that comes when nothing has been heard for a moment, as the proxy itself was busy taking it in, is not taken for a jam:
 // what was asked just now can't have been answered.
 func TestThrottleLeavesOutACrowdThatHasJustCome(t *testing.T) {
-	h := newHost(t, testSettings(), 1)
-	h.members(ListCached, withOrigin(8)...)
-	for _, n := range h.b.caches {
-		n.limiter = limiter{limit: 1000, latency: 0.001, pace: 0.0001, seen: 100}
-	}
-	h.ask(Request{ID: 1, Key: 1})
-	h.end(1, 0, StatusOK)
+	h, refused := quickCaches(t, ms)
 	h.run(25 * ms) // longer than caches as quick as these are silent
-	n := 0
-	for id := RequestID(2); id < 900; id++ {
-		n += h.ask(Request{ID: id, Key: uint64(id)}).answered
-	}
-	if n > 0 {
+	if n := refused(2, 900); n > 0 {
 		t.Errorf("%d of 898 reads refused", n)
 	}
 	h.check()
