linenlab answers: 'no room' is staged until limits are under the connections

Cause: the case counts reads that no box has heard of. Change: 14 rounds of falling limits, not 4, before four that are measured.

--- a/internal/lab/crowds.go
+++ b/internal/lab/crowds.go
@@ -230,13 +230,16 @@
 			mu.Unlock()
 		})
 	}
-	for round := range 8 {
+	// The limits fall by a fifth a round, and have to be under the connections to a box: else reads wait for one of those,
+	// unheard of by any box as well, and not given up.
+	const falls, measured = 14, 4
+	for round := range falls + measured {
 		reads, err := readAll(addr, fmt.Sprint("room", round), roomReads, func(i int) string { return keys[i] }, func() {})
 		if err != nil {
 			return 0, 0, err
 		}
-		if round < 4 {
-			continue // the limits fall first
+		if round < falls {
+			continue
 		}
 		mu.Lock()
 		for _, r := range reads {
