Members out of reach are passed over until a connection opened beside reads stands

Counted over all proxies: 2,942 dials ran into their 250 ms from 6 to 12 s, 500 a second, each with a read of 440 ms waiting; 2,945 of 5,690 -BUSY were the first word on a new connection, and 2,359 of these connections ended in the same millisecond: a cache that holds all the connections it will turns the next one away on its first request. 1,830 of those fell into 14 to 19 s, when the proxies of the lost zone had turned to the caches left.

At fault: Place in internal/pool dials for each request that finds no connection, whatever became of the dials before, and Wait, which the module asks before it chooses, said 0 for such members.

Now: after two failures in a row and without a connection that can carry a request, Wait says that it would be in vain, and opens one beside reads, paced by the backoff. The backoff ends with an answer, no more with a connection that merely stands; a first answer -BUSY followed by the end counts as a failure.

Fleet tests also claim now: nothing over what the origin takes while caches are replaced or a zone comes back, refusals within 60 ms of the last that was heard, caches within their connections.

--- a/internal/pool/fleet_test.go
+++ b/internal/pool/fleet_test.go
@@ -107,8 +107,7 @@
 	}
 }
 
-// 80 proxies before a cache that takes 28 connections: each holds one at the most, those without one are told so at once and
-// try again ever more seldom; and when others go, each of them has one again within two seconds of asking.
+// 80 proxies before a cache that takes 28 connections: each holds one at the most, those without one are told so at once; and when others go, each of them has one again within two seconds of asking.
 func TestMoreProxiesThanConnections(t *testing.T) {
 	for _, most := range []int{28, 14} {
 		f := newFlock(t, 80, most)
@@ -149,6 +148,94 @@
 	}
 }
 
+// A cache that is gone, or turns new connections away on their first request, as one that holds all it will does. From the second in
+// a row on no request waits for a connection; those that are tried, and the requests that find out, are paced by the backoff; and
+// an answer ends all that.
+func TestOutOfReach(t *testing.T) {
+	for _, gone := range []bool{true, false} {
+		w := newWorld(t, usual)
+		m := &Member[*fake]{Ready: true}
+		n := 0
+		place := func() *fake {
+			n++
+			x := &fake{n: n, Request: Request{Until: w.now + time.Minute}}
+			w.p.Place(m, x)
+			return x
+		}
+		turn := func() (dials int) {
+			for ; len(w.dials) > 0; dials++ {
+				w.connect(0, !gone)
+			}
+			for _, l := range w.wires {
+				if len(l.sent) > 0 && !l.closed {
+					l.c.TurnedAway = true
+					w.answer(l)
+					w.broken(l)
+				}
+			}
+			return dials
+		}
+		for range 2 {
+			if wait := w.p.Wait(m); wait != 0 {
+				t.Fatalf("gone %v: passed over (%v) after %d in a row", gone, wait, n)
+			}
+			place()
+			turn()
+			w.now += dialBackoffMax
+			w.p.Advance(w.now)
+		}
+		dials, placed := 0, 0
+		for end := w.now + 20*time.Second; w.now < end; w.now += time.Millisecond {
+			w.p.Advance(w.now)
+			if w.p.Wait(m) >= 0 {
+				if placed++; len(m.Conns) == 0 {
+					t.Fatalf("gone %v: a request would wait for a connection", gone)
+				}
+				place()
+			}
+			dials += turn()
+		}
+		if dials < 10 || dials > 30 || gone && placed > 0 || placed > dials {
+			t.Errorf("gone %v: %d connections are tried in 20 s, with %d requests", gone, dials, placed)
+		}
+		w.now += dialBackoffMax
+		w.p.Advance(w.now)
+		if w.p.Wait(m) >= 0 || len(w.dials) != 1 {
+			t.Fatalf("gone %v: %d dials are out", gone, len(w.dials))
+		}
+		l := w.connect(0, true)
+		if x := place(); len(l.sent) != 1 || l.sent[0] != x {
+			t.Errorf("gone %v: the connection that was tried is not used", gone)
+		}
+		if w.p.Wait(m) >= 0 {
+			t.Errorf("gone %v: a second request would wait for what the first finds out", gone)
+		}
+		w.answer(l)
+		if wait := w.p.Wait(m); wait != 0 || m.Backoff() != 0 {
+			t.Errorf("gone %v: wait %v, backoff %v after an answer", gone, wait, m.Backoff())
+		}
+	}
+}
+
+// A request that is told that there is no room on a connection that stays open has not found the cache out of reach.
+func TestNoRoomOnAConnectionThatStays(t *testing.T) {
+	w := newWorld(t, usual)
+	m := &Member[*fake]{Ready: true}
+	for i := range 20 {
+		w.p.Place(m, &fake{n: i, Request: Request{Until: w.now + time.Minute}})
+		for len(w.dials) > 0 {
+			w.connect(0, true)
+		}
+		w.wires[0].c.TurnedAway = true
+		w.answer(w.wires[0])
+		w.now += 10 * time.Millisecond
+		w.p.Advance(w.now)
+		if w.p.Wait(m) != 0 || m.Backoff() != 0 || len(w.wires) != 1 {
+			t.Fatalf("request %d: wait %v, backoff %v, %d connections", i, w.p.Wait(m), m.Backoff(), len(w.wires))
+		}
+	}
+}
+
 // 4 proxies before the same cache: nobody is ever without a connection.
 func TestFewProxiesHaveConnectionsEnough(t *testing.T) {
 	f := newFlock(t, 4, 28)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -150,18 +150,20 @@
 type Conn[X Exchange] struct {
 	M       *Member[X]
 	Link    Link[X]
-	Current X             // sent and not yet answered
-	Behind  []X           // sent after it, and answered after it
-	Pinged  bool          // a ping is out, and nothing else may be sent
-	Retired bool          // nothing new is sent
-	Closed  bool          // it is out of the pool
-	Kept    bool          // it has carried an answer
-	headAt  time.Duration // when Current's turn came
-	alone   bool          // it carries a write
-	tail    []byte        // the key asked for last: the next must be another, or a second copy could not be told from its answer
-	used    time.Duration
-	idle    int           // the span of idle time that the request on it found it in; below 0: the connection was new
-	restEnd time.Duration // when it may carry the next request
+	Current X    // sent and not yet answered
+	Behind  []X  // sent after it, and answered after it
+	Pinged  bool // a ping is out, and nothing else may be sent
+	Retired bool // nothing new is sent
+	Closed  bool // it is out of the pool
+	Kept    bool // it has carried an answer
+	// TurnedAway: all that has come on it is that there is no room. That may be said of requests, or of the connection itself.
+	TurnedAway bool
+	headAt     time.Duration // when Current's turn came
+	alone      bool          // it carries a write
+	tail       []byte        // the key asked for last: the next must be another, or a second copy could not be told from its answer
+	used       time.Duration
+	idle       int           // the span of idle time that the request on it found it in; below 0: the connection was new
+	restEnd    time.Duration // when it may carry the next request
 }
 
 // Busy tells whether something is out on it.
@@ -220,6 +222,7 @@
 	m.Ready = ready
 	if moved {
 		m.Epoch++
+		m.backoff, m.full = 0, 0 // it is another process
 	}
 	if moved || !ready {
 		p.retireAll(m)
@@ -265,6 +268,9 @@
 
 // Broken takes in that a connection has ended.
 func (p *Pool[X]) Broken(c *Conn[X]) {
+	if !c.Closed && !c.Kept && (c.TurnedAway || c.Pinged) {
+		p.holdBack(c.M)
+	}
 	p.Close(c)
 	p.Redial(c.M)
 	p.dialNext()
@@ -287,7 +293,7 @@
 
 // Place sends a request on a connection that is free, or has it wait for one.
 func (p *Pool[X]) Place(m *Member[X], x X) {
-	told := p.Wait(m)
+	told := p.wait(m)
 	if c := p.pick(m, x); c != nil {
 		p.start(c, x)
 		return
@@ -314,9 +320,44 @@
 	return len(m.Conns)+m.dials < p.Most(m) && (len(m.Conns) == 0 || p.now >= m.full)
 }
 
-// Wait tells how long a request would wait for a connection to a member, beside a handshake; below 0: it would be turned
-// away, as its wait would be in vain. Place turns nothing else away.
+// Wait tells how long a request would wait for a connection to a member, beside a handshake; below 0: it had better go
+// elsewhere, as its wait would be in vain. A member that is out of reach is such a one until a connection stands that can carry
+// a request; being asked for is what has one opened, and no request waits for it. What comes all the same is dialled for.
 func (p *Pool[X]) Wait(m *Member[X]) time.Duration {
+	if p.outOfReach(m) {
+		p.tryOut(m)
+		return -1
+	}
+	return p.wait(m)
+}
+
+// outOfReach tells whether connections to a cache have failed, or were turned away, more than once in a row, and none stands that
+// has carried an answer, or could be the first to. One in a row may be chance. Where proxies are more than the connections that a
+// cache takes, or a zone has vanished, each request else spends a try or a connect time-out on it, at each proxy. It could do harm
+// where all caches are out of reach: requests are told so at once that would have waited for a dial.
+func (p *Pool[X]) outOfReach(m *Member[X]) bool {
+	return !m.Origin && m.backoff > dialBackoff &&
+		!slices.ContainsFunc(m.Conns, func(c *Conn[X]) bool { return c.Kept || !c.TurnedAway && !c.Busy() })
+}
+
+// tryOut opens a connection that no request waits for. That it stands is not all: a cache that holds all the connections it will
+// takes one more only to turn its first request away. A ping would find that out, and is priced as a probe.
+func (p *Pool[X]) tryOut(m *Member[X]) {
+	switch {
+	case !m.Ready || p.now < m.full || m.dials > 0:
+	case len(m.Conns) > 0: // its request was turned away, and it was not closed for that: another may do better
+		if c := m.Conns[0]; !c.Busy() {
+			p.holdBack(m)
+			c.TurnedAway = false
+		}
+	case p.dialling < maxDials/2 && p.do.Room(false):
+		p.begin(m, false)
+	}
+}
+
+// wait is Wait for what goes there whatever has become of the latest dial; Place turns away what it is below 0 for, and
+// nothing else.
+func (p *Pool[X]) wait(m *Member[X]) time.Duration {
 	if m.Origin || len(m.Waiting) < m.dials+WaitingRoom || p.more(m) {
 		return 0
 	}
@@ -453,8 +494,7 @@
 	case !m.Ready || epoch != m.Epoch:
 		p.Retire(c) // the list has changed meanwhile
 	default:
-		c.used = p.now
-		m.backoff, m.full = 0, 0
+		c.used, m.full = p.now, 0
 		m.Conns = append(m.Conns, c)
 		if p.serveWaiting(m); warm && !c.Busy() {
 			p.ping(c)
@@ -468,11 +508,7 @@
 // that is up but holds all the connections it will goes on answering on the open ones. Refused at once, it is
 // tried once more, since that has taken no time.
 func (p *Pool[X]) dialFailed(m *Member[X], atOnce bool) {
-	if p.now >= m.full { // dials that fail together count once
-		m.backoff = min(max(dialBackoff, 2*m.backoff), dialBackoffMax)
-		m.full = p.now + m.backoff
-		p.do.DialAt(m, m.full)
-	}
+	p.holdBack(m)
 	p.serveWaiting(m)
 	if len(m.Waiting) > 0 && len(m.Conns) == 0 {
 		x := m.Waiting[0]
@@ -485,6 +521,15 @@
 	}
 }
 
+// holdBack keeps dials to a member back for a while, twice as long as the last time.
+func (p *Pool[X]) holdBack(m *Member[X]) {
+	if p.now >= m.full { // those that fail together count once
+		m.backoff = min(max(dialBackoff, 2*m.backoff), dialBackoffMax)
+		m.full = p.now + m.backoff
+		p.do.DialAt(m, m.full)
+	}
+}
+
 // dialNext lets the next member dial that had to wait for others' dials.
 func (p *Pool[X]) dialNext() {
 	for len(p.dialQueue) > 0 && p.dialling < maxDials {
@@ -598,7 +643,10 @@
 // no request on it.
 func (p *Pool[X]) Rest(c *Conn[X]) {
 	var none X
-	c.Current, c.Pinged, c.used, c.Kept = none, false, p.now, true
+	c.Current, c.Pinged, c.used = none, false, p.now
+	if c.Kept = c.Kept || !c.TurnedAway; c.Kept {
+		c.M.backoff, c.M.full = 0, 0
+	}
 	c.restEnd = p.now + RestTime
 	p.awaitRest(c.M)
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -164,9 +164,14 @@
 	}
 	m.dials, w.p.dialling, w.p.open = 1, 1, 1
 	w.dials = []dial{{m, 0, false}}
-	w.connect(0, true)
+	m.Waiting = []*fake{{Request: Request{Until: w.now + time.Second}}}
+	l := w.connect(0, true)
+	if m.Backoff() == 0 {
+		t.Error("a connection ends the backoff before it has carried anything")
+	}
+	w.answer(l)
 	if m.Backoff() != 0 {
-		t.Errorf("the backoff outlives a connection: %v", m.backoff)
+		t.Errorf("the backoff outlives an answer: %v", m.backoff)
 	}
 }
 
--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -241,3 +242,31 @@
 		p.leave()
 	}
 }
+
+// A cache that holds all the connections it will answers the first request on a new one with -BUSY, and closes it. Reads that it
+// should get go elsewhere, and only a few of them find that out: each by one attempt that never ran.
+func TestCacheThatTurnsConnectionsAway(t *testing.T) {
+	var turned atomic.Int32
+	full := listen(t, func(conn net.Conn) {
+		if _, err := readCommand(resp.NewReader(conn, 1<<10)); err == nil {
+			turned.Add(1)
+			io.WriteString(conn, "-BUSY too many connections\r\n")
+		}
+	})
+	node := cache(t, func(a asked) string { return hit("value of " + a.key) })
+	o := origin(t, func(r *http.Request) string { return page("value of " + r.URL.Path[1:]) })
+	p := start(t, testConfig(), entry("s-1", full, "large"), entry("s-2", node, "large"), entry("o-1", o, "origin"))
+	c := p.dial()
+	const reads = 400
+	for i := range reads {
+		key := fmt.Sprintf("a%d", i)
+		c.send(get(key, "r"+key))
+		if got := c.answer(); got != "value of "+key {
+			t.Fatalf("read %d was answered %q", i, got)
+		}
+	}
+	// Half of the keys are its own. The backoff doubles from 10 ms to 1 s.
+	if n := turned.Load(); n == 0 || n > reads/8 {
+		t.Errorf("%d of %d reads were sent to a cache that takes no connection", n, reads)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -197,6 +197,7 @@
 	if x == nil || x.Ended { // given up; the connection is closed
 		return nil
 	}
+	u.TurnedAway = st == logic.StatusFull
 	if st == logic.StatusOK {
 		if u.again(value) {
 			return errStray
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -28,6 +28,9 @@
 	asked, served  int
 	refused        map[Reason]int
 	drainBreaches  int
+	crowded        Status // how a cache turns a connection away that is too many
+	turnedAway     int
+	late           map[Reason]time.Duration // refused so long after the last that was heard of it, at the worst
 	originInHand   int
 	originMostHeld int
 	nextID         RequestID
@@ -60,6 +63,9 @@
 	slots, line int
 	busy        int
 	waiting     []func()
+	most        int                           // it takes so many connections; 0: any number
+	conns       map[*fleetProxy]time.Duration // when each proxy's was used last: each has one at the most
+	mostConns   int
 	slow        float64 // its answers take so many times as long
 	bad         float64 // this share of its answers are errors
 	gone        bool    // silent: nothing comes back
@@ -75,23 +81,31 @@
 	open  map[RequestID]*fleetRequest
 	dead  bool
 	epoch int
+
+	asked, served int
+	away          map[MemberID]fleetAway // caches that have turned its connection away
 }
 
+type fleetAway struct{ until, step time.Duration }
+
 type fleetRequest struct {
 	Request
 	attempts int
 	out      map[int]MemberID
 	done     bool
+	heardAt  time.Duration // when it was asked, or an attempt of it has ended last
 }
 
 const (
-	fleetWork  = 40 * time.Millisecond // a cache with a speed of one takes this long for a hit
-	fleetLabel = MemberID(1 << 40)     // the origin
+	fleetAwayFor = 10 * ms               // a connection that is turned away is not tried again for so long, doubling
+	fleetIdle    = 4 * time.Second       // a proxy closes a connection that has stood idle for so long
+	fleetWork    = 40 * time.Millisecond // a cache with a speed of one takes this long for a hit
+	fleetLabel   = MemberID(1 << 40)     // the origin
 )
 
 func newFleet(t *testing.T, proxies, caches int, seed uint64) *fleet {
 	f := &fleet{t: t, now: time.Hour, rng: rand.New(rand.NewPCG(seed, 9)), caches: map[MemberID]*fleetCache{},
-		list: map[MemberID]Member{}, refused: map[Reason]int{}}
+		list: map[MemberID]Member{}, refused: map[Reason]int{}, late: map[Reason]time.Duration{}}
 	f.s = testSettings()
 	f.s.Classes = f.s.Classes[:2]
 	f.s.Classes[0].Aim, f.s.Classes[0].Deadline = 440*ms, 1600*ms
@@ -102,6 +116,7 @@
 	}
 	f.origin = &fleetCache{m: Member{ID: fleetLabel, Kind: 9, Weight: 1}, slots: 64, line: 1000, slow: 1, held: map[uint64]bool{}}
 	f.list[fleetLabel] = f.origin.m
+	f.crowded = StatusFull
 	for i := range proxies {
 		p := &fleetProxy{f: f}
 		f.proxies = append(f.proxies, p)
@@ -113,7 +128,7 @@
 // add starts a cache, which every proxy is told of by tell.
 func (f *fleet) add(id MemberID, started time.Duration) *fleetCache {
 	c := &fleetCache{m: Member{ID: id, Zone: int(id) % 3, Weight: 1, StartedAt: started}, slots: 2, line: 4, slow: 1,
-		held: map[uint64]bool{}}
+		held: map[uint64]bool{}, conns: map[*fleetProxy]time.Duration{}}
 	f.caches[id], f.list[id] = c, c.m
 	return c
 }
@@ -165,8 +180,11 @@
 func (p *fleetProxy) start(self int) {
 	s := p.f.s
 	s.Self, s.Zone = self, self%3
-	p.open, p.dead, p.list = map[RequestID]*fleetRequest{}, false, map[MemberID]Member{}
+	p.open, p.dead, p.list, p.away = map[RequestID]*fleetRequest{}, false, map[MemberID]Member{}, map[MemberID]fleetAway{}
 	p.epoch++
+	for _, c := range p.f.caches {
+		delete(c.conns, p)
+	}
 	b, err := New(s, p.f.rng.Uint64(), p)
 	if err != nil {
 		p.f.t.Fatal(err)
@@ -185,7 +203,9 @@
 	f := p.f
 	f.nextID++
 	f.asked++
-	r := &fleetRequest{Request: Request{ID: f.nextID, Key: key, Deadline: f.now + f.s.Classes[0].Deadline}, out: map[int]MemberID{}}
+	p.asked++
+	r := &fleetRequest{Request: Request{ID: f.nextID, Key: key, Deadline: f.now + f.s.Classes[0].Deadline}, out: map[int]MemberID{},
+		heardAt: f.now}
 	p.open[r.ID] = r
 	p.b.Request(f.now, r.Request)
 }
@@ -205,10 +225,12 @@
 				return
 			}
 			delete(r.out, n)
+			r.heardAt = f.now
 			if s == StatusOK && !r.done {
 				r.done = true
 				if f.now <= r.Deadline-f.s.Classes[0].Deadline+f.s.Classes[0].Aim {
 					f.served++
+					p.served++
 				}
 			}
 			p.b.Outcome(f.now, Outcome{Request: id, Attempt: n, Member: to, Status: s, Elapsed: f.now - sentAt, Final: r.done})
@@ -240,6 +262,13 @@
 		return
 	case c.gone:
 		return
+	case !c.connect(p):
+		a := p.away[to]
+		a.step = min(max(fleetAwayFor, 2*a.step), time.Second)
+		a.until = f.now + a.step
+		p.away[to] = a
+		end(f.crowded, ms)
+		return
 	}
 	f.countCold(c)
 	c.serve(f, time.Duration(float64(fleetWork)*c.slow*f.rng.ExpFloat64()/f.warmth(c)), func(ok bool) {
@@ -289,6 +318,22 @@
 	f.mostCold = max(f.mostCold, float64(len(c.sent))/(can*f.s.FallMultiple))
 }
 
+// connect tells whether a proxy has a connection to the cache, or gets one. Those that have stood idle are closed.
+func (c *fleetCache) connect(p *fleetProxy) bool {
+	_, has := c.conns[p]
+	if !has && c.most > 0 && len(c.conns) >= c.most {
+		maps.DeleteFunc(c.conns, func(_ *fleetProxy, used time.Duration) bool { return p.f.now-used > fleetIdle })
+		if len(c.conns) >= c.most {
+			p.f.turnedAway++
+			return false
+		}
+	}
+	c.conns[p] = p.f.now
+	delete(p.away, c.m.ID)
+	c.mostConns = max(c.mostConns, len(c.conns))
+	return true
+}
+
 func (c *fleetCache) serve(f *fleet, work time.Duration, done func(ok bool), full func()) {
 	begin := func() {
 		c.busy++
@@ -315,6 +360,9 @@
 func (p *fleetProxy) answered(id RequestID, why Reason) {
 	p.f.refused[why]++
 	r := p.open[id]
+	if len(r.out) == 0 {
+		p.f.late[why] = max(p.f.late[why], p.f.now-r.heardAt)
+	}
 	if r.done {
 		p.f.t.Errorf("request %d is answered twice", id)
 	}
@@ -326,14 +374,22 @@
 func (p *fleetProxy) Refuse(id RequestID, _ time.Duration, why Reason) { p.answered(id, why) }
 func (p *fleetProxy) Fail(id RequestID, why Reason)                    { p.answered(id, why) }
 func (p *fleetProxy) Hold(RequestID, Reason)                           {}
-func (p *fleetProxy) Wait(RequestID, MemberID) time.Duration           { return 0 }
-func (p *fleetProxy) Cancel(RequestID, int)                            {}
-func (p *fleetProxy) Probe(MemberID)                                   {}
-func (p *fleetProxy) CloseIdle(MemberID)                               {}
-func (p *fleetProxy) Watch(bool)                                       {}
-func (p *fleetProxy) Fetch()                                           {}
-func (p *fleetProxy) Tell(int, []byte)                                 {}
-func (p *fleetProxy) Log(string)                                       {}
+func (p *fleetProxy) Wait(_ RequestID, at MemberID) time.Duration {
+	// As internal/pool tells it: from the second connection in a row that is turned away. What the pool tries out beside reads is
+	// left out here, so a read pays for each try.
+	if a := p.away[at]; a.until > p.f.now && a.step > fleetAwayFor {
+		return -1
+	}
+	return 0
+}
+
+func (p *fleetProxy) Cancel(RequestID, int) {}
+func (p *fleetProxy) Probe(MemberID)        {}
+func (p *fleetProxy) CloseIdle(MemberID)    {}
+func (p *fleetProxy) Watch(bool)            {}
+func (p *fleetProxy) Fetch()                {}
+func (p *fleetProxy) Tell(int, []byte)      {}
+func (p *fleetProxy) Log(string)            {}
 func (p *fleetProxy) SetTimer(at time.Duration, token uint64) {
 	epoch := p.epoch
 	p.f.at(at, func() {
@@ -343,6 +399,16 @@
 	})
 }
 
+// leftOut is the caches that a proxy leaves out for now.
+func (p *fleetProxy) leftOut() (out []MemberID) {
+	for _, n := range p.b.caches {
+		if n.outUntil > p.f.now {
+			out = append(out, n.m.ID)
+		}
+	}
+	return out
+}
+
 // share is the share of the reads served in their aim since the last call.
 func (f *fleet) share() float64 {
 	s := float64(f.served) / max(1, float64(f.asked))
@@ -352,6 +418,9 @@
 
 func (f *fleet) check(what string) {
 	f.t.Helper()
+	if f.originMostHeld > f.origin.slots {
+		f.t.Errorf("%s: the origin is sent %d at once, and takes %d", what, f.originMostHeld, f.origin.slots)
+	}
 	if f.mostCold > 1 {
 		f.t.Errorf("%s: a cold cache is sent %.2f of what it may be", what, f.mostCold)
 	}
@@ -373,7 +442,8 @@
 			f := newFleet(t, c.proxies, c.caches, 7)
 			load := fleetLoad(c.caches)
 			f.run(4*time.Second, load)
-			t.Logf("calm: %.3f in time, %v", f.share(), f.refused)
+			t.Logf("calm: %.3f in time, %v, at the origin %d", f.share(), f.refused, f.originMostHeld)
+			f.originMostHeld = 0 // empty caches are all filled at first
 			play(t, f, load)
 		})
 	}
@@ -461,21 +531,15 @@
 		share := f.share()
 		well, bad, wellOut, badOut := 0, 0, 0, 0
 		for _, p := range f.proxies {
-			for _, n := range p.b.caches {
-				out := n.outUntil > f.now
-				switch {
-				case f.caches[n.m.ID].bad > 0 && out:
+			for _, id := range p.leftOut() {
+				if f.caches[id].bad > 0 {
 					badOut++
-					fallthrough
-				case f.caches[n.m.ID].bad > 0:
-					bad++
-				case out:
+				} else {
 					wellOut++
-					fallthrough
-				default:
-					well++
 				}
 			}
+			bad += len(p.b.caches) / 5
+			well += len(p.b.caches) - len(p.b.caches)/5
 		}
 		t.Logf("%.3f in time, %v; left out %.3f of the bad and %.3f of the well", share, f.refused,
 			float64(badOut)/float64(bad), float64(wellOut)/float64(well))
@@ -496,14 +560,10 @@
 		f.run(8*time.Second, load)
 		out, all := 0, 0
 		for _, p := range f.proxies {
-			for _, n := range p.b.caches {
-				if all++; n.outUntil > f.now {
-					out++
-				}
-			}
+			out, all = out+len(p.leftOut()), all+len(p.b.caches)
 		}
 		share := f.share()
-		t.Logf("%.3f in time, %v; %d of %d left out", share, f.refused, out, all)
+		t.Logf("%.3f in time, %v; %d of %d left out; late %v", share, f.refused, out, all, f.late)
 		f.check("all slower")
 		most := 0.0
 		if len(f.proxies) < 10 {
@@ -515,6 +575,11 @@
 		if share < 0.5 {
 			t.Errorf("%.3f of the reads are in time", share)
 		}
+		for why, late := range f.late {
+			if late > 60*ms {
+				t.Errorf("%v: a read is turned away %v after the last that was heard of it", why, late)
+			}
+		}
 	})
 }
 
@@ -567,3 +632,55 @@
 		}
 	})
 }
+
+// Caches take fewer connections than there are proxies, told as refused or as -BUSY. A proxy that gets none at one goes to others: each
+// proxy's reads are served, what is turned away is bounded, and no cache is left out for a -BUSY. Once they take more, all is as it was.
+func TestFleetFewConnections(t *testing.T) {
+	for _, crowded := range []Status{StatusConnectFailed, StatusFull} {
+		for _, most := range []int{28, 14} {
+			t.Run(fmt.Sprintf("%d told as %v", most, crowded), func(t *testing.T) {
+				eachFleet(t, func(t *testing.T, f *fleet, load float64) {
+					f.crowded = crowded
+					for _, c := range f.caches {
+						c.most, c.mostConns = most, 0
+						clear(c.conns)
+					}
+					f.run(6*time.Second, load)
+					f.share()
+					f.turnedAway = 0
+					for _, p := range f.proxies {
+						p.asked, p.served = 0, 0
+					}
+					f.run(8*time.Second, load)
+					least, out := 1.0, 0
+					for _, p := range f.proxies {
+						least = min(least, float64(p.served)/float64(p.asked))
+						out += len(p.leftOut())
+					}
+					share := f.share()
+					t.Logf("%.3f in time, the worst proxy %.3f, %v, %d turned away, %d left out", share, least, f.refused, f.turnedAway, out)
+					for _, c := range f.caches {
+						if c.mostConns > most {
+							t.Fatalf("cache %d holds %d connections", c.m.ID, c.mostConns)
+						}
+						c.most = 0
+					}
+					f.check("few connections")
+					if share < 0.97 || least < 0.85 {
+						t.Errorf("%.3f of the reads are in time, %.3f at the worst proxy", share, least)
+					}
+					if perS := f.turnedAway / 8; perS > len(f.proxies)*10 {
+						t.Errorf("%d connections a second are turned away", perS)
+					}
+					if crowded == StatusFull && out > 0 {
+						t.Errorf("%d caches are left out for being full", out)
+					}
+					f.run(2*time.Second, load)
+					if share := f.share(); share < 0.97 {
+						t.Errorf("%.3f of the reads are in time within two seconds after caches take more", share)
+					}
+				})
+			})
+		}
+	}
+}
