Slots keep no more candidates than before, and their room is used again

At fault: 16 candidates here and 4 abroad are 20 for each of 4,096 slots, which append gives room for 32; and leave threw a slot's list away with each cache that went, 12 in 60 of all slots twice a second.

Now: 12 here and 2 for each other zone, 16 in all for three zones, and leave empties a list but keeps its room.

Tried and left: a success halves a streak of failures in place of ending it.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -620,8 +620,8 @@
 	})
 }
 
-// One cache in five answers four in five requests with an error. It is found out, though each proxy asks it only now and then, and
-// well ones are not left out for it.
+// One cache in five answers four in five requests with an error. Ten seconds on, no more than half of its part of the attempts goes to
+// it, though each of 80 proxies asks it only now and then, and a tenth of it with few proxies; well ones are not left out for it.
 func TestFleetOneInFiveBad(t *testing.T) {
 	eachFleet(t, func(t *testing.T, f *fleet, load float64) {
 		for _, id := range slices.Sorted(maps.Keys(f.caches)) {
@@ -630,10 +630,19 @@
 				c.bad = 0.8
 			}
 		}
-		f.run(6*time.Second, load)
+		f.run(10*time.Second, load)
 		f.share()
+		for _, c := range f.caches {
+			c.asked = 0
+		}
 		f.run(4*time.Second, load)
 		share := f.share()
+		asked, askedBad := 0, 0
+		for _, c := range f.caches {
+			if asked += c.asked; c.bad > 0 {
+				askedBad += c.asked
+			}
+		}
 		well, bad, wellOut, badOut := 0, 0, 0, 0
 		for _, p := range f.proxies {
 			for _, id := range p.leftOut() {
@@ -646,12 +655,19 @@
 			bad += len(p.b.caches) / 5
 			well += len(p.b.caches) - len(p.b.caches)/5
 		}
-		t.Logf("%.3f in time, %v; left out %.3f of the bad and %.3f of the well", share, f.refused,
-			float64(badOut)/float64(bad), float64(wellOut)/float64(well))
+		t.Logf("%.3f in time, %v; left out %.3f of the bad and %.3f of the well; %.3f of the attempts go to bad ones", share, f.refused,
+			float64(badOut)/float64(bad), float64(wellOut)/float64(well), float64(askedBad)/float64(asked))
 		f.check("one in five bad")
 		if share < 0.9 || float64(wellOut)/float64(well) > 0.02 {
 			t.Errorf("%.3f in time, %d of %d well ones left out", share, wellOut, well)
 		}
+		most := 0.1
+		if len(f.proxies) < 10 {
+			most = 0.04
+		}
+		if part := float64(askedBad) / float64(asked); part > most {
+			t.Errorf("%.3f of the attempts go to bad caches", part)
+		}
 	})
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -13,7 +13,7 @@
 
 const (
 	slotCount    = 4096            // many more than members, so that shares come out even
-	orderDepth   = 16              // candidates kept for a slot; where zones have tables of their own, in this one
+	orderDepth   = 12              // candidates kept for a slot; where zones have tables of their own, in this one
 	abroadDepth  = 2               // and in each other
 	counterSize  = 1024            // keys the counter follows, several times the hot set
 	maxHot       = 200             // the cap of the hot set (MIP-200 of the paper)
@@ -276,7 +276,7 @@
 // order is the slot's candidates, best first. It is worked out when first asked for and then kept current,
 // so that a request costs nothing that grows with the fleet.
 func (b *Balancer) order(slot int) []ranked {
-	if b.slots[slot] == nil {
+	if len(b.slots[slot]) == 0 {
 		for _, n := range b.caches {
 			b.insert(slot, n)
 		}
@@ -310,7 +310,7 @@
 
 func (b *Balancer) join(n *node) {
 	for slot, o := range b.slots {
-		if o != nil {
+		if len(o) > 0 {
 			b.insert(slot, n)
 		}
 	}
@@ -319,7 +319,7 @@
 func (b *Balancer) leave(n *node) {
 	for slot, o := range b.slots {
 		if slices.ContainsFunc(o, func(r ranked) bool { return r.n == n }) {
-			b.slots[slot] = nil
+			b.slots[slot] = slices.Delete(o, 0, len(o)) // its room is used again: where caches come and go it would be garbage all day
 		}
 	}
 }
