TLS with client certificates on the RESP2 and gRPC listeners, reloaded while they stand

Change: [identity.tls] has the listeners that it names speak TLS; [[identity.certificate]] maps a URI, a DNS name or the issuer to a tenant. What a certificate proves, and for how long, is decided in internal/identity (certs.go), free of I/O; internal/callers reads the listeners' certificate and the roots every second, all or none; internal/proxy and internal/extproc/server end a connection whose root is gone or whose certificate has run out once what is in hand is answered. What TLS has to write goes by the connection's goroutine (sender.Through), as it may wait and the host's lock must not; plain connections are as they were. Sessions are not taken up again, since a ticket brings old chains along. Handshakes a second are bounded.

Also left of the issue: addresses that show a forged token go by the open half of the checks for 30 s, whatever connection they come on (identity.Sources).

Measured: the cost of TLS not yet; off, nothing is set up and reads go as before.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -35,21 +36,33 @@
 
 	keys   atomic.Pointer[identity.Keys] // in force
 	mu     sync.Mutex                    // of the verifier: a check takes some 100 us
-	verify *identity.Verifier
+	verify *identity.Verifier            // nil: no tokens are taken
+	doors  *doors                        // nil: listeners speak plainly
 
 	rights  sync.Mutex // of what follows: held for a look only
 	policy  *identity.Policy
 	replays identity.Replays
+	sources identity.Sources
 
-	files sync.Mutex // of what follows
-	text  []byte     // of the keys in force
-	fault string     // as last logged
+	rules []identity.CertRule // under files, like what follows
+	files sync.Mutex          // of what follows
+	text  []byte              // of the keys in force
+	fault string              // as last logged
 }
 
 // New reads the keys. Without a set that can be read it does not begin.
 func New(cfg *operator.Identity, log *slog.Logger) (*Gate, error) {
 	g := &Gate{file: cfg.Keys, name: cfg.Name, log: log, now: time.Now, policy: identity.NewPolicy(cfg.Rights(), nil),
-		replays: identity.Replays{Most: cfg.Replays}}
+		replays: identity.Replays{Most: cfg.Replays}, sources: identity.Sources{Most: cfg.Suspects}, rules: cfg.Rules()}
+	if cfg.TLS.Set() {
+		var err error
+		if g.doors, err = newDoors(cfg, log, g.now); err != nil {
+			return nil, err
+		}
+	}
+	if !cfg.ByTokens() {
+		return g, nil
+	}
 	text, err := read(g.file)
 	if err != nil {
 		return nil, err
@@ -99,6 +112,15 @@
 func (g *Gate) Look() {
 	g.files.Lock()
 	defer g.files.Unlock()
+	if g.doors != nil {
+		g.doors.look(g.rules)
+	}
+	if g.verify != nil {
+		g.lookKeys()
+	}
+}
+
+func (g *Gate) lookKeys() {
 	text, err := read(g.file)
 	if err == nil && bytes.Equal(text, g.text) {
 		if g.fault != "" {
@@ -136,21 +158,47 @@
 	g.rights.Lock()
 	g.policy = identity.NewPolicy(cfg.Rights(), g.policy)
 	g.rights.Unlock()
+	g.files.Lock()
+	if g.rules = cfg.Rules(); g.doors != nil {
+		g.doors.rule(g.rules)
+	}
+	g.files.Unlock()
 	g.Look()
 }
 
 // Name is the name of a token in a request's list.
 func (g *Gate) Name() string { return g.name }
 
-// Prove tells what a token proves. It may take some 100 us, and must not be called under a lock that others wait for.
-func (g *Gate) Prove(token []byte, suspect bool) (*identity.Proof, error) {
+// Prove tells what a token proves that came from an address. It may take some 100 us, and must not be called under a lock that others
+// wait for. Suspect tells that its connection has shown a bad one before; so may others from its address have.
+func (g *Gate) Prove(token []byte, from netip.Addr, suspect bool) (*identity.Proof, error) {
+	if g.verify == nil {
+		return nil, &identity.Error{Why: identity.Forbidden, What: "no tokens are taken here"}
+	}
+	if !suspect {
+		g.rights.Lock()
+		suspect = g.sources.Suspect(g.now(), from)
+		g.rights.Unlock()
+	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.verify.Check(g.now(), token, suspect)
+	p, err := g.verify.Check(g.now(), token, suspect)
+	g.mu.Unlock()
+	if why := identity.WhyOf(err); err != nil && why != identity.Overload && why != identity.RunOut && why != identity.Retired {
+		// One that was good once, as those two say, is a caller's that has not heard.
+		g.rights.Lock()
+		g.sources.Bad(g.now(), from)
+		g.rights.Unlock()
+	}
+	return p, err
 }
 
 // Holds tells whether a proof still holds. It waits for nothing.
-func (g *Gate) Holds(p *identity.Proof) error { return g.keys.Load().Holds(g.now(), p) }
+func (g *Gate) Holds(p *identity.Proof) error {
+	if p.ByCertificate() && g.doors != nil {
+		return g.doors.certs.Load().Holds(g.now(), p)
+	}
+	return g.keys.Load().Holds(g.now(), p)
+}
 
 // May tells whether the bearer of a proof may make a request now. An order uses its token's id.
 func (g *Gate) May(p *identity.Proof, a identity.Ask) error {
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io/fs"
 	"log/slog"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -82,7 +83,7 @@
 		for range 3 {
 			g.Look()
 		}
-		if _, err := g.Prove([]byte(token), false); err != nil {
+		if _, err := g.Prove([]byte(token), netip.Addr{}, false); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
 		if got := log.String(); strings.Count(got, "\n") != 1 || !strings.Contains(got, "old keys stay in force") || !strings.Contains(got, file) {
@@ -97,10 +98,10 @@
 	other, newToken := keySet(t, "k1") // another key under the same id
 	write(other)
 	g.Look()
-	if _, err := g.Prove([]byte(token), false); identity.WhyOf(err) != identity.Retired {
+	if _, err := g.Prove([]byte(token), netip.Addr{}, false); identity.WhyOf(err) != identity.Retired {
 		t.Errorf("by the key before: %v", err)
 	}
-	if _, err := g.Prove([]byte(newToken), false); err != nil {
+	if _, err := g.Prove([]byte(newToken), netip.Addr{}, false); err != nil {
 		t.Errorf("by the new key: %v", err)
 	}
 }
@@ -124,7 +125,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p, err := g.Prove([]byte(token), false)
+	p, err := g.Prove([]byte(token), netip.Addr{}, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/callers/doors_test.go
@@ -0,0 +1,278 @@
+package callers
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"linenloom/internal/identity"
+	"linenloom/internal/operator"
+	"linenloom/internal/standin"
+)
+
+// authority is an installation's issuer of certificates, and the files that a proxy reads.
+type authority struct {
+	t          *testing.T
+	dir        string
+	old, next  *standin.Issuer
+	from, till time.Time
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir(), from: time.Now().Add(-time.Hour), till: time.Now().Add(time.Hour)}
+	var err error
+	if a.old, err = standin.NewIssuer("old", nil, a.from, a.till); err == nil {
+		a.next, err = standin.NewIssuer("next", nil, a.from, a.till)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.listener()
+	a.write("roots.pem", standin.PEM(a.old.Cert))
+	return a
+}
+
+func (a *authority) path(name string) string { return filepath.Join(a.dir, name) }
+
+func (a *authority) write(name string, text []byte) {
+	a.t.Helper()
+	if err := os.WriteFile(a.path(name), text, 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+// listener puts a new certificate of the listener's own in place.
+func (a *authority) listener() standin.Certificate {
+	a.t.Helper()
+	c, err := a.old.Listener(a.from, a.till)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	key, err := c.KeyPEM()
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.write("cert.pem", standin.PEM(c.Cert))
+	a.write("key.pem", key)
+	return c
+}
+
+func (a *authority) settings() *operator.Identity {
+	return &operator.Identity{Tenants: []operator.Tenant{{Name: "kiosk"}, {Name: "shop"}}, Replays: 8, Suspects: 8,
+		TLS:          operator.TLS{Cert: a.path("cert.pem"), Key: a.path("key.pem"), Roots: a.path("roots.pem"), Client: "asked", Handshakes: 1000},
+		Certificates: []operator.Certificate{{DNS: "kiosk.example", Tenant: "kiosk"}}}
+}
+
+func (a *authority) caller(by *standin.Issuer, name string) *tls.Certificate {
+	a.t.Helper()
+	c, err := by.Caller(a.from, a.till, name)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	t := c.TLS()
+	return &t
+}
+
+// shake makes a handshake as a caller, and tells what the listener makes of it.
+func shake(t *testing.T, g *Gate, front string, own *tls.Certificate, roots ...*x509.Certificate) (*identity.Proof, *x509.Certificate, error) {
+	t.Helper()
+	near, far := net.Pipe()
+	defer near.Close()
+	cfg := &tls.Config{ServerName: "127.0.0.1", RootCAs: x509.NewCertPool()}
+	for _, r := range roots {
+		cfg.RootCAs.AddCert(r)
+	}
+	if own != nil {
+		cfg.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return own, nil }
+	}
+	seen := make(chan *x509.Certificate, 1)
+	go func() {
+		c := tls.Client(near, cfg)
+		if c.Handshake() == nil {
+			seen <- c.ConnectionState().PeerCertificates[0]
+		} else {
+			seen <- nil
+		}
+		io.Copy(io.Discard, c) // a server's refusal of the certificate comes after the client's own part is over
+		near.Close()
+	}()
+	s := tls.Server(far, g.TLS(front))
+	defer far.Close()
+	if err := s.Handshake(); err != nil {
+		far.Close()
+		<-seen
+		return nil, nil, err
+	}
+	state := s.ConnectionState()
+	p, err := g.Certificate(&state)
+	return p, <-seen, err
+}
+
+// A caller's certificate proves its tenant as long as its root is in force; the listener's own and the roots change while it stands, and
+// files that don't fit together change nothing.
+func TestDoors(t *testing.T) {
+	a := newAuthority(t)
+	var log bytes.Buffer
+	g, err := New(a.settings(), slog.New(slog.NewTextHandler(&log, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ours, theirs := a.caller(a.old, "kiosk.example"), a.caller(a.next, "kiosk.example")
+	p, first, err := shake(t, g, "resp2", ours, a.old.Cert)
+	if err != nil || p.Tenant != "kiosk" || g.Holds(p) != nil {
+		t.Fatalf("%+v, %v", p, err)
+	}
+	if _, _, err := shake(t, g, "resp2", nil, a.old.Cert); identity.WhyOf(err) != identity.Unproven {
+		t.Errorf("no certificate: %v", err)
+	}
+	if _, _, err := shake(t, g, "resp2", theirs, a.old.Cert); err == nil || identity.WhyOf(err) != 0 {
+		t.Errorf("an unknown root: %v", err)
+	}
+	if _, err := g.Prove([]byte("any"), netip.Addr{}, false); identity.WhyOf(err) != identity.Forbidden {
+		t.Errorf("a token where none are taken: %v", err)
+	}
+	for name, spoil := range map[string]func(){
+		"the key does not fit": func() { a.listener(); a.write("key.pem", mustKey(t, a)) },
+		"roots cut short":      func() { a.write("roots.pem", standin.PEM(a.next.Cert)[:300]) },
+		"roots emptied":        func() { a.write("roots.pem", nil) },
+		"cert removed":         func() { os.Remove(a.path("cert.pem")) },
+	} {
+		cert, _ := os.ReadFile(a.path("cert.pem"))
+		key, _ := os.ReadFile(a.path("key.pem"))
+		log.Reset()
+		spoil()
+		g.Look()
+		g.Look()
+		if n := strings.Count(log.String(), "level=ERROR"); n != 1 {
+			t.Errorf("%s: logged %d times: %s", name, n, &log)
+		}
+		if _, seen, err := shake(t, g, "resp2", ours, a.old.Cert); err != nil || !seen.Equal(first) || g.Holds(p) != nil {
+			t.Errorf("%s: what was in force is not: %v", name, err)
+		}
+		a.write("cert.pem", cert)
+		a.write("key.pem", key)
+		a.write("roots.pem", standin.PEM(a.old.Cert))
+		g.Look()
+	}
+	// The listener's own changes.
+	own := a.listener()
+	g.Look()
+	if _, seen, err := shake(t, g, "resp2", ours, a.old.Cert); err != nil || !seen.Equal(own.Cert) {
+		t.Errorf("the new certificate is not shown: %v", err)
+	}
+	// Both roots, then the next alone.
+	a.write("roots.pem", standin.PEM(a.old.Cert, a.next.Cert))
+	g.Look()
+	q, _, err := shake(t, g, "resp2", theirs, a.old.Cert)
+	if err != nil || g.Holds(p) != nil || g.Holds(q) != nil {
+		t.Fatalf("both roots in force: %v, %v", err, g.Holds(p))
+	}
+	a.write("roots.pem", standin.PEM(a.next.Cert))
+	g.Look()
+	if why := identity.WhyOf(g.Holds(p)); why != identity.Retired || g.Holds(q) != nil {
+		t.Errorf("the old root is gone: %v, %v", why, g.Holds(q))
+	}
+	if err := g.May(p, identity.Ask{Class: "tile-read", Front: "resp2"}); identity.WhyOf(err) != identity.Retired {
+		t.Errorf("by a root that is gone: %v", err)
+	}
+	// Other rules.
+	cfg := a.settings()
+	cfg.Certificates[0].Tenant = "shop"
+	g.Reload(cfg)
+	if why := identity.WhyOf(g.Holds(q)); why != identity.Retired {
+		t.Errorf("another tenant's now: %v", why)
+	}
+}
+
+func mustKey(t *testing.T, a *authority) []byte {
+	t.Helper()
+	c, err := a.next.Listener(a.from, a.till)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key, err := c.KeyPEM()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+// Past so many handshakes a second nothing is computed for one; the front that is not named speaks plainly.
+func TestHandshakesAreBounded(t *testing.T) {
+	a := newAuthority(t)
+	cfg := a.settings()
+	cfg.TLS.Handshakes, cfg.TLS.Fronts, cfg.TLS.Client = 3, []string{"resp2"}, "required"
+	g, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := time.Now()
+	g.doors.now = func() time.Time { return at }
+	if g.TLS("extproc") != nil {
+		t.Error("a front that is not named speaks TLS")
+	}
+	own := a.caller(a.old, "kiosk.example")
+	good := 0
+	for range 10 {
+		if _, _, err := shake(t, g, "resp2", own, a.old.Cert); err == nil {
+			good++
+		} else if !strings.Contains(err.Error(), errTooMany.Error()) {
+			t.Error(err)
+		}
+	}
+	if good != 3 {
+		t.Errorf("%d handshakes at once, 3 a second are allowed", good)
+	}
+	at = at.Add(time.Second)
+	if _, _, err := shake(t, g, "resp2", nil, a.old.Cert); err == nil {
+		t.Error("no certificate where one is required")
+	}
+}
+
+// An address that has shown a forged token stays with the open half of the checks, on whatever connection it comes next.
+func TestAddressesThatShowBadTokens(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "keys.json")
+	text, good := keySet(t, "k1")
+	_, forged := keySet(t, "k1")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg := settings(file)
+	cfg.ChecksPerS, cfg.Suspects, cfg.Known = 4, 2, 0
+	g, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := time.Now()
+	g.now = func() time.Time { return at }
+	bad, well := netip.MustParseAddr("192.0.2.1"), netip.MustParseAddr("192.0.2.2")
+	for range 8 { // each on a connection of its own
+		g.Prove([]byte(forged), bad, false)
+	}
+	if _, err := g.Prove([]byte(good), bad, false); identity.WhyOf(err) != identity.Overload {
+		t.Errorf("from the bad address: %v", err)
+	}
+	if _, err := g.Prove([]byte(good), well, false); err != nil {
+		t.Errorf("from a clean one: %v", err)
+	}
+	for i := range 4 { // others make it forgotten, no more are remembered
+		g.sources.Bad(at, netip.AddrFrom4([4]byte{198, 51, 100, byte(i)}))
+	}
+	if g.sources.Len() != 2 || g.sources.Suspect(at, bad) {
+		t.Errorf("%d addresses are remembered", g.sources.Len())
+	}
+	one, same, other := netip.MustParseAddr("2001:db8:1:2::1"), netip.MustParseAddr("2001:db8:1:2:ffff::1"), netip.MustParseAddr("2001:db8:1:3::1")
+	g.sources.Bad(at, one)
+	if !g.sources.Suspect(at, same) || g.sources.Suspect(at, other) || g.sources.Suspect(at.Add(31*time.Second), one) {
+		t.Error("of IPv6, the first 64 bits count, for 30 s")
+	}
+}
--- a/internal/extproc/caller/caller.go
+++ b/internal/extproc/caller/caller.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -23,6 +24,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/structpb"
@@ -57,11 +59,18 @@
 }
 
 // Dial makes a caller that prefers the first target and goes to the next where one says that a call never ran there.
-func Dial(targets ...string) (*Caller, error) {
+func Dial(targets ...string) (*Caller, error) { return dial(insecure.NewCredentials(), targets) }
+
+// DialTLS is Dial over TLS.
+func DialTLS(cfg *tls.Config, targets ...string) (*Caller, error) {
+	return dial(credentials.NewTLS(cfg), targets)
+}
+
+func dial(creds credentials.TransportCredentials, targets []string) (*Caller, error) {
 	c := &Caller{MessageTimeout: 200 * time.Millisecond, AllowModeOverride: true, client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
 	for _, t := range targets {
-		conn, err := grpc.NewClient(t, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		conn, err := grpc.NewClient(t, grpc.WithTransportCredentials(creds),
 			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
 				Backoff: backoff.Config{BaseDelay: 20 * time.Millisecond, Multiplier: 1.5, MaxDelay: 100 * time.Millisecond}}))
 		if err != nil {
--- a/internal/extproc/server/duplex.go
+++ b/internal/extproc/server/duplex.go
@@ -8,7 +8,6 @@
 
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/structpb"
 )
@@ -140,21 +139,20 @@
 }
 
 func (f *Front) stuck(s *stream) {
-	from, _ := peer.FromContext(s.rpc.Context())
-	a, ok := from.Addr.(remoteAddr)
-	if !ok {
+	c := connOf(s.rpc.Context())
+	if c == nil {
 		return
 	}
 	over := false
 	f.p.Do(func() {
 		f.p.Hold(streamWindow)
-		f.stuckStreams = append(f.stuckStreams, stuckStream{a.conn, f.p.Now() + stuckFor})
-		a.conn.stuck++
-		over = a.conn.stuck > mostStuck
+		f.stuckStreams = append(f.stuckStreams, stuckStream{c, f.p.Now() + stuckFor})
+		c.stuck++
+		over = c.stuck > mostStuck
 	})
 	if over {
-		f.log.Warn("a caller takes nothing it is told, on too many streams: its connection is closed", "caller", a.String())
-		a.conn.Close()
+		f.log.Warn("a caller takes nothing it is told, on too many streams: its connection is closed", "caller", c.RemoteAddr().String())
+		c.Close()
 	}
 }
 
--- a/internal/extproc/server/identity.go
+++ b/internal/extproc/server/identity.go
@@ -20,15 +20,20 @@
 	}
 	h := &s.head
 	scheme, token, _ := strings.Cut(h.authorization, " ")
+	given := h.authorization != ""
 	h.authorization, h.tenant = "", ""
-	if !strings.EqualFold(scheme, "Bearer") || token == "" {
+	p := s.byCertificate()
+	switch {
+	case !given && p != nil: // a token wins over the connection's certificate; a header that is none does not leave it in force
+	case !strings.EqualFold(scheme, "Bearer") || token == "":
 		return &identity.Error{Why: identity.Unproven}
-	}
-	// Callers share connections, so none can be told from another by the bad tokens that it has shown: all go by the half of the
-	// checks that is open to everybody.
-	p, err := by.Prove([]byte(token), true)
-	if err != nil {
-		return err
+	default:
+		// Callers share connections, so none can be told from another by the bad tokens that it has shown: all go by the half of
+		// the checks that is open to everybody.
+		var err error
+		if p, err = by.Prove([]byte(token), s.from(), true); err != nil {
+			return err
+		}
 	}
 	s.proof, h.tenant = p, p.Tenant
 	if h.id != "" {
--- a/internal/extproc/server/identity_test.go
+++ b/internal/extproc/server/identity_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"crypto/tls"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -21,8 +23,12 @@
 		{Tenant: "app", Fronts: []string{"resp2"}}}, nil), replays: identity.Replays{Most: 8}}
 }
 
-func (n *nameProvers) Name() string { return "tk" }
-func (n *nameProvers) Prove(token []byte, _ bool) (*identity.Proof, error) {
+func (n *nameProvers) Name() string           { return "tk" }
+func (n *nameProvers) TLS(string) *tls.Config { return nil }
+func (n *nameProvers) Certificate(*tls.ConnectionState) (*identity.Proof, error) {
+	return nil, &identity.Error{Why: identity.Unproven}
+}
+func (n *nameProvers) Prove(token []byte, _ netip.Addr, _ bool) (*identity.Proof, error) {
 	switch name := string(token); name {
 	case "forged":
 		return nil, &identity.Error{Why: identity.Forged}
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -20,12 +20,14 @@
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/health"
 	healthv1 "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"linenloom/internal/extproc"
+	"linenloom/internal/identity"
 	"linenloom/internal/operator"
 	"linenloom/internal/proxy"
 	"linenloom/internal/resp"
@@ -84,6 +86,8 @@
 	made         uint32 // ids made here
 	counts       Counts
 	stuckStreams []stuckStream
+	proven       map[*counted]struct{} // connections with a certificate that proves something
+	proofsAt     time.Duration         // when these are looked at again
 
 	readers chan *stream  // to readers that have nothing to read
 	resting atomic.Int32  // of them
@@ -104,7 +108,7 @@
 // New makes the front and binds its address. The file has been checked; what it says of classes is checked here,
 // against the settings.
 func New(p *proxy.Proxy, file *operator.File, log *slog.Logger) (*Front, error) {
-	f := &Front{p: p, log: log.With("front", "extproc"), streams: map[*stream]struct{}{},
+	f := &Front{p: p, log: log.With("front", "extproc"), streams: map[*stream]struct{}{}, proven: map[*counted]struct{}{},
 		readers: make(chan *stream), quit: make(chan struct{})}
 	c, err := f.compile(file)
 	if err != nil {
@@ -115,7 +119,13 @@
 	if f.listen, err = bind(c.Listen); err != nil {
 		return nil, fmt.Errorf("extproc.listen: %w", err)
 	}
-	f.grpc = grpc.NewServer(
+	more := []grpc.ServerOption{}
+	if by := p.Callers(); by != nil {
+		if cfg := by.TLS("extproc"); cfg != nil {
+			more = append(more, grpc.Creds(doorCreds{credentials.NewTLS(cfg), f}))
+		}
+	}
+	f.grpc = grpc.NewServer(append(more,
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxHeaderListSize(maxHeaders),
 		// Twice the bound, so that a stream over it is told so, and doesn't wait at the caller.
 		grpc.MaxConcurrentStreams(uint32(2*c.MaxStreams)),
@@ -126,7 +136,7 @@
 		// all are taken, a stream gets a new one.
 		grpc.NumStreamWorkers(keptGoroutines),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 30 * time.Second, Timeout: 10 * time.Second}),
-	)
+	)...)
 	extprocv3.RegisterExternalProcessorServer(f.grpc, f)
 	f.health = health.NewServer()
 	healthv1.RegisterHealthServer(f.grpc, f.health)
@@ -226,6 +236,7 @@
 func (f *Front) Sweep() {
 	now := f.p.Now()
 	f.sweepStuck(now)
+	f.sweepProofs(now)
 	for s := range f.streams {
 		if now >= s.due {
 			s.kick()
@@ -274,6 +285,11 @@
 	once   sync.Once
 	stuck  int // streams that have ended with something not taken, lately; under the host's lock
 	closed bool
+
+	// Under the host's lock.
+	cert    *identity.Proof // what its certificate proves; nil: nothing
+	streams int             // on it now, where that is counted
+	ending  bool            // nothing new is taken on it
 }
 
 // remoteAddr lets a stream find its connection, which gRPC does not tell; unix sockets have no addresses to go by.
@@ -289,6 +305,7 @@
 	c.once.Do(func() {
 		c.f.p.Do(func() {
 			c.closed = true
+			delete(c.f.proven, c)
 			c.f.conns--
 			c.f.p.Descriptors(-1)
 		})
@@ -299,6 +316,9 @@
 // Process is one exchange of a caller's.
 func (f *Front) Process(rpc extprocv3.ExternalProcessor_ProcessServer) error {
 	s := &stream{f: f, rpc: rpc, cfg: f.cfg.Load(), kicked: make(chan struct{}), in: make(chan received), want: make(chan struct{}, 1), over: make(chan struct{})}
+	if s.cfg.proven {
+		s.conn = connOf(rpc.Context())
+	}
 	if !f.open(s) {
 		// gRPC's UNAVAILABLE: the call never ran, and can be made elsewhere.
 		return status.Error(codes.Unavailable, "no room for the stream; nothing ran")
@@ -340,7 +360,7 @@
 
 func (f *Front) open(s *stream) (ok bool) {
 	f.p.Do(func() {
-		if len(f.streams) >= s.cfg.MaxStreams || f.p.Stopping() {
+		if len(f.streams) >= s.cfg.MaxStreams || f.p.Stopping() || s.conn != nil && s.conn.ending {
 			f.counts.Unavailable++
 			return
 		}
@@ -352,6 +372,9 @@
 		ok = true
 		f.counts.Taken++
 		f.streams[s] = struct{}{}
+		if s.conn != nil {
+			s.conn.streams++
+		}
 		s.due = f.p.Now() + firstMessage
 	})
 	return ok
@@ -360,6 +383,10 @@
 func (f *Front) closed(s *stream) {
 	f.p.Do(func() {
 		delete(f.streams, s)
+		if s.conn != nil {
+			s.conn.streams--
+			s.conn.left()
+		}
 		f.p.Hold(-streamCost - cap(s.body) - s.window)
 		s.body = nil
 		if s.call != nil {
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -29,6 +29,7 @@
 	f     *Front
 	rpc   extprocv3.ExternalProcessor_ProcessServer
 	cfg   *config
+	conn  *counted // it came by; nil, where callers are not proven
 	in    chan received
 	want  chan struct{} // of one token: the next message is wanted
 	over  chan struct{} // closed when Process returns
--- a/internal/identity/token.go
+++ b/internal/identity/token.go
@@ -24,7 +24,7 @@
 	ChecksPerS float64
 }
 
-// Proof is what a token proves. It is never changed.
+// Proof is what a token or a certificate proves. It is never changed.
 type Proof struct {
 	Tenant  string
 	Subject string
@@ -32,8 +32,12 @@
 	Until   time.Time // exp, with the leeway
 	KeyID   string
 	print   string // of the key
+	cert    *certFacts
 }
 
+// ByCertificate tells whether it is a certificate that proves.
+func (p *Proof) ByCertificate() bool { return p.cert != nil }
+
 // Verifier checks tokens. It is not safe for concurrent use.
 type Verifier struct {
 	terms  Terms
--- a/internal/operator/identity.go
+++ b/internal/operator/identity.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"linenloom/internal/identity"
@@ -19,7 +21,33 @@
 	Known       int      `toml:"known"`
 	ChecksPerS  int      `toml:"checks_per_s"`
 	Replays     int      `toml:"replays"`
+	Suspects    int      `toml:"suspects"` // addresses that have shown a bad token lately, remembered at the most
 	Tenants     []Tenant `toml:"tenant"`
+
+	TLS          TLS           `toml:"tls"` // its zero value: not set
+	Certificates []Certificate `toml:"certificate"`
+}
+
+// TLS has listeners speak TLS, and take client certificates.
+type TLS struct {
+	Cert       string   `toml:"cert"` // the listeners' own, with those that lead to its root
+	Key        string   `toml:"key"`
+	Roots      string   `toml:"roots"`  // that client certificates may end in
+	Client     string   `toml:"client"` // asked or required
+	Fronts     []string `toml:"fronts"` // empty: all
+	Handshakes int      `toml:"handshakes_per_s"`
+}
+
+// Set tells whether the file has it.
+func (t *TLS) Set() bool { return t.Client != "" }
+
+// Certificate says which tenant a client certificate proves.
+type Certificate struct {
+	URI    string `toml:"uri"`
+	DNS    string `toml:"dns"`
+	Issuer string `toml:"issuer"`
+	Tenant string `toml:"tenant"`
+	Line   int
 }
 
 // Tenant is the rights of one tenant.
@@ -35,7 +63,18 @@
 }
 
 var identityDefaults = Identity{TenantClaim: "tenant", Name: "tk", Leeway: Duration(30 * time.Second), MaxLife: Duration(24 * time.Hour),
-	Known: 4096, ChecksPerS: 500, Replays: 65536}
+	Known: 4096, ChecksPerS: 500, Replays: 65536, Suspects: 4096, TLS: TLS{Client: "asked", Handshakes: 500}}
+
+// ByTokens tells whether callers can be proven by tokens.
+func (i *Identity) ByTokens() bool { return i.Keys != "" }
+
+// Rules say which tenants client certificates prove, in the deciding module's terms.
+func (i *Identity) Rules() (all []identity.CertRule) {
+	for _, c := range i.Certificates {
+		all = append(all, identity.CertRule{URI: c.URI, DNS: c.DNS, Issuer: c.Issuer, Tenant: c.Tenant})
+	}
+	return all
+}
 
 // Rights are the tenants' in the deciding module's terms.
 func (i *Identity) Rights() (all []identity.Rights) {
@@ -54,8 +93,9 @@
 
 func (d *doc) checkIdentity(e *Identity) {
 	const p = "identity."
+	d.checkTLS(e)
 	for _, name := range []string{"keys", "issuer", "audience"} {
-		if !d.given(p + name) {
+		if tokens := d.given(p+"keys") || d.given(p+"issuer") || d.given(p+"audience"); !d.given(p+name) && (tokens || !e.TLS.Set()) {
 			d.at("identity", "identity.%s is missing", name)
 		}
 	}
@@ -75,6 +115,7 @@
 	d.number(p+"known", e.Known, 0, 1<<20)
 	d.number(p+"checks_per_s", e.ChecksPerS, 2, 1_000_000)
 	d.number(p+"replays", e.Replays, 1, 1<<22)
+	d.number(p+"suspects", e.Suspects, 0, 1<<20)
 	if len(e.Tenants) == 0 {
 		d.at("identity", "no [[identity.tenant]]: nobody would have a right")
 	}
@@ -99,6 +140,50 @@
 	}
 }
 
+func (d *doc) checkTLS(e *Identity) {
+	const p = "identity.tls"
+	if !d.given(p) {
+		e.TLS = TLS{}
+	} else {
+		for name, value := range map[string]string{"cert": e.TLS.Cert, "key": e.TLS.Key, "roots": e.TLS.Roots} {
+			if value == "" {
+				d.at(p, "%s.%s is missing or empty", p, name)
+			}
+		}
+		d.oneOf(p+".client", e.TLS.Client, "asked", "required")
+		for _, f := range e.TLS.Fronts {
+			d.oneOf(p+".fronts", f, "resp2", "extproc")
+		}
+		d.number(p+".handshakes_per_s", e.TLS.Handshakes, 1, 1_000_000)
+		if len(e.Certificates) == 0 && !d.given("identity.keys") {
+			d.at(p, "no [[identity.certificate]] and no identity.keys: nobody could be proven")
+		}
+	}
+	for i := range e.Certificates {
+		c, path := &e.Certificates[i], fmt.Sprintf("identity.certificate[%d]", i)
+		c.Line = d.lines[path]
+		set := 0
+		for _, s := range []string{c.URI, c.DNS, c.Issuer} {
+			if s != "" {
+				set++
+			}
+		}
+		named := func(t Tenant) bool { return t.Name == c.Tenant }
+		switch {
+		case !d.given(p):
+			d.at(path, "%s, but no [identity.tls] that would ask for certificates", path)
+		case set != 1:
+			d.at(path, "%s has to have one of uri, dns and issuer, and has %d", path, set)
+		case c.Tenant == "":
+			d.at(path, "%s has no tenant", path)
+		case !slices.ContainsFunc(e.Tenants, named):
+			d.at(path+".tenant", "%s.tenant: %q is no [[identity.tenant]]", path, c.Tenant)
+		case strings.Contains(strings.TrimSuffix(c.URI, "/*"), "*") || strings.Contains(strings.TrimPrefix(c.DNS, "*."), "*"):
+			d.at(path, "%s: a \"*\" can only be a URI's end (\"/*\") or a DNS name's first label (\"*.\")", path)
+		}
+	}
+}
+
 func (d *doc) number(path string, value, least, most int) {
 	if value < least || value > most {
 		d.at(path, "%s is %d; it can be from %d to %d", path, value, least, most)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -289,7 +289,8 @@
 // fixed are the keys of each table that can't change while the program runs.
 var fixed = map[string][]string{
 	"extproc":  {"listen", "mode", "max_streams"},
-	"identity": {"keys", "issuer", "audience", "tenant_claim", "name", "leeway", "max_life", "known", "checks_per_s", "replays"},
+	"identity": {"keys", "issuer", "audience", "tenant_claim", "name", "leeway", "max_life", "known", "checks_per_s", "replays",
+		"suspects", "tls"},
 }
 
 // Changed names what differs from a file that is in force and can't change while the program runs, and what can.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -212,6 +212,7 @@
 
 // What is wrong with [identity] is told by line.
 func TestIdentityFaults(t *testing.T) {
+	const secure = "[identity.tls]\ncert = \"c\"\nkey = \"k\"\nroots = \"r\"\n"
 	const right = "[identity]\nkeys = \"k\"\nissuer = \"i\"\naudience = \"a\"\n[[identity.tenant]]\nname = \"kiosk\"\n"
 	if _, err := Parse("f", []byte(right)); err != nil {
 		t.Fatal(err)
@@ -223,6 +224,14 @@
 		"twice":                   {right + "[[identity.tenant]]\nname = \"kiosk\"\n", "f:8: identity.tenant[1].name"},
 		"a name that ends a list": {strings.Replace(right, "kiosk", "a,t=b", 1), "f:6: identity.tenant[0].name"},
 		"an unknown front":        {right + "fronts = [\"grpc\"]\n", "f:7: identity.tenant[0].fronts"},
+		"TLS without roots":       {right + "[identity.tls]\ncert = \"c\"\nkey = \"k\"\n", "f:7: identity.tls.roots"},
+		"TLS, nobody proven":      {strings.Replace(right, "keys = \"k\"\nissuer = \"i\"\naudience = \"a\"\n", "", 1) + secure, "f:4: no [[identity.certificate]]"},
+		"TLS and half of tokens":  {strings.Replace(right, "keys", "#", 1) + secure, "f:1: identity.keys is missing"},
+		"TLS of some kind":        {right + secure + "client = \"maybe\"\n", "f:11: identity.tls.client"},
+		"a rule without TLS":      {right + "[[identity.certificate]]\ndns = \"a\"\ntenant = \"kiosk\"\n", "f:7: identity.certificate[0], but no [identity.tls]"},
+		"a rule for nobody":       {right + secure + "[[identity.certificate]]\ndns = \"a\"\ntenant = \"x\"\n", "f:13: identity.certificate[0].tenant"},
+		"a rule by two names":     {right + secure + "[[identity.certificate]]\ndns = \"a\"\nuri = \"b\"\ntenant = \"kiosk\"\n", "f:11: identity.certificate[0] has to have one"},
+		"a star within":           {right + secure + "[[identity.certificate]]\ndns = \"a*.b\"\ntenant = \"kiosk\"\n", "f:11: identity.certificate[0]: a"},
 	} {
 		if _, err := Parse("f", []byte(c.text)); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: %v, want %q", name, err, c.want)
--- a/internal/proxy/callers.go
+++ b/internal/proxy/callers.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"errors"
+	"net/netip"
 
 	"linenloom/internal/identity"
 	"linenloom/internal/resp"
@@ -14,7 +16,9 @@
 // for nothing.
 type Callers interface {
 	Name() string // of a token in a request's list
-	Prove(token []byte, suspect bool) (*identity.Proof, error)
+	Prove(token []byte, from netip.Addr, suspect bool) (*identity.Proof, error)
+	Certificate(*tls.ConnectionState) (*identity.Proof, error)
+	TLS(front string) *tls.Config // of a front's listener; nil: it speaks plainly
 	Holds(*identity.Proof) error
 	May(*identity.Proof, identity.Ask) error
 	Release(*identity.Proof)
@@ -32,7 +36,7 @@
 func (c *client) identify(cmd *input) {
 	by := c.p.cfg.Callers
 	if cmd.name == "AUTH" {
-		if cmd.proof, cmd.denied = by.Prove(cmd.token, c.suspect); cmd.denied == nil {
+		if cmd.proof, cmd.denied = by.Prove(cmd.token, c.from, c.suspect); cmd.denied == nil {
 			c.proof = cmd.proof
 		} else {
 			c.proof = nil // who fails to prove another identity does not keep the one before
@@ -74,7 +78,7 @@
 	if c.heldBy != nil && bytes.Equal(token, c.held) {
 		return c.heldBy, by.Holds(c.heldBy)
 	}
-	p, err := by.Prove(token, c.suspect)
+	p, err := by.Prove(token, c.from, c.suspect)
 	if err != nil {
 		c.suspect = c.suspect || identity.WhyOf(err) != identity.Overload
 		return nil, err
--- a/internal/proxy/callers_test.go
+++ b/internal/proxy/callers_test.go
@@ -3,10 +3,12 @@
 import (
 	"crypto/ed25519"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -207,8 +209,12 @@
 // fading is Callers whose proofs hold until it says otherwise.
 type fading struct{ gone, released atomic.Int32 }
 
-func (f *fading) Name() string { return "tk" }
-func (f *fading) Prove([]byte, bool) (*identity.Proof, error) {
+func (f *fading) Name() string           { return "tk" }
+func (f *fading) TLS(string) *tls.Config { return nil }
+func (f *fading) Certificate(*tls.ConnectionState) (*identity.Proof, error) {
+	return nil, &identity.Error{Why: identity.Unproven}
+}
+func (f *fading) Prove([]byte, netip.Addr, bool) (*identity.Proof, error) {
 	return &identity.Proof{Tenant: "shop", ID: "one"}, nil
 }
 func (f *fading) May(*identity.Proof, identity.Ask) error { return nil }
@@ -279,11 +285,11 @@
 	seen atomic.Int32
 }
 
-func (b *busy) Prove(token []byte, suspect bool) (*identity.Proof, error) {
+func (b *busy) Prove(token []byte, from netip.Addr, suspect bool) (*identity.Proof, error) {
 	if b.seen.Add(1) > 1 {
 		return nil, &identity.Error{Why: identity.Overload}
 	}
-	return b.fading.Prove(token, suspect)
+	return b.fading.Prove(token, from, suspect)
 }
 
 func (b *busy) May(p *identity.Proof, _ identity.Ask) error {
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"runtime"
 	"slices"
@@ -95,6 +97,9 @@
 	p       *Proxy
 	f       *redisFront
 	conn    *net.TCPConn
+	stream  net.Conn // conn, or what is encrypted on it
+	tls     *secured // nil: it speaks plainly
+	from    netip.Addr
 	in      *resp.Reader
 	w       *sender.Sender
 	pending []*owed       // in the order of their commands
@@ -117,7 +122,8 @@
 	corked bool      // refusals have yet to be written; the reader's own
 	turn   int       // commands worked on since it last waited or gave way; the reader's own
 
-	proof   *identity.Proof // by AUTH; the reader's own
+	cert    *identity.Proof // by its certificate; nil: it has none
+	proof   *identity.Proof // by AUTH, or by its certificate; the reader's own
 	suspect bool            // it has shown a bad token; the reader's own
 	held    []byte          // the token that came last in a list, and what it proves; the reader's own
 	heldBy  *identity.Proof
@@ -132,7 +138,7 @@
 		c.uncork()
 	}
 	c.turn = 0
-	n, err := c.conn.Read(b)
+	n, err := c.stream.Read(b)
 	if n >= shed.LineLeast || c.line.Active() {
 		c.measure(n, n == len(b))
 	}
@@ -163,6 +169,8 @@
 	told    int                             // answers, since it was last looked at
 	// pipeline is how many commands of a connection are read ahead of their answers.
 	pipeline int
+	tls      *tls.Config   // nil: clients speak plainly
+	proofsAt time.Duration // when certificates are looked at again
 }
 
 var _ Front = (*redisFront)(nil)
@@ -170,6 +178,9 @@
 func newRedisFront(p *Proxy, addr string) (*redisFront, error) {
 	f := &redisFront{p: p, reuse: 1, address: addr, clients: map[*client]struct{}{}, taken: make(chan error, 1),
 		pipeline: maxPipeline, gate: shed.New(p.cfg.Settings.Classes, p.cfg.Settings.Tenants), used: new(core).share}
+	if p.cfg.Callers != nil {
+		f.tls = p.cfg.Callers.TLS("resp2")
+	}
 	if listenedAt(addr) {
 		p.log.Info("another process listens here, to be followed", "listen", addr)
 		return f, nil
@@ -231,6 +242,7 @@
 // Sweep closes clients that have stood idle for too long, and looks at how much of the core is used.
 func (f *redisFront) Sweep() {
 	f.closeIdleClients()
+	f.sweepProofs()
 	f.gate.Used(f.p.now, f.used(f.p.now), f.told)
 	f.told, f.pipeline = 0, f.gate.Pipeline(f.asked, maxPipeline)
 }
@@ -300,8 +312,15 @@
 	if !p.Room() {
 		return nil, nil
 	}
-	c := &client{p: p, f: f, conn: conn, w: w, active: p.now, limited: true}
-	c.in = resp.NewReader(c, clientBuffer)
+	c := &client{p: p, f: f, conn: conn, stream: conn, w: w, active: p.now, limited: true}
+	size := clientBuffer
+	if p.cfg.Callers != nil {
+		c.from = addrOf(conn)
+	}
+	if f.tls != nil {
+		size = tlsBuffer
+	}
+	c.in = resp.NewReader(c, size)
 	w.Idle, w.Lost = c.flush, c.lost
 	conn.SetReadDeadline(time.Now().Add(commandTime)) // for the first command, whether it begins or not
 	f.clients[c] = struct{}{}
@@ -407,7 +426,13 @@
 
 // serve reads commands until the connection ends.
 func (c *client) serve() {
-	err := c.read()
+	var err error
+	if c.f.tls != nil {
+		err = c.secure(c.f.tls)
+	}
+	if err == nil {
+		err = c.read()
+	}
 	c.p.enter()
 	late := c.mid && errors.Is(err, os.ErrDeadlineExceeded) // one that said nothing is closed without a word
 	if err != nil && !c.ended && (errors.Is(err, resp.ErrProtocol) || late || errors.Is(err, errFaulty)) {
@@ -429,7 +454,7 @@
 // linger reads and drops what still comes, so that the client can take in what it has been sent.
 func (c *client) linger() {
 	c.conn.SetReadDeadline(time.Now().Add(lingerFor))
-	io.CopyN(io.Discard, c.conn, lingerBytes)
+	io.CopyN(io.Discard, c.stream, lingerBytes)
 	c.p.enter()
 	owed := len(c.pending) > 0
 	c.p.leave()
@@ -443,13 +468,15 @@
 	c.ended = c.ended || final
 	if c.free() && !c.w.Failed() && !c.hung && (c.ended || c.quiet()) {
 		c.ended, c.hung = true, true
-		c.conn.CloseWrite()
+		c.endSending()
 		c.wake()
 	}
 }
 
 // quiet tells whether nothing has come that was not read yet: a command that has is answered before its connection ends.
-func (c *client) quiet() bool { return c.w.Look() != sender.Bytes }
+func (c *client) quiet() bool {
+	return c.w.Look() != sender.Bytes && (c.tls == nil || !c.tls.undecoded.Load())
+}
 
 // read reads commands and submits them.
 func (c *client) read() error {
@@ -830,7 +857,7 @@
 func (c *client) close() {
 	if !c.closed {
 		c.ended, c.closed = true, true
-		c.conn.Close()
+		c.shut()
 		delete(c.f.clients, c)
 		if c.asked {
 			c.f.asked--
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -28,6 +28,7 @@
 type Sender struct {
 	host   Host
 	conn   *net.TCPConn
+	over   net.Conn // what is written goes through it, if set: it may wait, and is left to the goroutine
 	raw    syscall.RawConn
 	Idle   func() // if set, called under the lock when a backlog is gone
 	Lost   func() // if set, called under the lock when the other side takes nothing any more
@@ -69,6 +70,17 @@
 	return w, nil
 }
 
+// Through has everything written through conn, which encrypts it onto the connection. Before anything is sent.
+func (w *Sender) Through(conn net.Conn) { w.over = conn }
+
+// out is what the goroutine writes to.
+func (w *Sender) out() net.Conn {
+	if w.over != nil {
+		return w.over
+	}
+	return w.conn
+}
+
 // Send writes b, or queues what does not go out at once. The caller holds the lock and may use b again,
 // unless keep says that it never changes, which saves the queue a copy.
 func (w *Sender) Send(b []byte, keep bool) {
@@ -77,20 +89,22 @@
 		return
 	}
 	if !w.busy {
-		w.buf, w.n, w.err = b, 0, nil
-		err := w.raw.Write(w.step)
-		w.buf = nil
-		if err == nil && w.err != syscall.EAGAIN {
-			err = w.err
-		}
-		if err != nil {
-			w.Fail()
-			return
-		}
-		n := max(0, w.n)
-		w.begun += int64(n)
-		if b = b[n:]; len(b) == 0 {
-			return
+		if w.over == nil {
+			w.buf, w.n, w.err = b, 0, nil
+			err := w.raw.Write(w.step)
+			w.buf = nil
+			if err == nil && w.err != syscall.EAGAIN {
+				err = w.err
+			}
+			if err != nil {
+				w.Fail()
+				return
+			}
+			n := max(0, w.n)
+			w.begun += int64(n)
+			if b = b[n:]; len(b) == 0 {
+				return
+			}
 		}
 		w.busy = true
 		defer func() { go w.drain() }()
@@ -156,7 +170,7 @@
 		w.host.Enter()
 		if len(w.queue) == 0 {
 			w.busy = false
-			w.conn.SetWriteDeadline(time.Time{})
+			w.out().SetWriteDeadline(time.Time{})
 			if w.Idle != nil {
 				w.Idle()
 			}
@@ -166,8 +180,8 @@
 		piece, size := w.piece()
 		w.begun += int64(size)
 		w.host.Leave()
-		w.conn.SetWriteDeadline(time.Now().Add(StallLimit))
-		_, err := piece.WriteTo(w.conn)
+		w.out().SetWriteDeadline(time.Now().Add(StallLimit))
+		_, err := piece.WriteTo(w.out())
 		w.host.Enter()
 		w.release(size)
 		if err != nil {
--- /dev/null
+++ b/internal/standin/issuer.go
@@ -0,0 +1,104 @@
+package standin
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/url"
+	"strings"
+	"time"
+)
+
+// Issuer signs certificates, as an installation's own authority would: its own, one for a listener on loopback, and callers'.
+type Issuer struct {
+	Cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// Certificate is a certificate with its key.
+type Certificate struct {
+	Cert *x509.Certificate
+	Key  *ecdsa.PrivateKey
+}
+
+// NewIssuer makes an issuer that counts from one moment to another, signed by another one or, by nil, by itself.
+func NewIssuer(name string, by *Issuer, from, until time.Time) (*Issuer, error) {
+	c, err := by.sign(&x509.Certificate{Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign, NotBefore: from, NotAfter: until})
+	if err != nil {
+		return nil, err
+	}
+	return &Issuer{c.Cert, c.Key}, nil
+}
+
+func (i *Issuer) sign(tmpl *x509.Certificate) (c Certificate, err error) {
+	if c.Key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader); err != nil {
+		return c, err
+	}
+	if tmpl.SerialNumber, err = rand.Int(rand.Reader, big.NewInt(1<<62)); err != nil {
+		return c, err
+	}
+	parent, key := tmpl, c.Key
+	if i != nil {
+		parent, key = i.Cert, i.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, parent, &c.Key.PublicKey, key)
+	if err != nil {
+		return c, fmt.Errorf("sign: %w", err)
+	}
+	c.Cert, err = x509.ParseCertificate(der)
+	return c, err
+}
+
+// Caller signs a caller's certificate. Names with a scheme are URIs, the others DNS names.
+func (i *Issuer) Caller(from, until time.Time, names ...string) (Certificate, error) {
+	tmpl := &x509.Certificate{Subject: pkix.Name{CommonName: "caller"}, NotBefore: from, NotAfter: until,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}
+	for _, n := range names {
+		if !strings.Contains(n, "://") {
+			tmpl.DNSNames = append(tmpl.DNSNames, n)
+			continue
+		}
+		u, err := url.Parse(n)
+		if err != nil {
+			return Certificate{}, err
+		}
+		tmpl.URIs = append(tmpl.URIs, u)
+	}
+	return i.sign(tmpl)
+}
+
+// Listener signs a certificate for a listener on loopback.
+func (i *Issuer) Listener(from, until time.Time) (Certificate, error) {
+	return i.sign(&x509.Certificate{Subject: pkix.Name{CommonName: "listener"}, NotBefore: from, NotAfter: until,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}})
+}
+
+// PEM is certificates as files hold them (RFC 7468).
+func PEM(certs ...*x509.Certificate) (text []byte) {
+	for _, c := range certs {
+		text = append(text, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: c.Raw})...)
+	}
+	return text
+}
+
+// KeyPEM is the key as files hold it (RFC 5208).
+func (c Certificate) KeyPEM() ([]byte, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(c.Key)
+	if err != nil {
+		return nil, err
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}), nil
+}
+
+// TLS is the certificate as a caller shows it.
+func (c Certificate) TLS() tls.Certificate {
+	return tls.Certificate{Certificate: [][]byte{c.Cert.Raw}, PrivateKey: c.Key}
+}
