--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -288,7 +288,7 @@
 
 // fixed are the keys of each table that can't change while the program runs.
 var fixed = map[string][]string{
-	"extproc":  {"listen", "mode", "max_streams"},
+	"extproc": {"listen", "mode", "max_streams"},
 	"identity": {"keys", "issuer", "audience", "tenant_claim", "name", "leeway", "max_life", "known", "checks_per_s", "replays",
 		"suspects", "tls"},
 }
