Joining: identical reads in flight share one attempt, where the operator's file says so

Change: internal/joining decides, free of I/O, who leads, who follows, to whom the lead passes, and who goes alone; a plain read is all that it can be told of. internal/proxy/join.go asks it in Submit, for every front. A lead that fails, runs out of time or leaves condemns nobody; one at a time tries again; a write's answer closes what was out for its key; one value is held once; a tenant's followers are bounded. Off unless [joining] is set.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -179,6 +179,9 @@
 		settings.Callers = gate
 		go gate.Run(ctx)
 	}
+	if file.Joining != nil {
+		settings.Joining = file.Joining.Limits()
+	}
 	shared := share(cfg, &settings, log)
 	defer shared.dir.Close()
 	p, err := proxy.New(settings, log)
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -424,7 +424,10 @@
 
 // Answer takes the final answer.
 func (c *call) Answer(a proxy.Answer) {
-	if a.Value != nil {
+	switch {
+	case a.Body != nil:
+		a.Body.Keep()
+	case a.Value != nil:
 		a.Value = append([]byte(nil), a.Value...)
 		c.f.p.Hold(len(a.Value))
 	}
@@ -468,7 +471,12 @@
 
 // forget lets go of the final answer's value, once it is written or nobody wants it.
 func (c *call) forget() {
-	if c.final != nil {
+	switch {
+	case c.final == nil:
+	case c.final.Body != nil:
+		c.final.Body.Release()
+		c.final.Body, c.final.Value = nil, nil
+	default:
 		c.f.p.Hold(-len(c.final.Value))
 		c.final.Value = nil
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,6 +19,7 @@
 	Path     string
 	ExtProc  *ExtProc
 	Identity *Identity
+	Joining  *Joining
 }
 
 // ExtProc sets up the external processor (docs/extproc.md).
@@ -77,10 +78,11 @@
 type root struct {
 	ExtProc  ExtProc  `toml:"extproc"`
 	Identity Identity `toml:"identity"`
+	Joining  Joining  `toml:"joining"`
 }
 
 func defaults() root {
-	return root{Identity: identityDefaults, ExtProc: ExtProc{
+	return root{Identity: identityDefaults, Joining: joiningDefaults, ExtProc: ExtProc{
 		Mode: "answer", Unmapped: "refuse", MaxStreams: 256, MessageTimeout: Duration(200 * time.Millisecond),
 		Margin: Duration(10 * time.Millisecond), ReturnWithin: Duration(250 * time.Millisecond),
 		Remember: Duration(30 * time.Second), ContentType: "application/octet-stream", MissStatus: 404,
@@ -116,6 +118,10 @@
 		f.Identity = &r.Identity
 		d.checkIdentity(f.Identity)
 	}
+	if d.given("joining") {
+		f.Joining = &r.Joining
+		d.checkJoining(f.Joining)
+	}
 	return f, d.err()
 }
 
@@ -291,12 +297,15 @@
 	"extproc": {"listen", "mode", "max_streams"},
 	"identity": {"keys", "issuer", "audience", "tenant_claim", "name", "leeway", "max_life", "known", "checks_per_s", "replays",
 		"suspects", "tls"},
+	"joining": {"followers", "followers_per_tenant", "flights", "across_tenants"},
 }
 
 // Changed names what differs from a file that is in force and can't change while the program runs, and what can.
 func (f *File) Changed(now *File) (held, live []string) {
 	held, live = changed("extproc", f.ExtProc, now.ExtProc)
 	h, l := changed("identity", f.Identity, now.Identity)
+	held, live = append(held, h...), append(live, l...)
+	h, l = changed("joining", f.Joining, now.Joining)
 	return append(held, h...), append(live, l...)
 }
 
@@ -326,6 +335,7 @@
 func (f *File) Keep(old *File) {
 	f.ExtProc = keep("extproc", f.ExtProc, old.ExtProc)
 	f.Identity = keep("identity", f.Identity, old.Identity)
+	f.Joining = keep("joining", f.Joining, old.Joining)
 }
 
 func keep[T any](table string, now, old *T) *T {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -153,6 +153,14 @@
 		t.Error(err)
 	}
 	text = append(text, second...)
+	third, err := os.ReadFile("../../deploy/operator.joining.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f, err = Parse("joining", third); err != nil || f.Joining == nil {
+		t.Fatalf("%+v, %v", f, err)
+	}
+	text = append(text, third...)
 	for _, key := range keys(root{}) {
 		if !strings.Contains(string(text), key+" = ") {
 			t.Errorf("the example does not show %s", key)
--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -80,6 +80,8 @@
 		}
 		p.reasons.Add(what, r.class, r.tenant, a.Why)
 		r.Taker.Answer(a)
+		p.fence(r)
+		p.joinEnded(r)
 		p.settle(r)
 	}
 }
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -64,6 +64,7 @@
 	ran      bool       // an attempt that has ended may have run
 	spent    bool       // the id of its token is used by it
 	denied   error      // why it was not sent: its proof no longer holds
+	join     *joined    // it leads other reads or follows one; nil: neither
 }
 
 // Kind is the kind of a final answer.
@@ -80,6 +81,7 @@
 type Answer struct {
 	Kind       Kind
 	Value      []byte        // valid during the call only
+	Body       *Body         // what holds the value, if others get it too: whoever keeps it has it kept and released
 	RetryAfter time.Duration // when a refused client should come back; 0: not said
 	Why        logic.Reason  // of a refusal or failure
 }
@@ -165,6 +167,7 @@
 func (x *Attempt) DeliverElsewhere() {
 	if !x.a.Ended {
 		x.a.req.done = true
+		x.p.fence(x.a.req)
 		x.p.end(x.a, logic.StatusCancelled, 0)
 	}
 }
@@ -173,6 +176,7 @@
 func (x *Attempt) Deliver(note int) {
 	if !x.a.Ended {
 		x.a.req.done = true
+		x.p.fence(x.a.req)
 		x.p.end(x.a, logic.StatusOK, note)
 	}
 }
@@ -238,7 +242,9 @@
 	lr.Deadline += p.now
 	r.deadline = lr.Deadline
 	p.requests[r.id] = r
-	p.bal.Request(p.now, lr)
+	if p.joins == nil || !p.join(r, lr) {
+		p.bal.Request(p.now, lr)
+	}
 	return nil
 }
 
@@ -268,6 +274,9 @@
 	if addrs != nil {
 		only = p.named(addrs)
 	}
+	if r.join != nil {
+		r.join.lr.Only = only
+	}
 	p.bal.Narrow(p.now, r.id, only)
 	for _, a := range r.attempts {
 		if only != nil && a.carried && !a.given && !a.Ended && !slices.Contains(only, a.to) {
@@ -282,6 +291,9 @@
 	if r.id == 0 {
 		return // it was never taken
 	}
+	if p.joins != nil && p.withdrawJoined(r) {
+		return
+	}
 	if !r.done {
 		r.done = true
 		p.bal.Expired(p.now, r.id)
--- /dev/null
+++ b/internal/proxy/join_test.go
@@ -0,0 +1,293 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"linenloom/internal/joining"
+	"linenloom/internal/resp"
+	"linenloom/logic"
+)
+
+var joinAll = joining.Limits{Followers: 5000, PerTenant: 5000, Flights: 100}
+
+// gate is a cache whose answers wait until they are let out.
+type gate struct {
+	asks chan asked
+	out  chan string
+	n    atomic.Int32
+}
+
+func newGate() *gate { return &gate{asks: make(chan asked, 5000), out: make(chan string, 5000)} }
+
+func (g *gate) answer(a asked) string {
+	g.n.Add(1)
+	g.asks <- a
+	return <-g.out
+}
+
+func joiningProxy(t *testing.T, l joining.Limits, answer func(asked) string) *testProxy {
+	t.Helper()
+	cfg := testConfig()
+	cfg.Joining = &l
+	cfg.MostHeld, cfg.Sockets = 5000, 2048
+	cfg.Settings.Tenants = []logic.Tenant{{Name: "acme", Share: 0.5}, {Name: "best", Share: 0.5}}
+	return start(t, cfg, entry("s-a", cache(t, answer), "large"),
+		entry("s-o", origin(t, func(r *http.Request) string { return page("receipt of " + r.URL.Path[1:]) }), "origin"))
+}
+
+// followed waits until so many reads follow others.
+func (p *testProxy) followed(n int) {
+	p.t.Helper()
+	p.eventually(fmt.Sprint(n, " reads follow"), func() bool { _, f := p.joins.Len(); return f == n })
+}
+
+func ahead(key, id, d string) string { return words("OBJ.GET", key, id, "c=tile-read,d="+d) }
+
+// Identical reads share one attempt, from one connection or many, and each has its one answer; other keys, tenants and classes do not.
+func TestIdenticalReadsShareAnAttempt(t *testing.T) {
+	g := newGate()
+	p := joiningProxy(t, joinAll, g.answer)
+	lead := p.dial()
+	lead.send(get("a", "lead"))
+	<-g.asks
+	const clients, each = 20, 10
+	var all []*testClient
+	for i := range clients {
+		c := p.dial()
+		all = append(all, c)
+		for j := range each {
+			c.send(get("a", fmt.Sprintf("f%d-%d", i, j)))
+		}
+	}
+	p.followed(clients * each)
+	other := p.dial()
+	other.send(words("OBJ.GET", "a", "other", "c=tile-read,d=4000,t=best"))
+	<-g.asks
+	value := strings.Repeat("v", 40_000)
+	g.out <- hit(value)
+	g.out <- hit("its own")
+	for _, c := range append(all, lead) {
+		n := each
+		if c == lead {
+			n = 1
+		}
+		for range n {
+			if got := c.answer(); got != value {
+				t.Fatalf("%d bytes", len(got))
+			}
+		}
+	}
+	if got := other.answer(); got != "its own" {
+		t.Errorf("another tenant's: %.20q", got)
+	}
+	if n := g.n.Load(); n != 2 {
+		t.Errorf("%d attempts", n)
+	}
+	p.eventually("nothing is held", func() bool { return p.held == 0 && len(p.requests) == 0 })
+}
+
+// What becomes of the lead condemns nobody: its client leaves, its time ends, its attempt fails or is spoilt; those who follow are served.
+func TestLeadCondemnsNobody(t *testing.T) {
+	for name, end := range map[string]func(g *gate, lead *testClient){
+		"its client leaves": func(g *gate, lead *testClient) {
+			lead.conn.Close()
+			time.Sleep(10 * time.Millisecond) // so that the proxy may see it before the answer; either order has to do
+			g.out <- hit("v")
+		},
+		"its time ends": func(g *gate, lead *testClient) {
+			if got := lead.answer(); !strings.HasPrefix(got, "-BUSY") {
+				lead.t.Errorf("the lead is told %q", got)
+			}
+			for range 200 { // some go to attempts that are over
+				g.out <- hit("v")
+			}
+		},
+		"its attempts fail": func(g *gate, lead *testClient) {
+			for range 4 {
+				g.out <- "-ERR failed\r\n"
+			}
+			for range 200 {
+				g.out <- hit("v")
+			}
+		},
+		"its answer is spoilt": func(g *gate, lead *testClient) {
+			g.out <- "*3\r\n$6\r\nspo"
+			for range 200 {
+				g.out <- hit("v")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGate()
+			p := joiningProxy(t, joinAll, g.answer)
+			lead := p.dial()
+			lead.send(ahead("a", "lead", "150"))
+			<-g.asks
+			const followers = 50
+			var all []*testClient
+			for i := range followers {
+				c := p.dial()
+				c.send(ahead("a", fmt.Sprint("f", i), fmt.Sprint(3000+i*20)))
+				all = append(all, c)
+			}
+			p.followed(followers)
+			end(g, lead)
+			for i, c := range all {
+				if got := c.answer(); got != "v" {
+					t.Fatalf("follower %d: %q", i, got)
+				}
+			}
+			if n := g.n.Load(); n > 8 {
+				t.Errorf("%d attempts for %d followers", n, followers)
+			}
+			p.eventually("nothing is left", func() bool { n, f := p.joins.Len(); return n+f+len(p.requests)+p.held == 0 })
+		})
+	}
+}
+
+// Where nothing can be had, each follower is told in its own time, and none waits for ever; the cache is not stormed.
+func TestFollowersOfWhatNeverComes(t *testing.T) {
+	g := newGate()
+	p := joiningProxy(t, joinAll, g.answer)
+	var all []*testClient
+	for i := range 40 {
+		c := p.dial()
+		c.send(ahead("a", fmt.Sprint("f", i), fmt.Sprint(100+i*5)))
+		all = append(all, c)
+		if i == 0 {
+			<-g.asks
+		}
+	}
+	for i, c := range all {
+		if got := c.answer(); !strings.HasPrefix(got, "-BUSY") {
+			t.Errorf("follower %d: %q", i, got)
+		}
+	}
+	if n := g.n.Load(); n > 20 {
+		t.Errorf("%d attempts", n)
+	}
+	close(g.out)
+	p.eventually("nothing is left", func() bool { n, f := p.joins.Len(); return n+f+len(p.requests) == 0 })
+}
+
+// A read that comes after a write's answer never gets what was asked for before it.
+func TestReadAfterAWriteSharesNothingOlder(t *testing.T) {
+	g := newGate()
+	p := joiningProxy(t, joinAll, g.answer)
+	before := p.dial()
+	before.send(get("a", "before"))
+	<-g.asks
+	c := p.dial()
+	c.send(put("a", "w", "new"))
+	if got := c.answer(); got != "receipt of a" {
+		t.Fatal(got)
+	}
+	c.send(get("a", "after"))
+	<-g.asks // an attempt of its own
+	g.out <- hit("old")
+	g.out <- hit("new")
+	if got, first := c.answer(), before.answer(); got == first {
+		t.Errorf("both reads got %q", got)
+	}
+}
+
+// One tenant's storm holds back nobody else's reads: past its part its reads are ordinary ones.
+func TestStormOfOneTenant(t *testing.T) {
+	g := newGate()
+	l := joinAll
+	l.PerTenant = 10
+	p := joiningProxy(t, l, g.answer)
+	storm := p.dial()
+	for i := range 13 { // one leads, ten follow, two make their own way
+		storm.send(words("OBJ.GET", "a", fmt.Sprint("s", i), "c=tile-read,d=4000,t=acme"))
+	}
+	for range 3 {
+		<-g.asks
+	}
+	p.followed(10)
+	c := p.dial()
+	for i := range 5 {
+		c.send(words("OBJ.GET", "b", fmt.Sprint("b", i), "c=tile-read,d=4000,t=best"))
+	}
+	<-g.asks
+	p.followed(14)
+	for range 4 {
+		g.out <- hit("v")
+	}
+	for range 13 {
+		if got := storm.answer(); got != "v" {
+			t.Error(got)
+		}
+	}
+	for range 5 {
+		if got := c.answer(); got != "v" {
+			t.Error(got)
+		}
+	}
+}
+
+// One value is held once, however many take it, until the slowest has it; a client that takes nothing bounds itself.
+func TestSharedValueIsHeldOnce(t *testing.T) {
+	g := newGate()
+	p := joiningProxy(t, joinAll, g.answer)
+	lead := p.dial()
+	lead.send(get("a", "lead"))
+	<-g.asks
+	slow, err := net.Dial("tcp", p.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	slow.(*net.TCPConn).SetReadBuffer(4 << 10)
+	const wanted = 16
+	for i := range wanted {
+		fmt.Fprint(slow, get("a", fmt.Sprint("slow", i)))
+	}
+	p.followed(wanted)
+	value := strings.Repeat("v", resp.MaxValue)
+	g.out <- hit(value)
+	if got := lead.answer(); got != value {
+		t.Fatalf("%d bytes", len(got))
+	}
+	p.eventually("the slow client's answers are on their way", func() bool { return len(p.requests) == 0 })
+	p.enter()
+	held := p.held
+	p.leave()
+	if held > 2*resp.MaxValue {
+		t.Errorf("%d bytes are held for %d answers of %d", held, wanted, resp.MaxValue)
+	}
+	slow.Close()
+	p.eventually("nothing is held", func() bool { return p.held == 0 })
+}
+
+// A stop and a storm: all that was taken is answered.
+func TestStopInAStorm(t *testing.T) {
+	g := newGate()
+	p := joiningProxy(t, joinAll, g.answer)
+	var all []*testClient
+	for i := range 100 {
+		c := p.dial()
+		c.send(get("a", fmt.Sprint("r", i)))
+		all = append(all, c)
+	}
+	<-g.asks
+	p.followed(99)
+	var wg sync.WaitGroup
+	p.stop()
+	g.out <- hit("v")
+	for i, c := range all {
+		wg.Go(func() {
+			if got := c.answer(); got != "v" {
+				t.Errorf("read %d: %q", i, got)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"linenloom/internal/discovery"
+	"linenloom/internal/joining"
 	"linenloom/internal/maintenance"
 	"linenloom/internal/pool"
 	"linenloom/internal/reasons"
@@ -45,6 +46,7 @@
 	AcceptMore time.Duration   // after the stop signal, new connections still come for this long
 	Out        maintenance.Set // the members out of use at the start
 	Callers    Callers         // who clients are; nil: nobody asks
+	Joining    *joining.Limits // reads in flight may share an answer; nil: each has its own
 
 	// Clock, if set, is the time since the start in place of the system's, and Tick has to be called once it has
 	// moved. OnSend, if set, is told of each choice of the module's, under the lock. Both are for tests and the rig.
@@ -83,6 +85,11 @@
 
 	members  map[logic.MemberID]*member
 	requests map[logic.RequestID]*Request
+	joins    *joining.Table    // nil: reads share nothing but fetches
+	lost     []logic.RequestID // leads that got no answer, to be passed on
+	shares   []logic.RequestID // followers whose answer is there
+	sharing  bool              // a goroutine hands these over
+	joined   Joined
 	fronts   []Front
 	frontFDs int // descriptors that fronts hold
 	nextID   logic.RequestID
@@ -136,6 +143,9 @@
 		return nil, fmt.Errorf("balancer: %w", err)
 	}
 	p.bal = bal
+	if cfg.Joining != nil {
+		p.joins = joining.New(*cfg.Joining)
+	}
 	if p.redis, err = newRedisFront(p, cfg.Listen); err != nil {
 		return nil, err
 	}
@@ -246,10 +256,15 @@
 
 // Tell tells the Balancer, within Do, of the outcomes so far, so that what it decides on them can be seen.
 func (p *Proxy) Tell() {
-	for i := 0; i < len(p.outcomes); i++ {
-		p.bal.Outcome(p.now, p.outcomes[i])
+	for {
+		for i := 0; i < len(p.outcomes); i++ {
+			p.bal.Outcome(p.now, p.outcomes[i])
+		}
+		p.outcomes = p.outcomes[:0]
+		if p.lost == nil || !p.passLeads() {
+			return
+		}
 	}
-	p.outcomes = p.outcomes[:0]
 }
 
 // apply takes a list: first here, then by the Balancer, so that both see the same members.
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -88,6 +88,7 @@
 	Request
 	client *client
 	reply  []byte        // the final answer, until it is written
+	body   *Body         // the same, shared with others
 	turn   chan struct{} // closed when a value that is passed on may go on
 	run    bool          // refusals of several commands in a row
 }
@@ -118,6 +119,8 @@
 	closed  bool
 	limited bool // a deadline is set for the rest of a command
 
+	bodies []*Body // shared values that are being written
+
 	line   shed.Line // what has come and was not read yet; the reader's own
 	corked bool      // refusals have yet to be written; the reader's own
 	turn   int       // commands worked on since it last waited or gave way; the reader's own
@@ -749,6 +752,10 @@
 	b := p.scratch[:0]
 	switch a.Kind {
 	case Served:
+		if a.Body != nil {
+			o.client.answerShared(o, a.Body)
+			return
+		}
 		b = resp.AppendBulk(b, a.Value)
 	case Refused:
 		b = appendBusy(b, a.RetryAfter)
@@ -805,10 +812,50 @@
 	}
 }
 
+// answerShared is answer for a value that others get too. A client that takes it slowly holds nothing of its own, and a descriptor.
+func (c *client) answerShared(o *owed, b *Body) {
+	b.Keep()
+	if len(c.pending) > 0 && c.pending[0] == o && !c.w.Busy() {
+		c.sendShared(b)
+		c.pop()
+		c.flush()
+		return
+	}
+	if slices.Contains(c.pending, o) {
+		o.body = b
+		return
+	}
+	b.Release()
+}
+
+// sendShared writes a shared value, which stays until the kernel has it all.
+func (c *client) sendShared(b *Body) {
+	c.w.SendCounted(b.bulk)
+	if c.w.Busy() {
+		c.bodies = append(c.bodies, b)
+		return
+	}
+	b.Release()
+}
+
+// letBodies lets go of shared values that are written, or won't be.
+func (c *client) letBodies() {
+	for _, b := range c.bodies {
+		b.Release()
+	}
+	c.bodies = nil
+}
+
 // flush writes the answers whose turn has come.
 func (c *client) flush() {
 	for len(c.pending) > 0 && !c.w.Busy() {
 		o := c.pending[0]
+		if o.body != nil {
+			c.sendShared(o.body)
+			o.body = nil
+			c.pop()
+			continue
+		}
 		if o.reply == nil {
 			o.wakeTurn()
 			return
@@ -832,6 +879,7 @@
 		c.p.scratch = b[:0]
 	}
 	if !c.w.Busy() {
+		c.letBodies()
 		c.wake()
 	}
 	if c.ended {
@@ -890,6 +938,11 @@
 	for _, o := range pending {
 		c.p.held -= len(o.reply)
 		o.reply = nil
+		if o.body != nil {
+			o.body.Release()
+			o.body = nil
+		}
 		c.p.Withdraw(&o.Request)
 	}
+	c.letBodies()
 }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -39,6 +39,10 @@
 	if r := a.req; !r.done {
 		r.done = true
 		r.Taker.Answer(Answer{Kind: Served, Value: value})
+		r.p.fence(r)
+		if r.join != nil {
+			r.p.share(r, value)
+		}
 	}
 }
 
@@ -58,6 +62,8 @@
 		return nil
 	}
 	r.done = true
+	p.fence(r)
+	p.joinApart(r)
 	p.bal.StreamStarted(p.now, r.id, int(a.n))
 	return to
 }
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -247,7 +247,13 @@
 	p.leave()
 }
 
-func (p *Proxy) ringToken(token uint64) { p.bal.Timer(p.now, token) }
+func (p *Proxy) ringToken(token uint64) {
+	if token&7 == tickJoin {
+		p.joinLate(logic.RequestID(token >> 3))
+		return
+	}
+	p.bal.Timer(p.now, token)
+}
 
 func (p *Proxy) ringDue(d due) {
 	switch {
