OBJ.MGET: many keys in one request, one reply in the order asked, each key marked

Change: internal/manykeys, free of I/O, splits a request by the cache that each key's reads go to first, with one part of it at a cache at a time and so many keys out in all; internal/proxy/many.go submits each key as an ordinary read, so that rights, limits, drains, the cold budget and the retry budget hold for each. A key is a value or a mark; s=1 has keys told as they come. Reads of one part share a connection from the start (pool, Group) and go out by one system call (sender, Cork). Off unless [many_keys] is set.

--- a/cmd/linenlab/main.go
+++ b/cmd/linenlab/main.go
@@ -23,6 +23,7 @@
 	{"operate", "boxes called out and back, retuning, processes that follow one another, under load", lab.Operate},
 	{"explore", "every order of events of small fleets, up to a depth, against the rules", lab.Explore},
 	{"identity", "proven callers: keys and roots that change under load, what a proof and TLS cost, a flood of forged tokens", lab.Identity},
+	{"mountain", "many tiles in one request: what it costs against as many, and a box that stalls", lab.Mountain},
 	{"storm", "thousands of identical reads at once, with joining and without", lab.Storm},
 	{"idle", "a proxy that nobody asks: what it takes of the core all the same", lab.Idle},
 	{"overload", "more reads than one core can do: what is served in time, and what another tenant feels of it", lab.Overload},
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -182,6 +182,9 @@
 	if file.Joining != nil {
 		settings.Joining = file.Joining.Limits()
 	}
+	if file.ManyKeys != nil {
+		settings.ManyKeys = file.ManyKeys.Limits()
+	}
 	shared := share(cfg, &settings, log)
 	defer shared.dir.Close()
 	p, err := proxy.New(settings, log)
--- /dev/null
+++ b/internal/manykeys/manykeys_test.go
@@ -0,0 +1,123 @@
+package manykeys
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+var usual = Limits{Keys: 64, Bytes: 1000, Out: 8, Part: 4}
+
+func TestFaultyRequests(t *testing.T) {
+	home := func(string) uint64 { return 1 }
+	if _, err := New(usual, nil, home); !errors.Is(err, ErrNoKeys) {
+		t.Error(err)
+	}
+	if _, err := New(usual, make([]string, 65), home); !errors.Is(err, ErrTooMany) {
+		t.Error(err)
+	}
+}
+
+// Whatever the caches do, in whatever order: each key is asked for once, one part at a cache at a time and no more than may be out; every key gets its
+// mark, and places of the same key the same one; the reply stays within its bytes.
+func TestAnyOrder(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		l := Limits{Keys: 200, Bytes: rng.IntN(3000), Out: 1 + rng.IntN(20), Part: 1 + rng.IntN(8)}
+		keys := make([]string, 1+rng.IntN(150))
+		for i := range keys {
+			keys[i] = fmt.Sprint("k", rng.IntN(120))
+		}
+		boxes := uint64(1 + rng.IntN(9))
+		home := func(key string) uint64 {
+			var n uint64
+			fmt.Sscanf(key, "k%d", &n)
+			return n % boxes
+		}
+		g, err := New(l, keys, home)
+		if err != nil {
+			t.Fatal(err)
+		}
+		asked := map[string]bool{}
+		var out []int
+		part := map[uint64]map[int]bool{} // by cache: its part
+		bytes := 0
+		for steps := 0; !g.Over(); steps++ {
+			if steps > 10_000 {
+				t.Fatalf("seed %d: it never ends", seed)
+			}
+			fresh := map[uint64][]int{}
+			for _, k := range g.Next() {
+				if asked[g.Key(k)] {
+					t.Fatalf("seed %d: %s is asked for twice", seed, g.Key(k))
+				}
+				asked[g.Key(k)] = true
+				at := home(g.Key(k))
+				fresh[at] = append(fresh[at], k)
+				out = append(out, k)
+			}
+			for at, ks := range fresh {
+				if len(part[at]) > 0 || len(ks) > l.Part {
+					t.Fatalf("seed %d: %d keys go to cache %d, where %d are out", seed, len(ks), at, len(part[at]))
+				}
+				part[at] = map[int]bool{}
+				for _, k := range ks {
+					part[at][k] = true
+				}
+			}
+			if len(out) > l.Out || len(out) != g.Out() || len(out) == 0 {
+				t.Fatalf("seed %d: %d are out, %d counted, %d allowed", seed, len(out), g.Out(), l.Out)
+			}
+			i := rng.IntN(len(out))
+			k := out[i]
+			out = append(out[:i], out[i+1:]...)
+			delete(part[home(g.Key(k))], k)
+			m, size := Mark(1+rng.IntN(5)), rng.IntN(60)
+			switch got := g.Done(k, m, size); {
+			case got == Served:
+				bytes += size
+			case got == Large && m == Served && bytes+size > l.Bytes:
+			case got != m:
+				t.Fatalf("seed %d: marked %v, not %v", seed, got, m)
+			}
+			if again := g.Done(k, Failed, 0); again != g.Mark(k) {
+				t.Fatalf("seed %d: a key is marked twice", seed)
+			}
+		}
+		if bytes > l.Bytes || len(g.Next()) > 0 || len(out) > 0 {
+			t.Fatalf("seed %d: %d bytes of %d, %d out", seed, bytes, l.Bytes, len(out))
+		}
+		for i, k := range g.Places() {
+			if g.Key(k) != keys[i] || g.Mark(k) == Waiting || !asked[keys[i]] {
+				t.Fatalf("seed %d: place %d: %s, %v", seed, i, g.Key(k), g.Mark(k))
+			}
+		}
+	}
+}
+
+// A cache with a long line does not keep the others from their turns.
+func TestCachesHaveTurns(t *testing.T) {
+	keys := make([]string, 64)
+	for i := range keys {
+		keys[i] = fmt.Sprint(i)
+	}
+	g, err := New(usual, keys, func(key string) uint64 {
+		if len(key) == 1 {
+			return 1 // ten keys
+		}
+		return 2
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first := g.Next(); len(first) != 8 {
+		t.Fatalf("%d are asked for", len(first))
+	}
+	for k := range 4 { // the short line's part is through, the other's is not
+		g.Done(k, Served, 1)
+	}
+	if next := g.Next(); len(next) != 4 || next[0] != 4 {
+		t.Errorf("next: %v", next)
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -20,6 +20,7 @@
 	ExtProc  *ExtProc
 	Identity *Identity
 	Joining  *Joining
+	ManyKeys *ManyKeys
 }
 
 // ExtProc sets up the external processor (docs/extproc.md).
@@ -79,10 +80,11 @@
 	ExtProc  ExtProc  `toml:"extproc"`
 	Identity Identity `toml:"identity"`
 	Joining  Joining  `toml:"joining"`
+	ManyKeys ManyKeys `toml:"many_keys"`
 }
 
 func defaults() root {
-	return root{Identity: identityDefaults, Joining: joiningDefaults, ExtProc: ExtProc{
+	return root{Identity: identityDefaults, Joining: joiningDefaults, ManyKeys: manyKeysDefaults, ExtProc: ExtProc{
 		Mode: "answer", Unmapped: "refuse", MaxStreams: 256, MessageTimeout: Duration(200 * time.Millisecond),
 		Margin: Duration(10 * time.Millisecond), ReturnWithin: Duration(250 * time.Millisecond),
 		Remember: Duration(30 * time.Second), ContentType: "application/octet-stream", MissStatus: 404,
@@ -122,6 +124,10 @@
 		f.Joining = &r.Joining
 		d.checkJoining(f.Joining)
 	}
+	if d.given("many_keys") {
+		f.ManyKeys = &r.ManyKeys
+		d.checkManyKeys(f.ManyKeys)
+	}
 	return f, d.err()
 }
 
@@ -297,7 +303,8 @@
 	"extproc": {"listen", "mode", "max_streams"},
 	"identity": {"keys", "issuer", "audience", "tenant_claim", "name", "leeway", "max_life", "known", "checks_per_s", "replays",
 		"suspects", "tls"},
-	"joining": {"followers", "followers_per_tenant", "flights", "across_tenants"},
+	"joining":   {"followers", "followers_per_tenant", "flights", "across_tenants"},
+	"many_keys": {"keys", "bytes", "out", "part"},
 }
 
 // Changed names what differs from a file that is in force and can't change while the program runs, and what can.
@@ -306,6 +313,8 @@
 	h, l := changed("identity", f.Identity, now.Identity)
 	held, live = append(held, h...), append(live, l...)
 	h, l = changed("joining", f.Joining, now.Joining)
+	held, live = append(held, h...), append(live, l...)
+	h, l = changed("many_keys", f.ManyKeys, now.ManyKeys)
 	return append(held, h...), append(live, l...)
 }
 
@@ -336,6 +345,7 @@
 	f.ExtProc = keep("extproc", f.ExtProc, old.ExtProc)
 	f.Identity = keep("identity", f.Identity, old.Identity)
 	f.Joining = keep("joining", f.Joining, old.Joining)
+	f.ManyKeys = keep("many_keys", f.ManyKeys, old.ManyKeys)
 }
 
 func keep[T any](table string, now, old *T) *T {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -70,9 +70,10 @@
 	Until time.Duration // it is given up then
 	Began time.Duration // when it was written, or its turn came on its connection; 0: not yet
 	Write bool
-	Once  bool // it must never run twice
-	Ended bool // set by the host: it needs no connection any more
-	again bool // a dial for it was refused at once, and one more is made
+	Once  bool   // it must never run twice
+	Ended bool   // set by the host: it needs no connection any more
+	Group uint32 // it is one of several that come at once, and may share a connection from the start; 0: of none
+	again bool   // a dial for it was refused at once, and one more is made
 }
 
 // Exchange is the host's own record of a request; it embeds a Request.
@@ -160,6 +161,7 @@
 	TurnedAway bool
 	headAt     time.Duration // when Current's turn came
 	alone      bool          // it carries a write
+	group      uint32        // of the request that it was taken for
 	tail       []byte        // the key asked for last: the next must be another, or a second copy could not be told from its answer
 	used       time.Duration
 	idle       int           // the span of idle time that the request on it found it in; below 0: the connection was new
@@ -293,6 +295,10 @@
 
 // Place sends a request on a connection that is free, or has it wait for one.
 func (p *Pool[X]) Place(m *Member[X], x X) {
+	if c := p.mates(m, x); c != nil {
+		p.start(c, x)
+		return
+	}
 	told := p.wait(m)
 	if c := p.pick(m, x); c != nil {
 		p.start(c, x)
@@ -374,18 +380,43 @@
 	return p.line(m)
 }
 
+// together tells whether reads may be written behind others at a member.
+func (p *Pool[X]) together(m *Member[X], r *Request) bool {
+	return !m.Origin && !r.Write && p.now >= p.alone && !r.Once && p.cfg.Multiplex >= 2 && m.clean >= max(CleanFirst, m.cleanNeed)
+}
+
+// joinable tells whether a read may be written behind those on a connection.
+func (p *Pool[X]) joinable(c *Conn[X], x X) bool {
+	var none X
+	return !c.Retired && c.Link.Clear() && !c.Pinged && c.Kept && c.Current != none && !c.alone &&
+		1+len(c.Behind) < p.cfg.Multiplex && p.now-c.headAt <= p.slowHead && !bytes.Equal(c.tail, x.Key())
+}
+
+// mates finds the connection that others of a request's group were put on in the same moment: they go out, and most often come back,
+// together, and their member works on them as on as many connections. nil, if there is none that may be joined.
+func (p *Pool[X]) mates(m *Member[X], x X) *Conn[X] {
+	r := x.Pooled()
+	if r.Group == 0 || !p.together(m, r) {
+		return nil
+	}
+	for _, c := range m.Conns {
+		if c.group == r.Group && c.headAt == p.now && p.joinable(c, x) {
+			return c
+		}
+	}
+	return nil
+}
+
 // join finds the connection to a cache behind whose requests a read waits least; nil, if it should not. What is written
 // behind others shares their fate, so it has to be a read, which may be sent again, and the cache quick and clean.
 func (p *Pool[X]) join(m *Member[X], x X) *Conn[X] {
 	r := x.Pooled()
-	if m.Origin || r.Write || p.now < p.alone || r.Once || p.cfg.Multiplex < 2 || m.clean < max(CleanFirst, m.cleanNeed) {
+	if !p.together(m, r) {
 		return nil
 	}
 	var best *Conn[X]
-	var none X
 	for _, c := range m.Conns {
-		if c.Retired || !c.Link.Clear() || c.Pinged || !c.Kept || c.Current == none || c.alone ||
-			1+len(c.Behind) >= p.cfg.Multiplex || p.now-c.headAt > p.slowHead || bytes.Equal(c.tail, x.Key()) {
+		if !p.joinable(c, x) {
 			continue
 		}
 		if best == nil || len(c.Behind) < len(best.Behind) {
@@ -600,7 +631,7 @@
 	if c.Current != none {
 		c.Behind = append(c.Behind, x)
 	} else {
-		c.Current, c.headAt, c.alone = x, p.now, r.Write
+		c.Current, c.headAt, c.alone, c.group = x, p.now, r.Write, r.Group
 		if c.idle = -1; c.Kept {
 			c.idle = p.idle.class(p.now - c.used)
 			p.idle.used[c.idle]++
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -441,3 +441,50 @@
 		})
 	}
 }
+
+// Reads of one group that come in the same moment share a connection from the start, as far as reads may be written behind others; what
+// comes later, is of another group, a write, or at a cache that has yet to show that its answers are clean, goes as ever.
+func TestReadsOfAGroupTravelTogether(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		clean  int
+		second Request
+		wait   time.Duration
+		shared bool
+	}{
+		{"the same group", CleanFirst, Request{Group: 7}, 0, true},
+		{"another group", CleanFirst, Request{Group: 8}, 0, false},
+		{"no group", CleanFirst, Request{}, 0, false},
+		{"a write", CleanFirst, Request{Group: 7, Write: true}, 0, false},
+		{"later", CleanFirst, Request{Group: 7}, time.Microsecond, false},
+		{"an unknown cache", 0, Request{Group: 7}, 0, false},
+	} {
+		w := newWorld(t, usual)
+		m := &Member[*fake]{Ready: true}
+		for i := range 2 { // two connections that have answered
+			w.p.Place(m, &fake{n: i, key: fmt.Sprint(i), Request: Request{Until: w.now + time.Minute}})
+		}
+		for len(w.dials) > 0 {
+			w.connect(0, true)
+		}
+		for _, l := range w.wires {
+			w.answer(l)
+		}
+		m.clean = c.clean
+		w.now += time.Second
+		w.p.Advance(w.now)
+		first, second := &fake{n: 8, key: "x", Request: Request{Until: w.now + time.Minute, Group: 7}}, &fake{n: 9, key: "y", Request: c.second}
+		second.Until = w.now + time.Minute
+		w.p.Place(m, first)
+		w.now += c.wait
+		w.p.Advance(w.now)
+		w.p.Place(m, second)
+		shared := false
+		for _, l := range w.wires {
+			shared = shared || slices.Equal(l.sent, []*fake{first, second})
+		}
+		if shared != c.shared {
+			t.Errorf("%s: shared %v", c.name, shared)
+		}
+	}
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -64,6 +64,7 @@
 	ran      bool       // an attempt that has ended may have run
 	spent    bool       // the id of its token is used by it
 	denied   error      // why it was not sent: its proof no longer holds
+	group    uint32     // it is one of several that were asked for at once; 0: of none
 	join     *joined    // it leads other reads or follows one; nil: neither
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"linenloom/internal/discovery"
 	"linenloom/internal/joining"
 	"linenloom/internal/maintenance"
+	"linenloom/internal/manykeys"
 	"linenloom/internal/pool"
 	"linenloom/internal/reasons"
 	"linenloom/internal/upstream"
@@ -43,10 +44,11 @@
 	MemoryMB   int
 	Sockets    int // file descriptors
 	Known      discovery.List
-	AcceptMore time.Duration   // after the stop signal, new connections still come for this long
-	Out        maintenance.Set // the members out of use at the start
-	Callers    Callers         // who clients are; nil: nobody asks
-	Joining    *joining.Limits // reads in flight may share an answer; nil: each has its own
+	AcceptMore time.Duration    // after the stop signal, new connections still come for this long
+	Out        maintenance.Set  // the members out of use at the start
+	Callers    Callers          // who clients are; nil: nobody asks
+	Joining    *joining.Limits  // reads in flight may share an answer; nil: each has its own
+	ManyKeys   *manykeys.Limits // OBJ.MGET; nil: it is unknown
 
 	// Clock, if set, is the time since the start in place of the system's, and Tick has to be called once it has
 	// moved. OnSend, if set, is told of each choice of the module's, under the lock. Both are for tests and the rig.
@@ -90,6 +92,8 @@
 	shares   []logic.RequestID // followers whose answer is there
 	sharing  bool              // a goroutine hands these over
 	joined   Joined
+	manys    []*many // requests for many keys to go on with
+	groups   uint32  // of them, so far
 	fronts   []Front
 	frontFDs int // descriptors that fronts hold
 	nextID   logic.RequestID
@@ -261,9 +265,10 @@
 			p.bal.Outcome(p.now, p.outcomes[i])
 		}
 		p.outcomes = p.outcomes[:0]
-		if p.lost == nil || !p.passLeads() {
-			return
+		if p.lost != nil && p.passLeads() || p.manys != nil && p.manyOn() {
+			continue
 		}
+		return
 	}
 }
 
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -24,7 +24,10 @@
 
 const (
 	clientBuffer = 4 << 10
-	maxText      = 2 << 10 // key, id and list together
+	maxText      = 2 << 10  // key, id and list together
+	mostKeyText  = 64 << 10 // of the keys of OBJ.MGET together
+	// manyElements is the most elements of a command where there is OBJ.MGET: one with too many keys is read over, and told so.
+	manyElements = 1 << 16
 	// maxPipeline is how many commands of a connection are read ahead of their answers at the most.
 	maxPipeline = 32
 	// maxUnsent is how much a client may leave unread before nothing more is read from it.
@@ -77,6 +80,10 @@
 	refused bool   // there was no room for its value
 	long    int    // bytes of the room for long values that it has
 
+	many    bool     // it asks for many keys
+	keys    [][]byte // these
+	tooMany int      // or so many, which were not read
+
 	token  []byte          // of AUTH
 	proof  *identity.Proof // of who sent it
 	denied error           // why that could not be proven
@@ -89,6 +96,7 @@
 	client *client
 	reply  []byte        // the final answer, until it is written
 	body   *Body         // the same, shared with others
+	many   *many         // it is for many keys, and not over
 	turn   chan struct{} // closed when a value that is passed on may go on
 	run    bool          // refusals of several commands in a row
 }
@@ -324,6 +332,9 @@
 		size = tlsBuffer
 	}
 	c.in = resp.NewReader(c, size)
+	if p.cfg.ManyKeys != nil {
+		c.in.AllowElements(manyElements)
+	}
 	w.Idle, w.Lost = c.flush, c.lost
 	conn.SetReadDeadline(time.Now().Add(commandTime)) // for the first command, whether it begins or not
 	f.clients[c] = struct{}{}
@@ -518,6 +529,8 @@
 		switch {
 		case cmd.refused:
 			c.error("BUSY")
+		case cmd.many:
+			c.submitMany(cmd)
 		case cmd.name == "":
 			c.submit(cmd)
 		case cmd.name == "PING":
@@ -593,6 +606,8 @@
 	case n == 4 && string(name) == "OBJ.GET":
 	case n == 5 && string(name) == "OBJ.SET":
 		cmd.Write = true
+	case n >= 3 && string(name) == "OBJ.MGET" && c.p.cfg.ManyKeys != nil:
+		return c.manyCommand(n - 3)
 	default:
 		if cmd.name = strings.ToUpper(string(name)); cmd.name == "AUTH" && c.p.cfg.Callers != nil && (n == 2 || n == 3) {
 			// A user's name, which clients may give in front of it, says nothing: the token names the tenant.
@@ -635,6 +650,47 @@
 	return cmd, err
 }
 
+// manyCommand reads the rest of OBJ.MGET: an id, a list, and so many keys. Of more than are allowed none is kept.
+func (c *client) manyCommand(keys int) (cmd input, err error) {
+	cmd.many = true
+	most := maxText
+	if c.p.cfg.Callers != nil {
+		most += identity.MaxToken
+	}
+	var text []byte
+	ends := [2]int{}
+	for i := range ends {
+		if text, err = c.arg(text, most-len(text)); err != nil {
+			return cmd, err
+		}
+		ends[i] = len(text)
+	}
+	cmd.ReqID, cmd.Attrs = text[:ends[0]:ends[0]], text[ends[0]:ends[1]:ends[1]]
+	if keys > c.p.cfg.ManyKeys.Keys {
+		cmd.tooMany = keys
+	}
+	left := mostKeyText
+	for range keys {
+		if cmd.tooMany > 0 {
+			h, err := c.bulkHead()
+			if err == nil {
+				err = c.in.Skip(h.N)
+			}
+			if err != nil {
+				return cmd, err
+			}
+			continue
+		}
+		key, err := c.arg(nil, min(maxText, left))
+		if err != nil {
+			return cmd, err
+		}
+		left -= len(key)
+		cmd.keys = append(cmd.keys, key)
+	}
+	return cmd, nil
+}
+
 func (c *client) bulkHead() (resp.Head, error) {
 	h, err := c.in.Head()
 	if err == nil && (h.Kind != '$' || h.N < 0) {
@@ -850,6 +906,18 @@
 func (c *client) flush() {
 	for len(c.pending) > 0 && !c.w.Busy() {
 		o := c.pending[0]
+		if o.many != nil && o.many.stream {
+			b, last := o.many.flushed()
+			if len(b) > 0 {
+				c.w.Send(b, true)
+			}
+			if !last {
+				return
+			}
+			o.many = nil
+			c.pop()
+			continue
+		}
 		if o.body != nil {
 			c.sendShared(o.body)
 			o.body = nil
@@ -942,6 +1010,9 @@
 			o.body.Release()
 			o.body = nil
 		}
+		if o.many != nil {
+			o.many.leave()
+		}
 		c.p.Withdraw(&o.Request)
 	}
 	c.letBodies()
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -29,7 +29,7 @@
 // exchange hands an attempt over to the connections of its member.
 func (p *Proxy) exchange(m *member, a *attempt) {
 	r, x := a.req, &a.Exchange
-	x.Write, x.Once = r.Write, r.effect == logic.Once
+	x.Write, x.Once, x.Group = r.Write, r.effect == logic.Once, r.group
 	x.Msg, x.By = &r.Message, a
 	p.ups.Exchange(&m.Member, x)
 }
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -20,7 +20,7 @@
 	MaxLong  = 4 << 20
 )
 
-// maxElements is the most elements of an array; commands and answers here have at most five.
+// maxElements is the most elements of an array, unless others are allowed; most commands and answers here have at most five.
 const maxElements = 64
 
 // ErrProtocol is wrapped by every error about bytes that are not RESP2, or go over a bound.
@@ -28,14 +28,18 @@
 
 // Reader reads RESP2 elements.
 type Reader struct {
-	br *bufio.Reader
+	br       *bufio.Reader
+	elements int
 }
 
 // NewReader makes a Reader with a buffer of the given size, which also bounds the length of a line.
 func NewReader(r io.Reader, size int) *Reader {
-	return &Reader{br: bufio.NewReaderSize(r, size)}
+	return &Reader{br: bufio.NewReaderSize(r, size), elements: maxElements}
 }
 
+// AllowElements changes the most elements of an array. Nothing is made room for by what an array says of itself.
+func (r *Reader) AllowElements(n int) { r.elements = n }
+
 // Wait blocks until there is something to read.
 func (r *Reader) Wait() error {
 	_, err := r.br.Peek(1)
@@ -71,7 +75,7 @@
 	case '$':
 		h.N, err = length(h.Text, MaxLong)
 	case '*':
-		h.N, err = length(h.Text, maxElements)
+		h.N, err = length(h.Text, r.elements)
 	default:
 		err = fmt.Errorf("unknown type %q: %w", h.Kind, ErrProtocol)
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -35,6 +35,8 @@
 	busy   bool   // a goroutine has the sending side
 	failed bool
 	queue  net.Buffers
+	corked bool // what is sent waits in cork
+	cork   []byte
 	// Places in the stream of bytes: what was given to send, and what the kernel has or may have by now. What
 	// the goroutine is writing may be out at any moment, so it counts as begun from when it is handed over.
 	taken, begun int64
@@ -88,6 +90,27 @@
 	if w.failed {
 		return
 	}
+	if w.corked && !w.busy {
+		w.cork = append(w.cork, b...)
+		return
+	}
+	w.put(b, keep)
+}
+
+// Cork holds back what is sent from now on, until Uncork: several messages then go out by one system call. Both are to be called in one
+// go, under the lock: what waits here may not wait for long, and counts as neither begun nor held.
+func (w *Sender) Cork() { w.corked = true }
+
+// Uncork sends what was held back.
+func (w *Sender) Uncork() {
+	w.corked = false
+	if len(w.cork) > 0 && !w.failed {
+		w.put(w.cork, false)
+	}
+	w.cork = w.cork[:0]
+}
+
+func (w *Sender) put(b []byte, keep bool) {
 	if !w.busy {
 		if w.over == nil {
 			w.buf, w.n, w.err = b, 0, nil
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -1,6 +1,11 @@
 package sender
 
-import "testing"
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+)
 
 // What the sender has handed to its goroutine may be out at any moment.
 func TestUnsentKnowsWhatMayBeOut(t *testing.T) {
@@ -14,3 +19,56 @@
 		}
 	}
 }
+
+type lock struct{ sync.Mutex }
+
+func (l *lock) Enter()        { l.Lock() }
+func (l *lock) Leave()        { l.Unlock() }
+func (l *lock) Hold(int) bool { return false }
+
+// Corked, messages wait and count as unsent; uncorked, they go out in their order, before what comes after. On a connection that has failed
+// meanwhile they never go out.
+func TestCork(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	h := &lock{}
+	w, err := New(h, near.(*net.TCPConn))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Enter()
+	w.Cork()
+	w.Send([]byte("a"), false)
+	w.Send([]byte("b"), false)
+	if !w.Unsent(1) || !w.Unsent(2) || w.Taken() != 2 {
+		t.Error("what is corked counts as out")
+	}
+	w.Uncork()
+	if w.Unsent(2) {
+		t.Error("what is uncorked counts as unsent")
+	}
+	w.Send([]byte("c"), false)
+	w.Cork()
+	w.Send([]byte("d"), false)
+	w.Fail()
+	w.Uncork()
+	if !w.Unsent(4) {
+		t.Error("what was corked on a connection that has failed counts as out")
+	}
+	h.Leave()
+	if got, _ := io.ReadAll(far); string(got) != "abc" {
+		t.Errorf("%q came", got)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -90,6 +90,10 @@
 func (u *Conn) Send(x *Exchange) {
 	s := u.s
 	x.conn = u
+	if s.corking && !x.Write && !u.M.Origin {
+		u.w.Cork()
+		s.corked = append(s.corked, u)
+	}
 	b := u.codec.Append(s.scratch[:0], x, u.M.Addr, x.Until-s.host.Now())
 	s.scratch = b[:0]
 	u.w.Send(b, false)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -110,6 +110,8 @@
 	scratch []byte
 	buffers sync.Pool
 	seed    maphash.Seed
+	corking bool    // reads that are sent wait for Uncork
+	corked  []*Conn // on these
 }
 
 // New makes a Set.
@@ -169,6 +171,20 @@
 	}
 }
 
+// Cork holds back reads that are sent to caches until Uncork, in the same event under the lock, so that those on one connection go out
+// together.
+func (s *Set) Cork() { s.corking = true }
+
+// Uncork sends what was held back.
+func (s *Set) Uncork() {
+	s.corking = false
+	for i, u := range s.corked {
+		u.w.Uncork()
+		s.corked[i] = nil
+	}
+	s.corked = s.corked[:0]
+}
+
 // statusFor names why a request got no connection.
 func statusFor(v pool.Verdict) logic.Status {
 	if v == pool.Short {
