--- a/internal/proxy/many.go
+++ b/internal/proxy/many.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"linenloom/internal/identity"
@@ -15,20 +16,24 @@
 // streamName is the name in a request's list by which a client says that it takes keys as they come.
 const streamName = "s"
 
+// mostScratch is how much of the room for replies is kept for the next.
+const mostScratch = 1 << 20
+
 // many is a request for many keys: its client gets one reply, and each key is a read of its own.
 type many struct {
-	p       *Proxy
-	o       *owed
-	g       *manykeys.Gather
-	reads   []*manyRead // by key; nil: not asked for yet
-	texts   [][]byte    // what the reply says of each
-	buf     []byte      // what is to be written, where keys are taken as they come
-	stream  bool
-	queued  bool // in the host's list of those to go on with
-	left    bool // its client has gone
-	held    int
-	group   uint32 // of its reads, to the connections
-	elapsed int    // places told so far, where keys are taken as they come
+	p      *Proxy
+	o      *owed
+	g      *manykeys.Gather
+	reads  []manyRead // by key
+	texts  [][]byte   // what the reply says of each
+	text   []byte     // what is to be written, where keys are taken as they come
+	held   int
+	stream bool
+	queued bool   // in the host's list of those to go on with
+	left   bool   // its client has gone
+	group  uint32 // of its reads, to the connections
+	ids    []byte // of its reads
+	told   int    // places told so far, where keys are taken as they come
 }
 
 // manyRead is the read of one key.
@@ -54,8 +59,8 @@
 	}
 	o.many = m
 	if m.stream {
-		m.buf = resp.AppendArray(nil, len(m.g.Places()))
-		p.Hold(len(m.buf))
+		m.text = resp.AppendArray(nil, len(m.g.Places()))
+		m.hold(len(m.text))
 	}
 	p.manys = append(p.manys, m) // it begins once this event is done, as what it does may end some of it at once
 	m.queued = true
@@ -93,7 +98,8 @@
 		return nil, err
 	}
 	m.g = g
-	m.reads, m.texts = make([]*manyRead, g.Len()), make([][]byte, g.Len())
+	m.reads, m.texts = make([]manyRead, g.Len()), make([][]byte, g.Len())
+	m.ids = make([]byte, 0, g.Len()*(len(cmd.ReqID)+5))
 	attrs := make([]byte, 0, len(cmd.Attrs))
 	for name, value := range upstream.Names(cmd.Attrs) {
 		if name == streamName {
@@ -128,11 +134,12 @@
 
 func (m *many) ask(k int) {
 	o := m.o
-	s := &manyRead{m: m, k: k}
-	s.Command = Command{Message: upstream.Message{Key: []byte(m.g.Key(k)), Attrs: o.Attrs,
-		ReqID: strconv.AppendInt(append(append([]byte(nil), o.ReqID...), '/'), int64(k), 10)}}
+	s := &m.reads[k]
+	s.m, s.k = m, k
+	from := len(m.ids)
+	m.ids = strconv.AppendInt(append(append(m.ids, o.ReqID...), '/'), int64(k), 10)
+	s.Command = Command{Message: upstream.Message{Key: []byte(m.g.Key(k)), Attrs: o.Attrs, ReqID: m.ids[from:len(m.ids):len(m.ids)]}}
 	s.By, s.Front, s.Taker, s.group = o.By, "resp2", s, m.group
-	m.reads[k] = s
 	err := m.p.Submit(&s.Request)
 	switch {
 	case err == nil:
@@ -147,21 +154,28 @@
 
 // Answer takes a key's final answer.
 func (s *manyRead) Answer(a Answer) {
+	p := s.m.p
+	b, mark, size := p.scratch[:0], manykeys.Failed, 0
 	switch {
 	case a.Kind == Served:
-		s.m.tell(s.k, manykeys.Served, resp.AppendBulk(nil, a.Value), len(a.Value))
+		b, mark, size = resp.AppendBulk(b, a.Value), manykeys.Served, len(a.Value)
 	case s.denied != nil:
-		s.m.tell(s.k, manykeys.Denied, appendDenied(nil, s.denied), 0)
+		b, mark = appendDenied(b, s.denied), manykeys.Denied
 	case a.Kind == Refused && (a.Why == logic.OutOfTime || a.Why == logic.OriginLine):
-		s.m.tell(s.k, manykeys.Late, resp.AppendError(nil, "LATE"), 0)
+		b, mark = resp.AppendError(b, "LATE"), manykeys.Late
 	case a.Kind == Refused:
-		s.m.tell(s.k, manykeys.Refused, appendBusy(nil, a.RetryAfter), 0)
+		b, mark = appendBusy(b, a.RetryAfter), manykeys.Refused
 	default:
-		s.m.tell(s.k, manykeys.Failed, resp.AppendError(nil, "ERR failed"), 0)
+		b = resp.AppendError(b, "ERR failed")
+	}
+	s.m.tell(s.k, mark, b, size)
+	if cap(p.scratch) < cap(b) && cap(b) <= mostScratch {
+		p.scratch = b[:0]
 	}
 }
 
-// tell notes what became of a key. It may be called in the midst of the Balancer's work, so what follows from it waits.
+// tell notes what became of a key, in words that are valid during the call. It may be called in the midst of the Balancer's work, so
+// what follows from it waits.
 func (m *many) tell(k int, mark manykeys.Mark, text []byte, size int) {
 	if m.left {
 		return
@@ -169,21 +183,22 @@
 	if got := m.g.Done(k, mark, size); got != mark {
 		text = resp.AppendError(nil, "LARGE")
 	}
-	m.texts[k] = text
-	m.held += len(text)
-	m.p.Hold(len(text))
-	if m.stream {
-		was := len(m.buf)
+	was := len(m.text)
+	if !m.stream { // one by one: a single piece that grows costs more
+		m.texts[k] = slices.Clone(text)
+		m.hold(len(text))
+	} else {
 		for place, at := range m.g.Places() {
 			if at == k {
-				m.buf = append(m.buf, "*2\r\n:"...)
-				m.buf = append(strconv.AppendInt(m.buf, int64(place), 10), "\r\n"...)
-				m.buf = append(m.buf, text...)
-				m.elapsed++
+				m.text = append(m.text, "*2\r\n:"...)
+				m.text = append(strconv.AppendInt(m.text, int64(place), 10), "\r\n"...)
+				m.text = append(m.text, text...)
+				m.told++
 			}
 		}
-		m.p.Hold(len(m.buf) - was)
-		m.letGo(k)
+	}
+	m.hold(len(m.text) - was)
+	if m.stream {
 		m.o.client.flush()
 	}
 	if !m.queued {
@@ -192,11 +207,10 @@
 	}
 }
 
-// letGo gives back the room of a key's text once it is elsewhere.
-func (m *many) letGo(k int) {
-	m.held -= len(m.texts[k])
-	m.p.Hold(-len(m.texts[k]))
-	m.texts[k] = nil
+// hold counts what is held for the reply.
+func (m *many) hold(n int) {
+	m.held += n
+	m.p.Hold(n)
 }
 
 // finish writes the reply, in the order asked, or what is left of one that went out as keys came.
@@ -206,22 +220,23 @@
 		c.flush()
 		return
 	}
-	b := resp.AppendArray(make([]byte, 0, m.held+16), len(m.g.Places()))
+	b := resp.AppendArray(m.p.scratch[:0], len(m.g.Places()))
 	for _, k := range m.g.Places() {
 		b = append(b, m.texts[k]...)
 	}
-	for k := range m.texts {
-		m.letGo(k)
-	}
-	o.many = nil
+	m.hold(-m.held)
+	m.texts, o.many = nil, nil
 	c.answer(o, b)
+	if m.p.scratch = b[:0]; cap(b) > mostScratch {
+		m.p.scratch = nil
+	}
 }
 
 // flushed takes what is to be written now, and tells whether that is the last of it.
 func (m *many) flushed() (b []byte, last bool) {
-	b, m.buf = m.buf, nil
-	m.p.Hold(-len(b))
-	return b, m.elapsed == len(m.g.Places())
+	b, m.text = m.text, nil
+	m.hold(-m.held)
+	return b, m.told == len(m.g.Places())
 }
 
 // leave ends a request whose client has gone: its attempts are given up.
@@ -230,12 +245,11 @@
 		return
 	}
 	m.left = true
-	m.p.Hold(-len(m.buf))
-	m.buf = nil
-	for k, s := range m.reads {
-		m.letGo(k)
-		if s != nil {
-			m.p.Withdraw(&s.Request)
+	m.hold(-m.held)
+	m.texts, m.text = nil, nil
+	for k := range m.reads {
+		if m.reads[k].m != nil {
+			m.p.Withdraw(&m.reads[k].Request)
 		}
 	}
 }
