A read whose connection ends late goes elsewhere, not back to the same cache

At fault: again in logic.go took every broken connection for one that broke early.

Ruled out: the patience (the one in front was served elsewhere by its second try), the retry budget (none refused).

Now: back to the same cache only within the first quarter of the read's time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1055,9 +1055,9 @@
 		b.enqueue(f)
 		return
 	}
-	if (s == StatusReset || s == StatusCancelled) && len(f.tried) == 1 && !f.broke {
-		// The connection broke; the member, which has the key, may well be up. Once: one that holds few connections breaks
-		// all that are new, and would use up the read's tries.
+	if (s == StatusReset || s == StatusCancelled) && len(f.tried) == 1 && !f.broke && b.now < f.askedAt+(f.aim-f.askedAt)/4 {
+		// The connection broke early; the member, which has the key, may well be up. Once: one that holds few connections breaks
+		// all that are new, and would use up the read's tries. Late, the read has waited behind what its member doesn't answer.
 		f.tried, f.broke = f.tried[:0], s == StatusReset
 	}
 	f.missAt = nil
