--- a/internal/proxy/join_test.go
+++ b/internal/proxy/join_test.go
@@ -291,3 +291,96 @@
 	}
 	wg.Wait()
 }
+
+// A thousand followers of different times, and a lead whose attempts stall: when the cache answers at last, all whose time is not over are
+// served, and those whose time was over have been told so.
+func TestThousandFollowersOfAStall(t *testing.T) {
+	g := newGate()
+	p := joiningProxy(t, joinAll, g.answer)
+	lead := p.dial()
+	lead.send(ahead("a", "lead", "300"))
+	<-g.asks
+	const clients, each = 40, 25
+	type one struct {
+		c    *testClient
+		wait int
+	}
+	var all []one
+	for i := range clients {
+		c := p.dial()
+		wait := 400 // half of them have too little, whatever the machine does: nothing answers before that is over
+		if i%2 == 0 {
+			wait = 7000
+		}
+		for j := range each {
+			c.send(ahead("a", fmt.Sprintf("f%d-%d", i, j), fmt.Sprint(wait+j)))
+		}
+		all = append(all, one{c, wait})
+	}
+	p.followed(clients * each)
+	for i := 1; i < clients; i += 2 {
+		for j := range each {
+			if got := all[i].c.answer(); !strings.HasPrefix(got, "-BUSY") {
+				t.Fatalf("client %d, read %d, whose time is over: %q", i, j, got)
+			}
+		}
+	}
+	for range 100 {
+		g.out <- hit("v")
+	}
+	for i := 0; i < clients; i += 2 {
+		for j := range each {
+			if got := all[i].c.answer(); got != "v" {
+				t.Fatalf("client %d, read %d: %q", i, j, got)
+			}
+		}
+	}
+	if n := g.n.Load(); n > 12 {
+		t.Errorf("%d attempts for %d reads", n, clients*each)
+	}
+	p.eventually("nothing is left", func() bool { n, f := p.joins.Len(); return n+f+len(p.requests)+p.held == 0 })
+}
+
+// The cache that a storm's lead is at drains, and other classes come into force, in the midst of it: the attempt that is out is answered, all
+// that follow it are served, and nothing new goes to that cache.
+func TestDrainAndRetuneInAStorm(t *testing.T) {
+	g := newGate()
+	other := cache(t, func(a asked) string { return hit("other " + a.key) })
+	cfg := testConfig()
+	cfg.Joining, cfg.MostHeld, cfg.Sockets = &joinAll, 5000, 2048
+	first := entry("s-a", cache(t, g.answer), "large")
+	r := newRegistry(t, discoveryList(1, true, first, entry("o-1", origin(t, func(*http.Request) string { return page("o") }), "origin")))
+	p := startAt(t, cfg, r)
+	<-r.watched
+	var all []*testClient
+	for i := range 60 {
+		c := p.dial()
+		c.send(get("a", fmt.Sprint("r", i)))
+		if all = append(all, c); i == 0 {
+			<-g.asks
+		}
+	}
+	p.followed(59)
+	first.Phase = "terminating"
+	r.tell(discoveryList(2, false, first, entry("s-b", other, "large")))
+	p.eventually("the drain is known", func() bool { return p.revision == 2 })
+	classes := append([]logic.Class(nil), cfg.Settings.Classes...)
+	classes[0].Aim = 4 * time.Second
+	if err := p.Retune(classes, 3); err != nil {
+		t.Fatal(err)
+	}
+	after := p.dial()
+	after.send(get("b", "rb"))
+	if got := after.answer(); got != "other b" {
+		t.Errorf("another key: %q", got)
+	}
+	g.out <- hit("v")
+	for i, c := range all {
+		if got := c.answer(); got != "v" {
+			t.Fatalf("read %d: %q", i, got)
+		}
+	}
+	if n := g.n.Load(); n != 1 {
+		t.Errorf("the draining cache was asked %d times", n)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -92,7 +92,7 @@
 	shares   []logic.RequestID // followers whose answer is there
 	sharing  bool              // a goroutine hands these over
 	joined   Joined
-	manys    []*many // requests for many keys to go on with
+	manys    []*Many // requests for many keys to go on with
 	groups   uint32  // of them, so far
 	fronts   []Front
 	frontFDs int // descriptors that fronts hold
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -81,7 +81,7 @@
 	long    int    // bytes of the room for long values that it has
 
 	many    bool     // it asks for many keys
-	keys    [][]byte // these
+	keys    []string // these
 	tooMany int      // or so many, which were not read
 
 	token  []byte          // of AUTH
@@ -96,7 +96,7 @@
 	client *client
 	reply  []byte        // the final answer, until it is written
 	body   *Body         // the same, shared with others
-	many   *many         // it is for many keys, and not over
+	many   *manyReply    // it is for many keys, and not over
 	turn   chan struct{} // closed when a value that is passed on may go on
 	run    bool          // refusals of several commands in a row
 }
@@ -686,7 +686,7 @@
 			return cmd, err
 		}
 		left -= len(key)
-		cmd.keys = append(cmd.keys, key)
+		cmd.keys = append(cmd.keys, string(key))
 	}
 	return cmd, nil
 }
