Many keys in one call of the external processor, in mode answer

Change: a map entry with many = true takes its key as several; the reply is JSON, each key a value or a mark, in the order asked; the host decides and submits as for OBJ.MGET (proxy.SubmitMany). Faults of entries (route, a write, no [many_keys]) are told by line. FuzzCommand reads whatever a client may send as commands.

--- a/internal/extproc/mapping.go
+++ b/internal/extproc/mapping.go
@@ -23,12 +23,14 @@
 	Class string
 	Key   string
 	Write bool
+	Many  bool // the key is several, with commas between
 }
 
 // Mapping maps methods and paths to classes and keys, in the order of the operator's file.
 type Mapping struct{ rules []rule }
 
 type rule struct {
+	many     bool
 	methods  []string
 	segments []string // plain, or {name}
 	rest     bool     // the last one takes the rest
@@ -47,7 +49,7 @@
 func NewMapping(entries []operator.MapEntry) (*Mapping, error) {
 	m := &Mapping{}
 	for _, e := range entries {
-		r := rule{methods: e.Methods, class: e.Class, write: e.Write}
+		r := rule{methods: e.Methods, class: e.Class, write: e.Write, many: e.Many}
 		r.segments = strings.Split(strings.TrimPrefix(e.Path, "/"), "/")
 		at := map[string]int{}
 		for i, s := range r.segments {
@@ -96,7 +98,7 @@
 		if !ok {
 			continue
 		}
-		t := Target{Class: r.class, Write: r.write}
+		t := Target{Class: r.class, Write: r.write, Many: r.many}
 		if len(r.key) == 1 && r.key[0].at >= 0 {
 			t.Key = values[r.key[0].at]
 		} else {
--- a/internal/extproc/server/answer.go
+++ b/internal/extproc/server/answer.go
@@ -89,6 +89,9 @@
 	s.why = a.Why
 	switch a.Kind {
 	case proxy.Served:
+		if s.target.Many {
+			return s.immediate(200, a.Value, "application/json")
+		}
 		return s.immediate(200, a.Value, s.cfg.ContentType)
 	case proxy.Refused:
 		return s.refuse(a.RetryAfter)
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -403,6 +403,7 @@
 	f       *Front
 	req     proxy.Request
 	entry   *extproc.Entry
+	many    *manyCall // it is for many keys
 	stream  *stream
 	attempt *proxy.Attempt // the latest that the host has named; mode route
 	named   string         // the addresses that the caller was given for it
@@ -450,6 +451,9 @@
 	c.settled = true
 	ran := c.req.MayHaveRun()
 	c.f.p.Withdraw(&c.req)
+	if c.many != nil {
+		c.many.leave()
+	}
 	if c.attempt != nil && !c.attempt.Ended() {
 		s := logic.StatusConnectFailed
 		if c.attempt.Given() {
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -595,9 +595,13 @@
 			return fmt.Errorf("%s must be plain text without commas", v.name)
 		}
 	}
-	if len(s.target.Key)+len(id)+len(h.tenant)+len(h.key) > maxText {
+	most, key := maxText, len(s.target.Key)
+	if s.target.Many {
+		most = maxText + mostKeyText
+	}
+	if key+len(id)+len(h.tenant)+len(h.key) > most {
 		s.drop(c)
-		return fmt.Errorf("key, id, tenant and idempotency key together are over %d bytes", maxText)
+		return fmt.Errorf("key, id, tenant and idempotency key together are over %d bytes", most)
 	}
 	if left <= 0 {
 		s.drop(c)
@@ -621,6 +625,9 @@
 		c.req.Taker = routed{c}
 	}
 	c.req.By, c.req.Front = s.proof, "extproc"
+	if s.target.Many {
+		return s.submitMany(c)
+	}
 	err := s.f.p.Submit(&c.req)
 	if errors.Is(err, proxy.ErrInUse) && (!c.entry.Unsafe || c.entry.Again) {
 		// A caller may ask again under the same id where that is harmless; members want one of its own for each.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -72,6 +72,7 @@
 	Class   string   `toml:"class"`
 	Key     string   `toml:"key"`
 	Write   bool     `toml:"write"`
+	Many    bool     `toml:"many"` // the key is several, with commas between
 	Line    int
 }
 
@@ -200,7 +201,16 @@
 		d.at("extproc", "no [[extproc.map]]: nothing would reach a class")
 	}
 	for i := range e.Map {
-		d.checkMap(fmt.Sprintf("extproc.map[%d]", i), &e.Map[i])
+		path := fmt.Sprintf("extproc.map[%d]", i)
+		d.checkMap(path, &e.Map[i])
+		switch many := e.Map[i].Many; {
+		case many && e.Map[i].Write:
+			d.at(path+".many", "%s: a write has one key", path)
+		case many && e.Mode != "answer":
+			d.at(path+".many", "%s.many: in mode route the caller makes the exchange, with one key", path)
+		case many && !d.given("many_keys"):
+			d.at(path+".many", "%s.many, but no [many_keys]", path)
+		}
 	}
 }
 
--- a/internal/proxy/many_test.go
+++ b/internal/proxy/many_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"bytes"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,6 +13,7 @@
 	"time"
 
 	"linenloom/internal/manykeys"
+	"linenloom/internal/resp"
 )
 
 var manyUsual = manykeys.Limits{Keys: 100, Bytes: 200_000, Out: 16, Part: 4}
@@ -232,3 +235,36 @@
 		t.Errorf("%s %q", line, got)
 	}
 }
+
+// Whatever a client sends, what is kept of a command stays within its bounds, and no room is lost.
+func FuzzCommand(f *testing.F) {
+	for _, s := range []string{get("k", "i"), put("k", "i", "value"), mget("m", "c=tile-read,d=40,s=1", "a", "b", "a"), mget("m", "c=x"),
+		words("OBJ.MGET", "m"), "*70\r\n$8\r\nOBJ.MGET\r\n", "*5\r\n$8\r\nOBJ.MGET\r\n$1\r\nm\r\n$-1\r\n", words("AUTH", "a", "b"), "*-1\r\n", "PING\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		limits := manykeys.Limits{Keys: 8, Bytes: 100, Out: 2, Part: 2}
+		p := &Proxy{cfg: Config{ManyKeys: &limits, MemoryMB: 1}, heldMax: 1 << 20}
+		c := &client{p: p, conn: &net.TCPConn{}, stream: &net.TCPConn{}}
+		c.in = resp.NewReader(bytes.NewReader(text), 256)
+		c.in.AllowElements(manyElements)
+		held := 0
+		for range 20 {
+			cmd, err := c.command()
+			if err != nil {
+				break
+			}
+			total := 0
+			for _, k := range cmd.keys {
+				total += len(k)
+			}
+			if len(cmd.keys) > limits.Keys || total > mostKeyText || cmd.tooMany > 0 && len(cmd.keys) > 0 || len(cmd.Key)+len(cmd.ReqID)+len(cmd.Attrs) > maxText {
+				t.Fatalf("%d keys of %d bytes, %d too many", len(cmd.keys), total, cmd.tooMany)
+			}
+			held += cap(cmd.Value)
+		}
+		if p.held != held {
+			t.Fatalf("%d bytes count as held, %d are", p.held, held)
+		}
+	})
+}
