Requests for many keys go on without a new list each time

A profile of linenlab mountain: 24% system calls, 23% the Balancer's own work for each key, 9% growing slices, of which a fifth was the list of requests to go on with, made anew for each answer. It keeps its room now.

--- a/internal/proxy/many.go
+++ b/internal/proxy/many.go
@@ -174,12 +174,11 @@
 func (p *Proxy) manyOn() (some bool) {
 	p.ups.Cork()
 	defer p.ups.Uncork()
-	for len(p.manys) > 0 {
-		m := p.manys[0]
-		p.manys = p.manys[1:]
-		m.goOn()
+	for i := 0; i < len(p.manys); i++ { // it grows while it is gone through
+		p.manys[i].goOn()
+		p.manys[i] = nil
 		some = true
 	}
-	p.manys = nil
+	p.manys = p.manys[:0]
 	return some
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -265,7 +265,7 @@
 			p.bal.Outcome(p.now, p.outcomes[i])
 		}
 		p.outcomes = p.outcomes[:0]
-		if p.lost != nil && p.passLeads() || p.manys != nil && p.manyOn() {
+		if p.lost != nil && p.passLeads() || len(p.manys) > 0 && p.manyOn() {
 			continue
 		}
 		return
