--- a/internal/callers/doors_test.go
+++ b/internal/callers/doors_test.go
@@ -19,80 +19,42 @@
 	"linenloom/internal/standin"
 )
 
-// authority is an installation's issuer of certificates, and the files that a proxy reads.
+// authority is an installation's certificates, with two roots.
 type authority struct {
-	t          *testing.T
-	dir        string
-	old, next  *standin.Issuer
-	from, till time.Time
+	*standin.Authority
+	t *testing.T
 }
 
 func newAuthority(t *testing.T) *authority {
-	a := &authority{t: t, dir: t.TempDir(), from: time.Now().Add(-time.Hour), till: time.Now().Add(time.Hour)}
-	var err error
-	if a.old, err = standin.NewIssuer("old", nil, a.from, a.till); err == nil {
-		a.next, err = standin.NewIssuer("next", nil, a.from, a.till)
-	}
+	t.Helper()
+	a, err := standin.NewAuthority(t.TempDir(), 2)
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.listener()
-	a.write("roots.pem", standin.PEM(a.old.Cert))
-	return a
+	return &authority{a, t}
 }
 
-func (a *authority) path(name string) string { return filepath.Join(a.dir, name) }
-
 func (a *authority) write(name string, text []byte) {
 	a.t.Helper()
-	if err := os.WriteFile(a.path(name), text, 0o600); err != nil {
-		a.t.Fatal(err)
-	}
-}
-
-// listener puts a new certificate of the listener's own in place.
-func (a *authority) listener() standin.Certificate {
-	a.t.Helper()
-	c, err := a.old.Listener(a.from, a.till)
-	if err != nil {
+	if err := a.Put(name, text); err != nil {
 		a.t.Fatal(err)
 	}
-	key, err := c.KeyPEM()
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	a.write("cert.pem", standin.PEM(c.Cert))
-	a.write("key.pem", key)
-	return c
 }
 
 func (a *authority) settings() *operator.Identity {
 	return &operator.Identity{Tenants: []operator.Tenant{{Name: "kiosk"}, {Name: "shop"}}, Replays: 8, Suspects: 8,
-		TLS:          operator.TLS{Cert: a.path("cert.pem"), Key: a.path("key.pem"), Roots: a.path("roots.pem"), Client: "asked", Handshakes: 1000},
+		TLS:          operator.TLS{Cert: a.Path("cert.pem"), Key: a.Path("key.pem"), Roots: a.Path("roots.pem"), Client: "asked", Handshakes: 1000},
 		Certificates: []operator.Certificate{{DNS: "kiosk.example", Tenant: "kiosk"}}}
 }
 
-func (a *authority) caller(by *standin.Issuer, name string) *tls.Certificate {
+// shake makes a handshake as a caller by a root, with a certificate of this name, and tells what the listener makes of it.
+func (a *authority) shake(g *Gate, root int, name string) (*identity.Proof, *x509.Certificate, error) {
 	a.t.Helper()
-	c, err := by.Caller(a.from, a.till, name)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	t := c.TLS()
-	return &t
-}
-
-// shake makes a handshake as a caller, and tells what the listener makes of it.
-func shake(t *testing.T, g *Gate, front string, own *tls.Certificate, roots ...*x509.Certificate) (*identity.Proof, *x509.Certificate, error) {
-	t.Helper()
 	near, far := net.Pipe()
 	defer near.Close()
-	cfg := &tls.Config{ServerName: "127.0.0.1", RootCAs: x509.NewCertPool()}
-	for _, r := range roots {
-		cfg.RootCAs.AddCert(r)
-	}
-	if own != nil {
-		cfg.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return own, nil }
+	cfg, err := a.Config(a.Roots[root], name)
+	if err != nil {
+		a.t.Fatal(err)
 	}
 	seen := make(chan *x509.Certificate, 1)
 	go func() {
@@ -105,7 +67,7 @@
 		io.Copy(io.Discard, c) // a server's refusal of the certificate comes after the client's own part is over
 		near.Close()
 	}()
-	s := tls.Server(far, g.TLS(front))
+	s := tls.Server(far, g.TLS("resp2"))
 	defer far.Close()
 	if err := s.Handshake(); err != nil {
 		far.Close()
@@ -126,28 +88,32 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ours, theirs := a.caller(a.old, "kiosk.example"), a.caller(a.next, "kiosk.example")
-	p, first, err := shake(t, g, "resp2", ours, a.old.Cert)
+	p, first, err := a.shake(g, 0, "kiosk.example")
 	if err != nil || p.Tenant != "kiosk" || g.Holds(p) != nil {
 		t.Fatalf("%+v, %v", p, err)
 	}
-	if _, _, err := shake(t, g, "resp2", nil, a.old.Cert); identity.WhyOf(err) != identity.Unproven {
+	if _, _, err := a.shake(g, 0, ""); identity.WhyOf(err) != identity.Unproven {
 		t.Errorf("no certificate: %v", err)
 	}
-	if _, _, err := shake(t, g, "resp2", theirs, a.old.Cert); err == nil || identity.WhyOf(err) != 0 {
+	if _, _, err := a.shake(g, 1, "kiosk.example"); err == nil || identity.WhyOf(err) != 0 {
 		t.Errorf("an unknown root: %v", err)
 	}
 	if _, err := g.Prove([]byte("any"), netip.Addr{}, false); identity.WhyOf(err) != identity.Forbidden {
 		t.Errorf("a token where none are taken: %v", err)
 	}
+	spare := newAuthority(t)
+	other, err := os.ReadFile(spare.Path("key.pem"))
+	if err != nil {
+		t.Fatal(err)
+	}
 	for name, spoil := range map[string]func(){
-		"the key does not fit": func() { a.listener(); a.write("key.pem", mustKey(t, a)) },
-		"roots cut short":      func() { a.write("roots.pem", standin.PEM(a.next.Cert)[:300]) },
+		"the key does not fit": func() { a.write("key.pem", other) },
+		"roots cut short":      func() { a.write("roots.pem", standin.PEM(a.Roots[1].Cert)[:300]) },
 		"roots emptied":        func() { a.write("roots.pem", nil) },
-		"cert removed":         func() { os.Remove(a.path("cert.pem")) },
+		"cert removed":         func() { os.Remove(a.Path("cert.pem")) },
 	} {
-		cert, _ := os.ReadFile(a.path("cert.pem"))
-		key, _ := os.ReadFile(a.path("key.pem"))
+		cert, _ := os.ReadFile(a.Path("cert.pem"))
+		key, _ := os.ReadFile(a.Path("key.pem"))
 		log.Reset()
 		spoil()
 		g.Look()
@@ -155,28 +121,31 @@
 		if n := strings.Count(log.String(), "level=ERROR"); n != 1 {
 			t.Errorf("%s: logged %d times: %s", name, n, &log)
 		}
-		if _, seen, err := shake(t, g, "resp2", ours, a.old.Cert); err != nil || !seen.Equal(first) || g.Holds(p) != nil {
+		if _, seen, err := a.shake(g, 0, "kiosk.example"); err != nil || !seen.Equal(first) || g.Holds(p) != nil {
 			t.Errorf("%s: what was in force is not: %v", name, err)
 		}
 		a.write("cert.pem", cert)
 		a.write("key.pem", key)
-		a.write("roots.pem", standin.PEM(a.old.Cert))
+		a.write("roots.pem", standin.PEM(a.Roots[0].Cert))
 		g.Look()
 	}
 	// The listener's own changes.
-	own := a.listener()
+	own, err := a.Renew()
+	if err != nil {
+		t.Fatal(err)
+	}
 	g.Look()
-	if _, seen, err := shake(t, g, "resp2", ours, a.old.Cert); err != nil || !seen.Equal(own.Cert) {
+	if _, seen, err := a.shake(g, 0, "kiosk.example"); err != nil || !seen.Equal(own.Cert) {
 		t.Errorf("the new certificate is not shown: %v", err)
 	}
 	// Both roots, then the next alone.
-	a.write("roots.pem", standin.PEM(a.old.Cert, a.next.Cert))
+	a.write("roots.pem", standin.PEM(a.Roots[0].Cert, a.Roots[1].Cert))
 	g.Look()
-	q, _, err := shake(t, g, "resp2", theirs, a.old.Cert)
+	q, _, err := a.shake(g, 1, "kiosk.example")
 	if err != nil || g.Holds(p) != nil || g.Holds(q) != nil {
 		t.Fatalf("both roots in force: %v, %v", err, g.Holds(p))
 	}
-	a.write("roots.pem", standin.PEM(a.next.Cert))
+	a.write("roots.pem", standin.PEM(a.Roots[1].Cert))
 	g.Look()
 	if why := identity.WhyOf(g.Holds(p)); why != identity.Retired || g.Holds(q) != nil {
 		t.Errorf("the old root is gone: %v, %v", why, g.Holds(q))
@@ -193,19 +162,6 @@
 	}
 }
 
-func mustKey(t *testing.T, a *authority) []byte {
-	t.Helper()
-	c, err := a.next.Listener(a.from, a.till)
-	if err != nil {
-		t.Fatal(err)
-	}
-	key, err := c.KeyPEM()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
 // Past so many handshakes a second nothing is computed for one; the front that is not named speaks plainly.
 func TestHandshakesAreBounded(t *testing.T) {
 	a := newAuthority(t)
@@ -220,10 +176,9 @@
 	if g.TLS("extproc") != nil {
 		t.Error("a front that is not named speaks TLS")
 	}
-	own := a.caller(a.old, "kiosk.example")
 	good := 0
 	for range 10 {
-		if _, _, err := shake(t, g, "resp2", own, a.old.Cert); err == nil {
+		if _, _, err := a.shake(g, 0, "kiosk.example"); err == nil {
 			good++
 		} else if !strings.Contains(err.Error(), errTooMany.Error()) {
 			t.Error(err)
@@ -233,7 +188,7 @@
 		t.Errorf("%d handshakes at once, 3 a second are allowed", good)
 	}
 	at = at.Add(time.Second)
-	if _, _, err := shake(t, g, "resp2", nil, a.old.Cert); err == nil {
+	if _, _, err := a.shake(g, 0, ""); err == nil {
 		t.Error("no certificate where one is required")
 	}
 }
--- a/internal/extproc/server/secure_test.go
+++ b/internal/extproc/server/secure_test.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"log/slog"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -22,35 +18,15 @@
 // Callers of the processor are proven by the certificate of their connection where they bring no token. Roots change while connections
 // stand: one whose root is gone takes no further stream, and is closed with the end of its last.
 func TestCertificatesOfCallers(t *testing.T) {
-	from, till, dir := time.Now().Add(-time.Hour), time.Now().Add(time.Hour), t.TempDir()
-	write := func(name string, text []byte) string {
-		t.Helper()
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, text, 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
-	issuer := func(name string) *standin.Issuer {
-		t.Helper()
-		i, err := standin.NewIssuer(name, nil, from, till)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return i
+	a, err := standin.NewAuthority(t.TempDir(), 2)
+	if err == nil {
+		err = a.Publish(a.Roots...)
 	}
-	old, next := issuer("old"), issuer("next")
-	own, err := old.Listener(from, till)
-	if err != nil {
-		t.Fatal(err)
-	}
-	key, err := own.KeyPEM()
 	if err != nil {
 		t.Fatal(err)
 	}
 	gate, err := callers.New(&operator.Identity{Replays: 8, Tenants: []operator.Tenant{{Name: "kiosk", ReadOnly: true}, {Name: "shop"}},
-		TLS: operator.TLS{Cert: write("cert.pem", standin.PEM(own.Cert)), Key: write("key.pem", key),
-			Roots: write("roots.pem", standin.PEM(old.Cert, next.Cert)), Client: "asked", Handshakes: 1000},
+		TLS:          operator.TLS{Cert: a.Path("cert.pem"), Key: a.Path("key.pem"), Roots: a.Path("roots.pem"), Client: "asked", Handshakes: 1000},
 		Certificates: []operator.Certificate{{DNS: "kiosk.example", Tenant: "kiosk"}, {DNS: "shop.example", Tenant: "shop"}}},
 		slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -59,17 +35,11 @@
 	fleet := newFleet(t, 2)
 	fleet.Fill("warm")
 	r := newRig(t, fleet, file("answer", ""), func(c *proxy.Config) { c.Callers = gate })
-	enter := func(by *standin.Issuer, name string) *caller.Caller {
+	enter := func(root int, name string) *caller.Caller {
 		t.Helper()
-		cfg := &tls.Config{ServerName: "127.0.0.1", RootCAs: x509.NewCertPool()}
-		cfg.RootCAs.AddCert(old.Cert)
-		if name != "" {
-			c, err := by.Caller(from, till, name)
-			if err != nil {
-				t.Fatal(err)
-			}
-			own := c.TLS()
-			cfg.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &own, nil }
+		cfg, err := a.Config(a.Roots[root], name)
+		if err != nil {
+			t.Fatal(err)
 		}
 		c, err := caller.DialTLS(cfg, r.f.Addr().String())
 		if err != nil {
@@ -80,7 +50,7 @@
 		return c
 	}
 	ctx := context.Background()
-	kiosk, shop, nobody, stays := enter(old, "kiosk.example"), enter(old, "shop.example"), enter(old, ""), enter(next, "kiosk.example")
+	kiosk, shop, nobody, stays := enter(0, "kiosk.example"), enter(0, "shop.example"), enter(0, ""), enter(1, "kiosk.example")
 	as := func(tenant string, q caller.Request) caller.Request { q.Headers["x-tenant"] = tenant; return q }
 	for i, c := range []struct {
 		by   *caller.Caller
@@ -119,7 +89,9 @@
 	if n := conns(); n != 3 {
 		t.Fatalf("%d proven connections", n)
 	}
-	write("roots.pem", standin.PEM(next.Cert))
+	if err := a.Publish(a.Roots[1]); err != nil {
+		t.Fatal(err)
+	}
 	gate.Look()
 	wait("the idle connection is closed, the other is not", func() bool { return conns() == 2 })
 	if res := kiosk.Do(ctx, read("warm", "r5")); res.Status == 200 {
--- a/internal/lab/doors.go
+++ b/internal/lab/doors.go
@@ -4,10 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,72 +16,13 @@
 
 const doorRounds = 4
 
-// authority is an installation's issuers of certificates, and the files that a proxy reads.
-type authority struct {
-	dir        string
-	from, till time.Time
-	roots      []*standin.Issuer // a new one for each round
-}
-
-func newAuthority(dir string) (*authority, error) {
-	a := &authority{dir: dir, from: time.Now().Add(-time.Hour), till: time.Now().Add(time.Hour)}
-	for i := range doorRounds + 1 {
-		root, err := standin.NewIssuer(fmt.Sprint("root ", i), nil, a.from, a.till)
-		if err != nil {
-			return nil, err
-		}
-		a.roots = append(a.roots, root)
-	}
-	own, err := a.roots[0].Listener(a.from, a.till)
-	if err != nil {
-		return nil, err
-	}
-	key, err := own.KeyPEM()
-	if err != nil {
-		return nil, err
-	}
-	for name, text := range map[string][]byte{"cert.pem": standin.PEM(own.Cert), "key.pem": key} {
-		if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
-			return nil, err
-		}
-	}
-	return a, a.publish(a.roots[0])
-}
-
-// publish replaces the roots by these.
-func (a *authority) publish(roots ...*standin.Issuer) error {
-	var certs []*x509.Certificate
-	for _, r := range roots {
-		certs = append(certs, r.Cert)
-	}
-	file := filepath.Join(a.dir, "roots.pem")
-	if err := os.WriteFile(file+".new", standin.PEM(certs...), 0o600); err != nil {
-		return err
-	}
-	return os.Rename(file+".new", file)
-}
-
-// table is what the operator's file says of it.
-func (a *authority) table() string {
+// doorTable is what the operator's file says of an authority.
+func doorTable(a *standin.Authority) string {
 	return fmt.Sprintf("[identity.tls]\ncert = %q\nkey = %q\nroots = %q\nhandshakes_per_s = 5000\n[[identity.certificate]]\ndns = \"*.acme.example\"\n"+
-		"tenant = \"acme\"\n", filepath.Join(a.dir, "cert.pem"), filepath.Join(a.dir, "key.pem"), filepath.Join(a.dir, "roots.pem"))
+		"tenant = \"acme\"\n", a.Path("cert.pem"), a.Path("key.pem"), a.Path("roots.pem"))
 }
 
-// config is a caller's, by a certificate of this root; nil: it has none.
-func (a *authority) config(by *standin.Issuer) (*tls.Config, error) {
-	cfg := &tls.Config{ServerName: "127.0.0.1", RootCAs: x509.NewCertPool()}
-	cfg.RootCAs.AddCert(a.roots[0].Cert)
-	if by == nil {
-		return cfg, nil
-	}
-	c, err := by.Caller(a.from, a.till, "one.acme.example")
-	if err != nil {
-		return nil, err
-	}
-	own := c.TLS()
-	cfg.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &own, nil }
-	return cfg, nil
-}
+const doorName = "one.acme.example"
 
 // dialDoor is dialProven over TLS.
 func dialDoor(addr, name string, cfg *tls.Config) (*proven, error) {
@@ -97,11 +35,11 @@
 
 // doors is callers proven by certificates: what TLS costs, and roots that change under load.
 func (e *Env) doors(r *Report, fleet *standin.Fleet, bare string, plain *Process) error {
-	a, err := newAuthority(e.Dir)
+	a, err := standin.NewAuthority(e.Dir, doorRounds+1)
 	if err != nil {
 		return err
 	}
-	file, err := e.write("doors.toml", []byte("[identity]\n[[identity.tenant]]\nname = \"acme\"\n"+a.table()))
+	file, err := e.write("doors.toml", []byte("[identity]\n[[identity.tenant]]\nname = \"acme\"\n"+doorTable(a)))
 	if err != nil {
 		return err
 	}
@@ -120,9 +58,9 @@
 }
 
 // doorCost compares reads over TLS, on connections that stand and on one for each read, with those of a proxy that speaks plainly.
-func (e *Env) doorCost(r *Report, a *authority, addr string, p *Process, bare string, plain *Process) error {
+func (e *Env) doorCost(r *Report, a *standin.Authority, addr string, p *Process, bare string, plain *Process) error {
 	e.Log("identity: what TLS costs")
-	cfg, err := a.config(a.roots[0])
+	cfg, err := a.Config(a.Roots[0], doorName)
 	if err != nil {
 		return err
 	}
@@ -177,7 +115,7 @@
 
 // changeRoots changes the roots several times while callers go on: each takes the next root's certificate while both count, as long as
 // its connection stands or when it is told of its end. What is asked on a connection is answered, or finds its end before it was read.
-func (e *Env) changeRoots(r *Report, a *authority, addr string) error {
+func (e *Env) changeRoots(r *Report, a *standin.Authority, addr string) error {
 	e.Log("identity: roots that change under load")
 	var use, gone atomic.Int32 // the root to come by; those before it don't count
 	var served, refused, told, ends, shut atomic.Int64
@@ -189,7 +127,7 @@
 			fail := func(err error) { failed.CompareAndSwap(nil, &err) }
 			for n := 0; ; n++ {
 				by := use.Load()
-				cfg, err := a.config(a.roots[by])
+				cfg, err := a.Config(a.Roots[by], doorName)
 				if err != nil {
 					fail(err)
 					return
@@ -233,8 +171,8 @@
 	late := int64(0)
 	each := max(3*time.Second, time.Duration(e.Seconds)*time.Second/doorRounds)
 	for round := range doorRounds {
-		now, next := a.roots[round], a.roots[round+1]
-		cfg, err := a.config(now)
+		now, next := a.Roots[round], a.Roots[round+1]
+		cfg, err := a.Config(now, doorName)
 		if err != nil {
 			return err
 		}
@@ -242,13 +180,13 @@
 		if err != nil {
 			return err
 		}
-		if err := a.publish(now, next); err != nil {
+		if err := a.Publish(now, next); err != nil {
 			return err
 		}
 		time.Sleep(each / 2) // longer than a process takes to look
 		use.Store(int32(round + 1))
 		gone.Store(int32(round + 1))
-		if err := a.publish(next); err != nil {
+		if err := a.Publish(next); err != nil {
 			return err
 		}
 		since := time.Now()
--- a/internal/proxy/secure_test.go
+++ b/internal/proxy/secure_test.go
@@ -3,14 +3,11 @@
 import (
 	"bufio"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -22,46 +19,23 @@
 	"linenloom/logic"
 )
 
-// door is a proxy whose RESP2 listener speaks TLS, and the authority behind it.
+// door is a proxy whose RESP2 listener speaks TLS, and the authority behind it, with two roots.
 type door struct {
 	*testProxy
-	old, next  *standin.Issuer
-	from, till time.Time
-	roots      string
-	gate       *callers.Gate
-	seen       chan string // lists that members were sent
+	*standin.Authority
+	gate *callers.Gate
+	seen chan string // lists that members were sent
 }
 
 func newDoor(t *testing.T, client string, answer func(a asked) string) *door {
 	t.Helper()
-	d := &door{from: time.Now().Add(-time.Hour), till: time.Now().Add(time.Hour), seen: make(chan string, 1000)}
-	dir := t.TempDir()
-	write := func(name string, text []byte) string {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, text, 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
-	var err error
-	if d.old, err = standin.NewIssuer("old", nil, d.from, d.till); err == nil {
-		d.next, err = standin.NewIssuer("next", nil, d.from, d.till)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	own, err := d.old.Listener(d.from, d.till)
+	a, err := standin.NewAuthority(t.TempDir(), 2)
 	if err != nil {
 		t.Fatal(err)
 	}
-	key, err := own.KeyPEM()
-	if err != nil {
-		t.Fatal(err)
-	}
-	d.roots = write("roots.pem", standin.PEM(d.old.Cert))
+	d := &door{Authority: a, seen: make(chan string, 1000)}
 	d.gate, err = callers.New(&operator.Identity{Replays: 8, Tenants: []operator.Tenant{{Name: "kiosk", ReadOnly: true}, {Name: "shop"}},
-		TLS: operator.TLS{Cert: write("cert.pem", standin.PEM(own.Cert)), Key: write("key.pem", key), Roots: d.roots, Client: client,
-			Handshakes: 1000},
+		TLS:          operator.TLS{Cert: a.Path("cert.pem"), Key: a.Path("key.pem"), Roots: a.Path("roots.pem"), Client: client, Handshakes: 1000},
 		Certificates: []operator.Certificate{{DNS: "kiosk.example", Tenant: "kiosk"}, {DNS: "shop.example", Tenant: "shop"}}},
 		slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -75,18 +49,12 @@
 	return d
 }
 
-// enter connects as a caller whose certificate has this name; none, if it is empty.
-func (d *door) enter(by *standin.Issuer, name string) *testClient {
+// enter connects as a caller by a root whose certificate has this name; none, if it is empty.
+func (d *door) enter(root int, name string) *testClient {
 	d.t.Helper()
-	cfg := &tls.Config{ServerName: "127.0.0.1", RootCAs: x509.NewCertPool()}
-	cfg.RootCAs.AddCert(d.old.Cert)
-	if name != "" {
-		c, err := by.Caller(d.from, d.till, name)
-		if err != nil {
-			d.t.Fatal(err)
-		}
-		own := c.TLS()
-		cfg.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &own, nil }
+	cfg, err := d.Config(d.Roots[root], name)
+	if err != nil {
+		d.t.Fatal(err)
 	}
 	conn, err := tls.Dial("tcp", d.Addr().String(), cfg)
 	if err != nil {
@@ -106,7 +74,7 @@
 		}
 		return hit(strings.Repeat(a.key[:1], size))
 	})
-	kiosk, shop := d.enter(d.old, "kiosk.example"), d.enter(d.old, "shop.example")
+	kiosk, shop := d.enter(0, "kiosk.example"), d.enter(0, "shop.example")
 	kiosk.send(words("OBJ.GET", "map/1", "r1", "c=tile-read,t=shop,d=4000"))
 	if got := kiosk.answer(); got != strings.Repeat("m", 100_000) {
 		t.Errorf("%d bytes: %.20q", len(got), got)
@@ -123,7 +91,7 @@
 		t.Errorf("a shop's order: %q", got)
 	}
 	for who, name := range map[string]string{"nobody": "", "somebody unknown": "other.example"} {
-		c := d.enter(d.old, name)
+		c := d.enter(0, name)
 		c.send(ask("map/1", "r-"+name, "c=tile-read,d=4000"))
 		if got := c.answer(); !strings.HasPrefix(got, "-NOAUTH") {
 			t.Errorf("%s: %q", who, got)
@@ -131,7 +99,7 @@
 	}
 	var wg sync.WaitGroup
 	for n := range 4 {
-		c := d.enter(d.old, "kiosk.example")
+		c := d.enter(0, "kiosk.example")
 		wg.Go(func() {
 			var b strings.Builder
 			for i := range 40 {
@@ -157,12 +125,12 @@
 	if got := plain.answer(); strings.HasPrefix(got, "v") || strings.HasPrefix(got, "-NO") {
 		t.Errorf("in plain text: %q", got)
 	}
-	bare := d.enter(d.old, "")
+	bare := d.enter(0, "")
 	bare.send(get("map/1", "r2"))
 	if got := bare.answer(); got != "" {
 		t.Errorf("without a certificate: %q", got)
 	}
-	c := d.enter(d.old, "kiosk.example")
+	c := d.enter(0, "kiosk.example")
 	c.send(get("map/1", "r3"))
 	if got := c.answer(); got != "v" {
 		t.Errorf("with one: %q", got)
@@ -179,12 +147,12 @@
 		}
 		return hit("value of " + a.key)
 	})
-	idle, inHand := d.enter(d.old, "shop.example"), d.enter(d.old, "kiosk.example")
-	if err := os.WriteFile(d.roots, standin.PEM(d.old.Cert, d.next.Cert), 0o600); err != nil {
+	idle, inHand := d.enter(0, "shop.example"), d.enter(0, "kiosk.example")
+	if err := d.Publish(d.Roots...); err != nil {
 		t.Fatal(err)
 	}
 	d.gate.Look()
-	stays := d.enter(d.next, "kiosk.example")
+	stays := d.enter(1, "kiosk.example")
 	for i, c := range []*testClient{idle, inHand, stays} {
 		c.send(get("a", fmt.Sprint("r", i)))
 		if got := c.answer(); got != "value of a" {
@@ -194,7 +162,7 @@
 	}
 	inHand.send(get("slow", "r-slow"))
 	<-d.seen
-	if err := os.WriteFile(d.roots, standin.PEM(d.next.Cert), 0o600); err != nil {
+	if err := d.Publish(d.Roots[1]); err != nil {
 		t.Fatal(err)
 	}
 	d.gate.Look()
