--- a/internal/callers/doors.go
+++ b/internal/callers/doors.go
@@ -16,9 +16,6 @@
 	"linenloom/internal/operator"
 )
 
-// handshakeTime is how long a TLS handshake may take.
-const handshakeTime = 2500 * time.Millisecond
-
 // errTooMany ends a handshake before anything is computed for it.
 var errTooMany = errors.New("too many handshakes")
 
--- a/internal/extproc/server/secure.go
+++ b/internal/extproc/server/secure.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/peer"
 
 	"linenloom/internal/identity"
+	"linenloom/internal/proxy"
 )
 
 // proofsEvery is how often it is looked whether the certificates of standing connections still prove what they did.
@@ -58,12 +59,10 @@
 
 // from is the address that a stream came from; the zero one, where that can't be told.
 func (s *stream) from() netip.Addr {
-	if s.conn != nil {
-		if a, ok := s.conn.Conn.RemoteAddr().(*net.TCPAddr); ok {
-			return a.AddrPort().Addr()
-		}
+	if s.conn == nil {
+		return netip.Addr{}
 	}
-	return netip.Addr{}
+	return proxy.AddrOf(s.conn.Conn)
 }
 
 // byCertificate is what the certificate proves of the connection that a stream came by; nil, if nothing.
--- /dev/null
+++ b/internal/proxy/command.go
@@ -0,0 +1,186 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+
+	"linenloom/internal/identity"
+	"linenloom/internal/resp"
+)
+
+// command reads a command. A malformed one leaves no way to tell where the next begins.
+func (c *client) command() (cmd input, err error) {
+	h, err := c.in.Head()
+	if err != nil {
+		return cmd, err
+	}
+	if h.Kind != '*' || h.N < 1 {
+		return cmd, fmt.Errorf("a command is an array: %w", resp.ErrProtocol)
+	}
+	n := h.N
+	name, err := c.arg(nil, maxText)
+	if err != nil {
+		return cmd, err
+	}
+	switch {
+	case n == 4 && string(name) == "OBJ.GET":
+	case n == 5 && string(name) == "OBJ.SET":
+		cmd.Write = true
+	case n >= 3 && string(name) == "OBJ.MGET" && c.p.cfg.ManyKeys != nil:
+		return c.manyCommand(n - 3)
+	default:
+		if cmd.name = strings.ToUpper(string(name)); cmd.name == "AUTH" && c.p.cfg.Callers != nil && (n == 2 || n == 3) {
+			// A user's name, which clients may give in front of it, says nothing: the token names the tenant.
+			for range n - 1 {
+				if cmd.token, err = c.arg(nil, identity.MaxToken); err != nil {
+					return cmd, err
+				}
+			}
+			return cmd, nil
+		}
+		if strings.HasPrefix(cmd.name, "OBJ.") {
+			cmd.name = "malformed OBJ"
+		}
+		return cmd, c.skip(n - 1)
+	}
+	ends := [3]int{}
+	text, err := c.texts(ends[:])
+	if err != nil {
+		return cmd, err
+	}
+	cmd.Key, cmd.ReqID, cmd.Attrs = text[:ends[0]], text[ends[0]:ends[1]], text[ends[1]:]
+	if cmd.Write {
+		err = c.value(&cmd)
+	}
+	return cmd, err
+}
+
+// texts reads the short arguments that a request begins with, one behind the other, and tells where each ends.
+func (c *client) texts(ends []int) (text []byte, err error) {
+	most := maxText
+	if c.p.cfg.Callers != nil {
+		most += identity.MaxToken
+	}
+	text = make([]byte, 0, 96)
+	for i := range ends {
+		if text, err = c.arg(text, most-len(text)); err != nil {
+			return nil, err
+		}
+		ends[i] = len(text)
+	}
+	return text, nil
+}
+
+// manyCommand reads the rest of OBJ.MGET: an id, a list, and so many keys. Of more than are allowed none is kept.
+func (c *client) manyCommand(keys int) (cmd input, err error) {
+	cmd.many = true
+	ends := [2]int{}
+	text, err := c.texts(ends[:])
+	if err != nil {
+		return cmd, err
+	}
+	cmd.ReqID, cmd.Attrs = text[:ends[0]:ends[0]], text[ends[0]:ends[1]:ends[1]]
+	if keys > c.p.cfg.ManyKeys.Keys {
+		cmd.tooMany = keys
+		return cmd, c.skip(keys)
+	}
+	left := mostKeyText
+	for range keys {
+		key, err := c.arg(nil, min(maxText, left))
+		if err != nil {
+			return cmd, err
+		}
+		left -= len(key)
+		cmd.keys = append(cmd.keys, string(key))
+	}
+	return cmd, nil
+}
+
+// skip reads over so many arguments.
+func (c *client) skip(n int) error {
+	for range n {
+		h, err := c.bulkHead()
+		if err == nil {
+			err = c.in.Skip(h.N)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *client) bulkHead() (resp.Head, error) {
+	h, err := c.in.Head()
+	if err == nil && (h.Kind != '$' || h.N < 0) {
+		err = fmt.Errorf("an argument is a bulk string: %w", resp.ErrProtocol)
+	}
+	return h, err
+}
+
+func (c *client) arg(dst []byte, most int) ([]byte, error) {
+	h, err := c.bulkHead()
+	if err != nil {
+		return dst, err
+	}
+	if h.N > most {
+		return dst, fmt.Errorf("argument too long: %w", resp.ErrProtocol)
+	}
+	return c.in.Bulk(dst, h.N)
+}
+
+// value reads a value into memory, which it takes from the shared room piece by piece as bytes arrive: a
+// client that only announces a long value holds none of it. Past the room, the value is read over and the
+// command is refused.
+func (c *client) value(cmd *input) error {
+	h, err := c.bulkHead()
+	if err != nil {
+		return err
+	}
+	if c.in.Buffered() < h.N { // the head had as long
+		c.limit()
+	}
+	if h.N > resp.MaxValue {
+		return c.longValue(cmd, h.N)
+	}
+	p := c.p
+	const piece = 4 << 10
+	for len(cmd.Value) < h.N {
+		if len(cmd.Value) == cap(cmd.Value) {
+			size := min(h.N, max(piece, 2*cap(cmd.Value)))
+			grown := make([]byte, len(cmd.Value), size)
+			copy(grown, cmd.Value)
+			p.mu.Lock()
+			p.held += cap(grown) - cap(cmd.Value)
+			over := p.held > p.heldMax
+			if over {
+				p.held -= cap(grown)
+			}
+			p.mu.Unlock()
+			if over {
+				rest := h.N - len(cmd.Value)
+				*cmd = input{refused: true}
+				return c.in.Skip(rest)
+			}
+			cmd.Value = grown
+		}
+		n, err := c.in.Read(cmd.Value[len(cmd.Value):min(cap(cmd.Value), h.N)])
+		cmd.Value = cmd.Value[:len(cmd.Value)+n]
+		if err == nil && len(cmd.Value) == h.N {
+			break
+		}
+		if err != nil {
+			p.mu.Lock()
+			p.held -= cap(cmd.Value)
+			p.mu.Unlock()
+			return err
+		}
+	}
+	if err := c.in.End(); err != nil { // the length was wrong
+		p.mu.Lock()
+		p.held -= cap(cmd.Value)
+		p.mu.Unlock()
+		return err
+	}
+	return nil
+}
--- a/internal/proxy/join.go
+++ b/internal/proxy/join.go
@@ -37,13 +37,13 @@
 	refs int
 }
 
-// newBody copies a value for so many.
-func (p *Proxy) newBody(value []byte, refs int) *Body {
+// newBody copies a value. It is the caller's, until it releases it.
+func (p *Proxy) newBody(value []byte) *Body {
 	b := resp.AppendBulkHead(make([]byte, 0, len(value)+16), len(value))
 	head := len(b)
 	b = append(append(b, value...), "\r\n"...)
 	p.Hold(len(b))
-	return &Body{p: p, bulk: b, head: head, refs: refs}
+	return &Body{p: p, bulk: b, head: head, refs: 1}
 }
 
 // Value is the value itself.
@@ -114,7 +114,7 @@
 	if len(ids) == 0 {
 		return
 	}
-	body := p.newBody(value, 1)
+	body := p.newBody(value)
 	for _, id := range ids {
 		if f := p.requests[id]; f != nil && !f.done {
 			f.join.body = body
--- a/internal/proxy/many_test.go
+++ b/internal/proxy/many_test.go
@@ -173,7 +173,7 @@
 	p.eventually("nothing is left", func() bool { return len(p.requests) == 0 && p.held == 0 })
 }
 
-// All keys at one draining cache go to the others; misses come from the origin; a reply that grows too long marks what it has no room for.
+// Misses come from the origin; a reply that grows too long marks what it has no room for.
 func TestManyKeysElsewhere(t *testing.T) {
 	l := manyUsual
 	l.Bytes = 3000
--- a/internal/proxy/secure.go
+++ b/internal/proxy/secure.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// addrOf is the address that a connection comes from.
-func addrOf(conn net.Conn) netip.Addr {
+// AddrOf is the address that a connection comes from; the zero one, where it has none.
+func AddrOf(conn net.Conn) netip.Addr {
 	if a, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
 		return a.AddrPort().Addr()
 	}
