A proxy serves as soon as discovery has taken its watch up, not half a second later

Cause: where nothing has changed since the list of the configuration, a watch tells nothing at first, and the proxy waited for a first line until readyWithin: every start and upgrade took 0.5 s (log: 'following' to 'ready' 500 ms, 80 ms where the list had changed). Ruled out: the time to start the process (20 ms) and to bind.

Change: the watcher says when discovery has begun its answer; 50 ms without a line after that mean that there is no news.

A new test asks the wait to end without a list.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -67,7 +67,9 @@
 	Members  []Member `json:"members"`
 }
 
-// Watcher follows the list. Take is called with each list, one at a time; Broken, each time a watch ends.
+// Watcher follows the list. Take is called with each list, one at a time; Opened, each time discovery has taken up a watch: what it
+// has to tell beyond Revision is then on its way, and where that is nothing the first line is only the next change; Broken, each
+// time a watch ends.
 type Watcher struct {
 	Addr     string
 	Revision int64 // the last one known
@@ -78,6 +80,7 @@
 	Wait   time.Duration // before the first call
 	Held   bool          // members are known, which an empty list would take away
 	Take   func(List)
+	Opened func() // may be nil
 	Broken func()
 	Log    *slog.Logger
 
@@ -218,6 +221,9 @@
 		return 0, fmt.Errorf("discovery watch: status %s", resp.Status)
 	}
 	alarm.Reset(silence)
+	if w.Opened != nil {
+		w.Opened()
+	}
 	in := bufio.NewScanner(&lineReader{Reader: resp.Body, alarm: short})
 	in.Buffer(nil, maxLine)
 	for in.Scan() {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,6 +66,7 @@
 	sweepEvery   = 250 * time.Millisecond
 	crowdEvery   = 50 * time.Millisecond  // idle clients are looked at more often: a crowd comes at once
 	readyWithin  = 500 * time.Millisecond // wait this long at most for discovery's first list
+	newsWithin   = 50 * time.Millisecond  // and this long once it has taken the watch up
 	reasonsEvery = 10 * time.Second       // what has changed in the reasons' counts is logged this often
 )
 
@@ -183,11 +184,7 @@
 	// Clients come once PING is answered: with a list too old, the first requests would go astray. Where the call for the
 	// list is put off for longer than that may take, there is one from the configuration.
 	if first.wait < readyWithin {
-		select {
-		case <-first.told:
-		case <-time.After(readyWithin):
-		case <-ctx.Done():
-		}
+		first.first(ctx, readyWithin)
 	}
 	if err := p.redis.open(); err != nil {
 		stop()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -116,6 +116,7 @@
 type registry struct {
 	addr    string
 	list    discovery.List
+	silent  bool // who watches from the list's revision on is told nothing at first
 	mu      sync.Mutex
 	watches []chan discovery.List
 	watched chan struct{} // a token for each watch that has begun
@@ -127,7 +128,9 @@
 	stop := make(chan struct{})
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		out := json.NewEncoder(w)
-		out.Encode(r.list)
+		if !r.silent {
+			out.Encode(r.list)
+		}
 		w.(http.Flusher).Flush()
 		if q.URL.Query().Get("watch") == "" {
 			return
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"linenloom/internal/discovery"
@@ -14,6 +15,7 @@
 type watch struct {
 	addr   string
 	told   chan struct{} // closed with its first list
+	opened chan struct{} // closed once discovery has taken it up
 	cancel context.CancelFunc
 	pace   *discovery.Pace
 	wait   time.Duration // before its first call
@@ -40,7 +42,7 @@
 		p.watches = slices.Delete(p.watches, 1, 2)
 	}
 	s := &p.cfg.Settings
-	w := &watch{addr: addr, told: make(chan struct{}), cancel: func() {},
+	w := &watch{addr: addr, told: make(chan struct{}), opened: make(chan struct{}), cancel: func() {},
 		pace: discovery.NewPace(s.Subscribe, s.Self, s.Instances, s.MustAskIn, p.cfg.Seed)}
 	if !whole && len(p.cfg.Known.Members) > 0 { // there is a list to begin with
 		w.wait = w.pace.Start()
@@ -65,6 +67,7 @@
 	watcher := discovery.Watcher{
 		Addr: w.addr, Revision: revision, Whole: whole, Pace: w.pace, Wait: w.wait, Held: held, Log: p.log,
 		Take:   func(l discovery.List) { p.take(w, l) },
+		Opened: sync.OnceFunc(func() { close(w.opened) }),
 		Broken: func() { p.broken(w) },
 	}
 	watcher.Run(ctx)
@@ -95,6 +98,26 @@
 	}
 }
 
+// first waits for a watch's first list, for so long at the most. A watch that discovery has taken up and that tells nothing for
+// newsWithin has nothing to tell: the list of the configuration holds, and is not waited for any longer.
+func (w *watch) first(ctx context.Context, within time.Duration) {
+	most := time.NewTimer(within)
+	defer most.Stop()
+	opened := w.opened
+	for {
+		select {
+		case <-opened:
+			opened = nil
+			most.Reset(newsWithin)
+			continue
+		case <-w.told:
+		case <-most.C:
+		case <-ctx.Done():
+		}
+		return
+	}
+}
+
 func (p *Proxy) broken(w *watch) {
 	p.enter()
 	defer p.leave()
--- a/internal/proxy/watch_test.go
+++ b/internal/proxy/watch_test.go
@@ -123,3 +123,29 @@
 		t.Errorf("%d calls", calls.Load())
 	}
 }
+
+// A discovery that takes the watch up and has nothing new to tell is not waited for.
+func TestReadyWithoutNews(t *testing.T) {
+	r := newRegistry(t, discoveryList(5, true, entry("s-a", cache(t, func(asked) string { return hit("a") }), "large")))
+	r.silent = true
+	p := startAt(t, testConfig(), r)
+	var w *watch
+	p.eventually("it has been taken up", func() bool {
+		if w = nil; len(p.watches) == 0 {
+			return false
+		}
+		w = p.watches[0]
+		select {
+		case <-w.opened:
+			return true
+		default:
+			return false
+		}
+	})
+	w.first(t.Context(), time.Hour) // ends by itself
+	c := p.dial()
+	c.send(get("k", "id1"))
+	if got := c.answer(); got != "a" {
+		t.Errorf("answered %q", got)
+	}
+}
