Origin values that tell no length are served, in chunks or to the connection's end

Ruled out: resets, the stall time inside answers, and the room for long writes.

Change: a value of untold length is held until it is whole, past 64 KiB in the room for long values (4 MiB reserved, then what it takes); one in chunks that breaks off, or whose connection is reset, has failed. Also, while a proxy drains it closes no connection for its place: who is sent nowhere else yet goes on with what is open.

Nine kinds of origin in one test.

--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -70,6 +70,39 @@
 	}
 }
 
+// LongRoom asks for room for a value that a member sends, which is held until it is whole.
+func (h host) LongRoom(n int, until time.Duration) upstream.Place {
+	return &heldPlace{place: h.long.enter(n, h.longMax()), p: h.Proxy, left: until - h.now}
+}
+
+// heldPlace is a place in the room of a value that a member sends.
+type heldPlace struct {
+	*place
+	p    *Proxy
+	left time.Duration
+}
+
+// Wait waits for the room.
+func (w *heldPlace) Wait() bool {
+	late := time.NewTimer(w.left)
+	defer late.Stop()
+	select {
+	case <-w.let:
+		return true
+	case <-late.C:
+	}
+	w.Leave()
+	return false
+}
+
+// Shrink gives back what the value does not take.
+func (w *heldPlace) Shrink(n int) {
+	w.p.Do(func() { w.p.long.used -= w.n - n; w.n = n })
+}
+
+// Leave gives the room back.
+func (w *heldPlace) Leave() { w.p.Do(func() { w.p.long.leave(w.place) }) }
+
 func (p *Proxy) longMax() int { return int(float64(p.cfg.MemoryMB) * (1 << 20) * longShare) }
 
 // letGo gives back the room of a request's value.
--- a/internal/proxy/long_test.go
+++ b/internal/proxy/long_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -76,6 +77,64 @@
 	}
 }
 
+// An origin that does not tell the length of a value first sends it in chunks, or up to the end of the connection: it is served once it
+// is whole, and what breaks off is not served.
+func TestValuesOfUntoldLength(t *testing.T) {
+	chunked := func(value string) string {
+		var b strings.Builder
+		b.WriteString("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for ; len(value) > 0; value = value[min(len(value), 50_000):] {
+			piece := value[:min(len(value), 50_000)]
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(piece), piece)
+		}
+		return b.String() + "0\r\n\r\n"
+	}
+	short, longer, most := long(1000), long(300<<10), long(resp.MaxLong+1)
+	toEnd := "HTTP/1.1 200 OK\r\n\r\n"
+	for name, c := range map[string]struct {
+		answer, want string // want: none, as it is not whole, or too long
+		reset        bool   // the connection ends by a reset
+	}{
+		"short, in chunks":      {chunked(short), short, false},
+		"long, in chunks":       {chunked(longer), longer, false},
+		"short, to the end":     {toEnd + short, short, false},
+		"long, to the end":      {toEnd + longer, longer, false},
+		"short, to a reset":     {toEnd + short, "", true},
+		"long, to a reset":      {toEnd + longer, "", true},
+		"chunks that break off": {chunked(longer)[:200<<10], "", false},
+		"too long, in chunks":   {chunked(most), "", false},
+		"too long, to the end":  {toEnd + most, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.MemoryMB = 32 // room for two of them
+			o := listen(t, func(conn net.Conn) {
+				in := bufio.NewReader(conn)
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				io.WriteString(conn, c.answer)
+				if c.reset { // once all has been read: a reset drops what was not
+					time.Sleep(50 * time.Millisecond)
+					conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			p := start(t, cfg, entry("o", o, "origin"), entry("c", cache(t, func(asked) string { return miss }), "large"))
+			var clients []*testClient
+			for i := range 4 {
+				clients = append(clients, p.dial())
+				clients[i].send(get(fmt.Sprint("k", i), fmt.Sprint("r", i)))
+			}
+			for i, cl := range clients {
+				if got := cl.answer(); got != c.want && (c.want != "" || !strings.HasPrefix(got, "-")) {
+					t.Errorf("client %d: %d bytes, %.60q", i, len(got), got)
+				}
+			}
+			p.eventually("nothing is held", func() bool { return p.long.used == 0 && len(p.long.waiting) == 0 && p.held == 0 })
+		})
+	}
+}
+
 // A member that breaks off in the middle, and a client that leaves there: the client sees that the value is not whole,
 // nothing is tried again, and nothing stays behind.
 func TestLongValueCutOff(t *testing.T) {
@@ -251,6 +310,13 @@
 	if got := clients[0].answer(); got != "v" {
 		t.Errorf("%q", got)
 	}
+
+	p.redis.Drain() // from now on nobody makes room for others
+	open := len(p.redis.clients)
+	for i := range 2 * keepEvery {
+		ask(fmt.Sprint("e", i))
+	}
+	p.eventually("all are kept while it drains", func() bool { return len(p.requests) == 0 && len(p.redis.clients) == open+2*keepEvery })
 }
 
 // plainTaker is a client of a front that takes no long values.
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -174,6 +174,8 @@
 	count   int        // of clients
 	gate    *shed.Gate
 	used    func(now time.Duration) float64 // the share of the core; tests set it
+	// draining tells that a planned stop has begun.
+	draining bool
 	told    int                             // answers, since it was last looked at
 	// pipeline is how many commands of a connection are read ahead of their answers.
 	pipeline int
@@ -224,8 +226,9 @@
 	return err
 }
 
-// Drain has nothing to say to clients yet: connections go on coming for a while.
-func (f *redisFront) Drain() {}
+// Drain has nothing to say to clients yet: connections go on coming for a while. Those that stand are no longer closed for their
+// places: who is sent nowhere else yet, as another proxy is down too, goes on using what is open.
+func (f *redisFront) Drain() { f.p.Do(func() { f.draining = true }) }
 
 // StopTaking takes what the kernel still holds and closes the listener.
 func (f *redisFront) StopTaking() {
@@ -409,7 +412,7 @@
 // answered closes a connection that has had its answer, if it is not likely to be used again and its place is wanted.
 func (c *client) answered() {
 	f := c.f
-	if f.reuse < reuseLeast && f.asked >= f.p.cfg.Sockets*askedShare/300 && !c.kept && !c.again && c.free() && c.quiet() {
+	if !f.draining && f.reuse < reuseLeast && f.asked >= f.p.cfg.Sockets*askedShare/300 && !c.kept && !c.again && c.free() && c.quiet() {
 		c.close()
 	}
 }
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -280,25 +280,29 @@
 	return resp.ErrProtocol
 }
 
-// readAnswer reads an answer's value. Only one that tells its length can be told from a part of it.
+// readAnswer reads an answer's value.
 func (u *Conn) readAnswer(answer *http.Response, limit *capped) error {
-	chunked := len(answer.TransferEncoding) > 0
-	if n := answer.ContentLength; n > resp.MaxValue && n <= resp.MaxLong && statusOf(answer) == logic.StatusOK {
+	st, n := statusOf(answer), answer.ContentLength
+	switch {
+	case n < 0:
+		return u.readUntold(answer, st, limit)
+	case n > resp.MaxValue && n <= resp.MaxLong && st == logic.StatusOK:
 		return u.passHTTP(answer, limit, int(n))
-	}
-	if answer.ContentLength > resp.MaxValue || answer.ContentLength < 0 && !chunked {
+	case n > resp.MaxValue:
 		return resp.ErrProtocol
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, resp.MaxValue+1))
-	switch {
-	case err != nil:
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
 		return fmt.Errorf("%w: %w", errCut, err)
-	case len(body) > resp.MaxValue:
-		return resp.ErrProtocol
 	}
-	if err := u.result(statusOf(answer), 0, body); err != nil {
+	if err := u.result(st, 0, body); err != nil {
 		return err
 	}
+	return endOf(answer)
+}
+
+// endOf ends a connection behind an answer that says so.
+func endOf(answer *http.Response) error {
 	if answer.Close {
 		return io.EOF
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -45,6 +45,7 @@
 	limited bool   // a deadline is set for the rest of an answer; the reader's own
 	slow    bool   // a long value is read, at its client's pace; the reader's own
 	first   bool   // the first read of an answer, which finds something at once; the reader's own
+	toEnd   bool   // the answer goes on to the end of the connection; the reader's own
 
 	// peek is the reader's, and saw what it found. A closure made anew for each look would be garbage.
 	peek func(fd uintptr) bool
@@ -268,7 +269,7 @@
 		u.conn.SetReadDeadline(time.Now().Add(limit))
 	}
 	n, err := u.conn.Read(b)
-	if n == 0 && err != nil {
+	if n == 0 && err != nil && !(u.toEnd && err == io.EOF) {
 		err = fmt.Errorf("%w: %w", errCut, err)
 	}
 	return n, err
--- a/internal/upstream/long.go
+++ b/internal/upstream/long.go
@@ -108,8 +108,72 @@
 		return err
 	}
 	u.passed(x, 0)
-	if answer.Close {
-		return io.EOF
+	return endOf(answer)
+}
+
+// untoldHead is how many bytes the framing of a long value in chunks may take beside it.
+const untoldHead = 256 << 10
+
+// readUntold reads a value of an origin that does not tell its length: it comes in chunks, or ends with the connection, and then
+// is whole unless the connection broke (RFC 9112, sections 7.1 and 8). RESP2 wants the length first, so it is held until it is whole,
+// a long one in the room for long values.
+func (u *Conn) readUntold(answer *http.Response, st logic.Status, limit *capped) error {
+	u.toEnd = len(answer.TransferEncoding) == 0
+	defer func() { u.toEnd = false }()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, resp.MaxValue+1))
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: %w", errCut, err)
+	case len(body) <= resp.MaxValue:
+		if err := u.result(st, 0, body); err != nil {
+			return err
+		}
+		return endOf(answer)
+	case st != logic.StatusOK:
+		return resp.ErrProtocol
+	}
+	h := u.s.host
+	var place Place
+	h.Do(func() {
+		if x := u.Current; x != nil && !x.Ended {
+			place = h.LongRoom(resp.MaxLong, x.Until)
+		}
+	})
+	if place == nil || !place.Wait() {
+		return net.ErrClosed // its time is over, and so is the exchange
+	}
+	defer place.Leave()
+	limit.left += resp.MaxLong + untoldHead
+	pieces, n := [][]byte{body}, len(body)
+	for err == nil {
+		piece, filled := make([]byte, longPiece), 0
+		for filled < len(piece) && err == nil {
+			var m int
+			m, err = answer.Body.Read(piece[filled:])
+			filled += m
+		}
+		if n += filled; n > resp.MaxLong {
+			return resp.ErrProtocol
+		}
+		pieces = append(pieces, piece[:filled])
 	}
-	return nil
+	if err != io.EOF {
+		return fmt.Errorf("%w: %w", errCut, err)
+	}
+	place.Shrink(n)
+	to, x, err := u.passes(n)
+	if err != nil {
+		return err
+	}
+	err = to.Begin(n)
+	for _, piece := range pieces {
+		if err == nil {
+			err = to.Pass(piece)
+		}
+	}
+	if err != nil || to.Finish() != nil {
+		return u.unwanted(x)
+	}
+	u.passed(x, 0)
+	return endOf(answer)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -78,6 +78,15 @@
 	At(d Due)                // call Ring with it then
 	WakeAt(at time.Duration) // call Wake then; the latest call counts
 	Spare(make bool) bool    // there is a descriptor to spare; make: one may be made free for it
+	// LongRoom asks for so many bytes of the room for long values, until a time at the most.
+	LongRoom(n int, until time.Duration) Place
+}
+
+// Place is a place in the room for long values. None of its methods may be called under the lock.
+type Place interface {
+	Wait() bool   // until there is room, or the time has passed: then the place is gone
+	Shrink(n int) // what is held is only so much
+	Leave()       // give it back
 }
 
 // Due is something to do at a time. None is withdrawn; one that is no longer wanted does nothing.
