A read's last try goes to the origin, unless several caches hold its key

Change: after a failure, with one attempt left, the read goes in line for the origin. Hot keys that are split over caches still go to the next of them.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1051,7 +1051,7 @@
 		return
 	}
 	b.retries -= cost
-	if fetched {
+	if fetched || b.s.Mode == Aside && f.sent()+1 >= f.tries && !b.hot[f.Key].split() { // one try left: other caches lack the key
 		b.enqueue(f)
 		return
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -116,3 +116,6 @@
 	nodes []*node
 	next  int
 }
+
+// split tells whether several caches hold the key.
+func (p *placed) split() bool { return p != nil && len(p.nodes) > 1 }
