--- a/internal/app/share.go
+++ b/internal/app/share.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"linenloom/internal/handover"
+	"linenloom/internal/inherit"
 	"linenloom/internal/proxy"
 )
 
@@ -22,6 +23,10 @@
 	leastMemoryMB = 14
 	// outsideHeap is what a process takes beside the memory that its runtime counts.
 	outsideHeap = 4 << 20
+	// leaveWait is how long a process that follows another waits for what that one has learnt, from its own start on. It is left
+	// within shareEvery of the moment in which it is seen to be followed.
+	leaveWait = 250 * time.Millisecond
+	leaveLook = 5 * time.Millisecond
 	// mostShare is the part of the memory that either may take: what one holds can't be given back at once.
 	mostShare = 0.6
 )
@@ -32,6 +37,8 @@
 	cfg   *config
 	log   *slog.Logger
 	alone bool
+	began time.Time
+	left  bool // what this process has learnt is left for the one that follows it now
 	// what is in force
 	sockets int
 	memory  float64
@@ -39,7 +46,7 @@
 
 // share opens the directory that the processes of a proxy share, and takes what stands there into the settings.
 func share(cfg *config, settings *proxy.Config, log *slog.Logger) *sharing {
-	s := &sharing{cfg: cfg, log: log, sockets: cfg.Limits.Sockets, memory: cfg.Limits.MemoryMB}
+	s := &sharing{cfg: cfg, log: log, began: time.Now(), sockets: cfg.Limits.Sockets, memory: cfg.Limits.MemoryMB}
 	path := os.Getenv("TMPDIR")
 	if at, err := netip.ParseAddrPort(cfg.Listen); err == nil && at.Port() == 0 {
 		path = "" // nobody can follow at an address that is made up anew
@@ -56,20 +63,66 @@
 		s.keep(nil)
 		settings.Sockets, settings.MemoryMB = s.sockets, int(s.memory)
 	}
+	if s.dir.Lasts() {
+		settings.Inherit = s.inherit
+	}
 	return s
 }
 
+// inherit reads what the process before has learnt. One that still serves is waited for until it has left what it knows now.
+func (s *sharing) inherit() (*inherit.Snapshot, error) {
+	for {
+		text, err := s.dir.Left(inherit.MaxBytes)
+		if err != nil || text == nil && s.alone {
+			return nil, err
+		}
+		var old inherit.Snapshot
+		if text != nil {
+			old, err = inherit.Decode(text)
+		}
+		switch {
+		case text != nil && err == nil && (s.alone || old.TakenMS >= s.began.UnixMilli()):
+			return &old, nil
+		case s.alone:
+			return nil, err
+		case time.Since(s.began) < leaveWait:
+			time.Sleep(leaveLook)
+		case text == nil: // a version that leaves nothing
+			return nil, nil
+		case err != nil:
+			return nil, err
+		default:
+			return &old, nil // its age tells what of it holds
+		}
+	}
+}
+
+// leave writes what this process has learnt.
+func (s *sharing) leave(p *proxy.Proxy) {
+	text, err := inherit.Encode(p.Learnt())
+	if err == nil {
+		err = s.dir.Leave(text)
+	}
+	if err != nil {
+		s.log.Error("what has been learnt can't be left", "err", err)
+	}
+}
+
 // heapLimit is the memory limit of the runtime for a limit of the process.
 func heapLimit(mb float64) int64 { return int64(mb * memoryShare * (1 << 20)) }
 
 // run keeps the limits until the process has nothing left to do.
-func (s *sharing) run(p *proxy.Proxy, quit <-chan struct{}) {
+func (s *sharing) run(p *proxy.Proxy, stop, quit <-chan struct{}) {
 	tick := time.NewTicker(shareEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-quit:
 			return
+		case <-stop: // a planned stop begins: another process may take this one's place
+			if stop = nil; s.alone && !s.left && s.dir.Lasts() {
+				s.leave(p)
+			}
 		case <-tick.C:
 		}
 		if !s.alone {
@@ -81,8 +134,13 @@
 				s.log.Info("the process before has ended")
 			}
 		}
+		followed := s.alone && s.dir.Followed()
+		if followed && !s.left && s.dir.Lasts() {
+			s.leave(p)
+		}
+		s.left = followed
 		switch {
-		case !s.alone || s.dir.Followed():
+		case !s.alone || followed:
 			s.keep(p)
 		case s.sockets != s.cfg.Limits.Sockets || s.memory != s.cfg.Limits.MemoryMB: // alone again
 			s.set(p, s.cfg.Limits.Sockets, s.cfg.Limits.MemoryMB)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,7 +1,7 @@
 // Package handover is what two processes of one proxy share while one takes over from the other: a directory, the
 // process's $TMPDIR, that outlives neither machine nor proxy. In it stand the record of members out of use, two locks
-// that tell who serves and who waits to, and a page on which each notes what it holds of the limits that both have to
-// keep together. It decides nothing about requests and never speaks to the network.
+// that tell who serves and who waits to, a page on which each notes what it holds of the limits that both have to
+// keep together, and what the one that serves has learnt, whose form it does not know. It decides nothing about requests and never speaks to the network.
 package handover
 
 import (
@@ -28,6 +28,7 @@
 	followName = "follows"     // locked by the one that is to follow it
 	usageName  = "usage"       // two slots of usageSize: the one that serves, the one that follows
 	usageSize  = 16
+	learntName = "learnt" // what the process that serves has learnt; replaced whole
 	maxRecord  = 4 << 20
 )
 
@@ -177,26 +178,21 @@
 		}
 		return d.set, err
 	}
-	lock, err := d.open(lockName)
-	if err != nil {
-		return d.set, err
-	}
-	defer lock.Close()
-	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX); err != nil {
-		return d.set, fmt.Errorf("handover: lock: %w", err)
-	}
-	if err := d.read(); err != nil {
-		return d.set, err
-	}
-	set, err := f(d.set)
-	if err != nil {
-		return d.set, err
-	}
-	if err := d.write(set); err != nil {
-		return d.set, err
-	}
-	d.set = set
-	return set, nil
+	err := d.locked(func() error {
+		if err := d.read(); err != nil {
+			return err
+		}
+		set, err := f(d.set)
+		if err != nil {
+			return err
+		}
+		if err := d.write(set); err != nil {
+			return err
+		}
+		d.set = set
+		return nil
+	})
+	return d.set, err
 }
 
 // Look reads the record, if it is not the one read last, and tells whether it was another.
@@ -247,19 +243,77 @@
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	path := filepath.Join(d.path, recordName)
+	if err := d.replace(recordName, text); err != nil {
+		return err
+	}
+	if info, err := os.Stat(filepath.Join(d.path, recordName)); err == nil {
+		d.seen = info
+	}
+	return nil
+}
+
+// replace puts a file in another's place, with the lock held.
+func (d *Dir) replace(name string, text []byte) error {
+	path := filepath.Join(d.path, name)
 	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
 	if err := os.Rename(path+".new", path); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	if info, err := os.Stat(path); err == nil {
-		d.seen = info
-	}
 	return nil
 }
 
+// locked runs f while no other process changes files.
+func (d *Dir) locked(f func() error) error {
+	lock, err := d.open(lockName)
+	if err != nil {
+		return err
+	}
+	defer lock.Close()
+	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX); err != nil {
+		return fmt.Errorf("handover: lock: %w", err)
+	}
+	return f()
+}
+
+// Lasts tells whether there is a directory.
+func (d *Dir) Lasts() bool { return d.path != "" }
+
+// Leave leaves what this process has learnt for the one that takes its place. Only the one that serves may.
+func (d *Dir) Leave(learnt []byte) error {
+	d.mu.Lock()
+	path, serves := d.path, d.serves != nil
+	d.mu.Unlock()
+	if path == "" || !serves {
+		return nil
+	}
+	return d.locked(func() error { return d.replace(learntName, learnt) })
+}
+
+// Left is what the process before has learnt, up to so many bytes; nil, if it has left nothing.
+func (d *Dir) Left(most int) ([]byte, error) {
+	if d.path == "" {
+		return nil, nil
+	}
+	f, err := os.Open(filepath.Join(d.path, learntName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, int64(most)+1))
+	if err == nil && len(text) > most {
+		err = fmt.Errorf("%s has more than %d bytes", learntName, most)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return text, nil
+}
+
 // Close gives up the locks.
 func (d *Dir) Close() {
 	d.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"linenloom/internal/discovery"
+	"linenloom/internal/inherit"
 	"linenloom/internal/joining"
 	"linenloom/internal/maintenance"
 	"linenloom/internal/manykeys"
@@ -49,6 +50,9 @@
 	Callers    Callers          // who clients are; nil: nobody asks
 	Joining    *joining.Limits  // reads in flight may share an answer; nil: each has its own
 	ManyKeys   *manykeys.Limits // OBJ.MGET; nil: it is unknown
+	// Inherit brings what the process before has learnt, once, before clients are taken; it may wait for a moment. Nil, or a nil
+	// snapshot: there is nothing.
+	Inherit func() (*inherit.Snapshot, error)
 
 	// Clock, if set, is the time since the start in place of the system's, and Tick has to be called once it has
 	// moved. OnSend, if set, is told of each choice of the module's, under the lock. Both are for tests and the rig.
@@ -186,6 +190,7 @@
 	if first.wait < readyWithin {
 		first.first(ctx, readyWithin)
 	}
+	p.inherit()
 	if err := p.redis.open(); err != nil {
 		stop()
 		p.enter()
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -176,7 +176,7 @@
 	used    func(now time.Duration) float64 // the share of the core; tests set it
 	// draining tells that a planned stop has begun.
 	draining bool
-	told    int                             // answers, since it was last looked at
+	told     int // answers, since it was last looked at
 	// pipeline is how many commands of a connection are read ahead of their answers.
 	pipeline int
 	tls      *tls.Config   // nil: clients speak plainly
--- a/logic/counter.go
+++ b/logic/counter.go
@@ -49,6 +49,14 @@
 	heap.Fix(c, i)
 }
 
+// put takes a key's count over from elsewhere, while there is room.
+func (c *counter) put(it counted) {
+	if len(c.items) < c.size {
+		c.at[it.key] = len(c.items)
+		heap.Push(c, it)
+	}
+}
+
 // age keeps the given share of every count, so that popularity that moved on fades.
 func (c *counter) age(keep float64) {
 	c.total *= keep
