A limit is cut from what was out lately, and a distant origin's distance is no jam

One mean of 103 by chance, with 3 fetches out at that moment of a usual 14, cut the limit from 17.4 to 2.4; the fetches of popular keys, which go first in the line that then builds up, take 100 ms at any load, so it was cut on for 2 to 4 s: 200 to 650 reads refused (origin_line), while the nearer proxy met no slow answer. Ruled out: handshakes (1 of 96 fetches was the first on its connection), time-outs (none), the origin itself (the other proxy's mean stayed at 45 ms).

Change: what is cut from is what was out lately, and the mean has to exceed twice the least that the member's answers have taken, by up to a quarter over the target.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,10 +24,9 @@
 	keepMargin   = 0.1             // a hot key moves only if that lowers the objective by this share
 	retryRatio   = 0.15            // further attempts after failures, as a share of requests
 	retryBurst   = 10
-	// brokenCost is what a further attempt takes of the retry budget after a connection broke or did not come up, or a member
-	// turned the attempt away unseen. The budget keeps attempts from multiplying load; these tell of no load, and where members
-	// break all day, or are often full by chance, they would use it up. It could do harm where members shed load by resetting:
-	// there each request costs up to as many attempts as it may have.
+	// brokenCost is what a further attempt takes of the retry budget after a connection broke or did not come up, or a member turned
+	// the attempt away unseen: that tells of no load, and where it is common it would use the budget up. It could do harm where
+	// members shed load by resetting: there each request costs up to as many attempts as it may have.
 	brokenCost    = 0.25
 	startLimit    = 8                      // attempts out at a member that has told nothing yet
 	knownAfter    = 16 * startLimit        // answers; until then a limit that was never cut is a guess
@@ -43,6 +42,7 @@
 	ejectChance   = 3000                   // a streak that comes about by chance in fewer attempts ejects nobody
 	mostTries     = 32                     // as many again may find no connection, and a flight has 64 bits
 	maxStreak     = 8                      // but one this long always does
+	floorRise     = 1.002                  // with each answer, of the least that a member's answers have taken on average
 	coldShare     = 0.5                    // of the fall multiple: the rest is left for what this proxy can't see
 )
 
@@ -532,10 +532,9 @@
 	}
 }
 
-// lookAgain tells whether a read that nobody takes now is to look again: where this proxy is short of connections, and where
-// too little is known yet of the cache that has its slot, whose limit then is a guess, and has never been cut. A crowd that
-// comes at once at a proxy just started waits for the first answers, which raise the limits of those that can take it, and
-// tell how long a connection is taken. Where none come in a quarter of its time it is refused.
+// lookAgain tells whether a read that nobody takes now is to look again: where this proxy is short of connections, and where too little
+// is known yet of the cache that has its slot, whose limit then is a guess. A crowd at a proxy just started waits for the first
+// answers, which raise the limits of those that can take it. Where none come in a quarter of its time it is refused.
 func (b *Balancer) lookAgain(f *flight, why Reason) bool {
 	if why != NoRoom && why != NoConnection || b.now+firstLook >= f.aim-(f.aim-f.askedAt)*3/4 {
 		return false
@@ -738,9 +737,8 @@
 		f.class.Effect == ByKey && f.class.Scope == ScopeAll
 }
 
-// coldRoom keeps this proxy's part of the cold budget: its share of the fleet's requests for the member's
-// size and warmth, times a part of the fall multiple. The first token is drawn at random, so that the
-// many proxies whose share is under one request don't all spend one at once.
+// coldRoom keeps this proxy's part of the cold budget: its share of the fleet's requests for the member's size and warmth, times a part of
+// the fall multiple. The first token is random, so that the many proxies whose share is under one don't all spend one at once.
 func (b *Balancer) coldRoom(n *node) bool {
 	r := b.ramp(n)
 	if r >= 1 || b.s.FallMultiple == 0 {
@@ -753,10 +751,9 @@
 	return n.tokens >= 1 || b.allCold && n.out == 0 && b.now-n.sentAt >= b.coldGap(n)
 }
 
-// coldGap is how far apart a proxy asks a cold member, one request at a time, while the whole fleet is cold. The budget
-// goes by what caches answer, and would stay at nothing for a proxy that has just started, or sink with the answers. All
-// proxies together ask no faster than a member answers one by one, and a few times in a request's aim: quick answers may
-// be misses, which tell nothing of the work that a hit is.
+// coldGap is how far apart a proxy asks a cold member, one request at a time, while the whole fleet is cold: the budget goes by what
+// caches answer, and would sink with the answers. All proxies together ask no faster than a member answers one by one, and a few times
+// in a request's aim: quick answers may be misses, which tell nothing of the work that a hit is.
 func (b *Balancer) coldGap(n *node) time.Duration {
 	return seconds(float64(b.s.Instances) * max(n.latency, b.target/4))
 }
@@ -793,6 +790,7 @@
 	}
 	n.gap += (gap - n.gap) * 0.3
 	n.out, n.sentAt = n.out+1, b.now
+	n.high = max(n.high, float64(n.out))
 	if b.isOrigin(n.m) {
 		f.fetch |= bit
 	} else {
@@ -1128,15 +1126,17 @@
 // adapt moves a member's limit so that answers come within the target: members with deep queues else hold
 // work that nobody waits for any more, and stay jammed long after a burst has passed.
 //
-// A handshake is no load: the wait for one tells how long an answer takes, but neither cuts the limit nor raises
-// it. Members in other zones would else look jammed wherever connections don't last. It could do harm at a member
-// whose every connection is new: only full answers hold its limit down.
+// A handshake is no load: the wait for one neither cuts the limit nor raises it. Members in other zones would else look jammed
+// where connections don't last. It could do harm at one whose every connection is new: only full answers hold its limit down.
 func (b *Balancer) adapt(n *node, s float64, fresh bool) {
 	n.seen++
 	n.latency += (s - n.latency) * max(0.1, 1/float64(n.seen))
+	n.high = max(float64(n.out), n.high*0.95)
+	n.floor = min(n.latency, cmp.Or(n.floor*floorRise, n.latency))
+	slow := max(b.target, min(2*n.floor, 1.25*b.target)) // a member that is far is no slower for being sent less
 	switch {
-	case fresh && s > b.target:
-	case n.latency > b.target && s > b.target: // an answer in time never cuts, however slow those before it
+	case fresh && s > slow:
+	case n.latency > slow && s > slow: // an answer in time never cuts, however slow those before it
 		b.cut(n, 0.8)
 	case float64(n.out+1) < n.limit-1: // not what holds it back
 	case n.cutAt == 0:
@@ -1146,11 +1146,11 @@
 	}
 }
 
-// cut lowers a limit, from what is really out: a proxy that sends seldom has a part of one attempt out on
-// average, and a limit above that would hold nothing back.
+// cut lowers a limit, from what has been out lately: a proxy that sends seldom has a part of one attempt out on average, and a limit
+// above that would hold nothing back. What is out at the moment says too little: a burst is over as its slow answers come.
 func (b *Balancer) cut(n *node, by float64) {
 	if b.now-n.cutAt >= seconds(max(0.05, n.latency)) { // once a round trip
-		used := float64(n.out) + min(1, n.latency/max(0.001, n.gap))
+		used := max(float64(n.out), n.high-2) + min(1, n.latency/max(0.001, n.gap))
 		if used < 1 { // it will hear of this member only seldom
 			by *= by
 		}
--- a/logic/types.go
+++ b/logic/types.go
@@ -10,6 +10,8 @@
 	limit, latency float64 // latency: seconds an answer takes lately
 	gap            float64 // seconds between sends, lately
 	pace           float64 // seconds between answers lately, at the most latency
+	high           float64 // the most that was out lately
+	floor          float64 // the least that latency has been; it rises slowly
 	seen, out      int
 	cutAt, sentAt  time.Duration
 	heardAt        time.Duration // when it answered last
