A successor takes over what the process before has learnt

Need: a process that takes another's place knew nothing of the caches: limits of 8, no hot set, no idea which connections break.

Requests, orders, drains and cold budgets are not in it.

--- a/cmd/linenloom/upgrade_test.go
+++ b/cmd/linenloom/upgrade_test.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -50,10 +53,11 @@
 		status, _ := lab.Call(method, addr, path, body)
 		return status
 	}
+	log := &lines{to: t.Output()}
 	start := func(mgmt string) *exec.Cmd {
 		cmd := exec.Command(self)
 		cmd.Env = append(os.Environ(), asProxy+"=1", "LB_CONFIG="+path, "LB_MGMT="+mgmt, "TMPDIR="+tmp)
-		cmd.Stderr = t.Output()
+		cmd.Stderr = log
 		if err := cmd.Start(); err != nil {
 			t.Fatal(err)
 		}
@@ -120,4 +124,58 @@
 	if err := process.Wait(); err != nil {
 		t.Errorf("the last process ended with %v", err)
 	}
+	const taken, turned = "taken over from the process before", "is not taken over"
+	logged := func(took, told int) {
+		t.Helper()
+		for end := time.Now().Add(patience); log.count(taken) != took || log.count(turned) != told; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("taken over %d times, turned down %d times, want %d and %d", log.count(taken), log.count(turned), took, told)
+			}
+		}
+	}
+	logged(2, 0)
+
+	// One that starts after the end finds what was left; what is damaged, or left by another version, is turned down and changes nothing.
+	left, err := filepath.Glob(filepath.Join(tmp, "linenloom-*", "learnt"))
+	if err != nil || len(left) != 1 {
+		t.Fatalf("%v %v", left, err)
+	}
+	whole, err := os.ReadFile(left[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	version := append([]byte(nil), whole...)
+	version[5]++
+	for _, c := range []struct {
+		text       []byte
+		took, told int
+	}{{whole, 3, 0}, {whole[:len(whole)/2], 3, 1}, {version, 3, 2}, {nil, 3, 3}} {
+		if err := os.WriteFile(left[0], c.text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		process = start(freeAddr(t))
+		logged(c.took, c.told)
+		process.Process.Kill() // it leaves nothing of its own
+		process.Wait()
+	}
+}
+
+// lines passes a log on and counts what it says.
+type lines struct {
+	to   io.Writer
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text.Write(b)
+	return l.to.Write(b)
+}
+
+func (l *lines) count(what string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), what)
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -137,3 +137,46 @@
 		t.Errorf("once it is whole again: changed %t, %v", changed, err)
 	}
 }
+
+// Only the process that serves leaves what it has learnt; whoever follows, two at once too, finds the last that was left whole, whatever
+// a process that was killed in the middle has left beside it.
+func TestLeaveAndLeft(t *testing.T) {
+	path := t.TempDir()
+	old := open(t, path, true)
+	if got, err := old.Left(100); got != nil || err != nil {
+		t.Errorf("left by nobody: %q %v", got, err)
+	}
+	next, other := open(t, path, false), open(t, path, false)
+	if err := old.Leave([]byte("first")); err != nil {
+		t.Fatal(err)
+	}
+	if err := next.Leave([]byte("by one that only follows")); err != nil {
+		t.Fatal(err)
+	}
+	half := filepath.Join(old.path, learntName+".new") // killed while it wrote
+	if err := os.WriteFile(half, []byte("sec"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range []*Dir{next, other} {
+		if got, err := d.Left(100); string(got) != "first" || err != nil {
+			t.Errorf("%q %v", got, err)
+		}
+	}
+	if _, err := next.Left(4); err == nil {
+		t.Error("more is read than was asked for")
+	}
+	old.Close()
+	if ok, err := next.Promote(); !ok || err != nil {
+		t.Fatalf("%t %v", ok, err)
+	}
+	if err := next.Leave([]byte("second")); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := other.Left(100); string(got) != "second" || err != nil {
+		t.Errorf("%q %v", got, err)
+	}
+	none, _, _ := Open("", "n0")
+	if got, err := none.Left(100); none.Lasts() || none.Leave([]byte("x")) != nil || got != nil || err != nil {
+		t.Errorf("without a directory: %q %v", got, err)
+	}
+}
--- a/logic/host_test.go
+++ b/logic/host_test.go
@@ -25,6 +25,7 @@
 	broken []string
 	why    []Reason                     // of the final answers
 	wait   func(MemberID) time.Duration // for a connection; nil: none
+	heirOf *Learnt                      // what it takes over with its first list; nil: nothing
 }
 
 type timerAt struct {
--- /dev/null
+++ b/logic/learnt_test.go
@@ -0,0 +1,113 @@
+package logic
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Whatever a Balancer is given to take over, of its own kind or damaged, it keeps the rules afterwards.
+func TestHeirKeepsTheRules(t *testing.T) {
+	for seed := range uint64(6) {
+		s := testSettings()
+		s.Zones, s.CrossZonePrice = 2, 0.1
+		old := driveRandom(t, s, seed)
+		l := old.b.Learnt(old.now)
+		if len(l.Members) == 0 || len(l.Keys) == 0 {
+			t.Fatalf("seed %d: nothing was learnt: %d members, %d keys", seed, len(l.Members), len(l.Keys))
+		}
+		heir := func(h *fakeHost) { h.heirOf = &l }
+		driveRandom(t, s, seed+50, heir).check()
+
+		rng := rand.New(rand.NewPCG(seed, 3))
+		odd := func(f *float64) {
+			if rng.IntN(3) == 0 {
+				*f = []float64{math.NaN(), math.Inf(1), -1, 0, 1e300, 1e-300}[rng.IntN(6)]
+			}
+		}
+		for i := range l.Members {
+			m := &l.Members[i]
+			for _, f := range []*float64{&m.Limit, &m.Latency, &m.Gap, &m.Pace, &m.Fails} {
+				odd(f)
+			}
+			m.Seen, m.Streak, m.Out = rng.IntN(3e9)-1, rng.IntN(100)-50, time.Duration(rng.Int64())
+			if rng.IntN(4) == 0 {
+				m.ID = MemberID(rng.IntN(20))
+			}
+		}
+		for i := range l.Keys {
+			k := &l.Keys[i]
+			odd(&k.Count)
+			odd(&k.Err)
+			k.At = append(k.At, MemberID(rng.IntN(2000)), originID)
+		}
+		for _, f := range []*float64{&l.Total, &l.Kept, &l.Latency, &l.Fails, &l.Arrivals, &l.Carried, &l.Span, &l.Asked, &l.Answered} {
+			odd(f)
+		}
+		driveRandom(t, s, seed+50, heir).check()
+	}
+}
+
+// Only what is known of members that are still the same is taken over. A cold budget, a drain and a request are never.
+func TestInheritTakesWhatFits(t *testing.T) {
+	s := testSettings()
+	list := withOrigin(6)
+	list[4].StartedAt = time.Hour - time.Second // cold, and told so to both
+	old := newHost(t, s, 1)
+	old.members(ListCached, list...)
+	for i := range 400 {
+		a := old.ask(Request{ID: RequestID(i + 1), Key: uint64(1 + i%8)})
+		if len(a.sent) == 1 {
+			old.run(10 * ms)
+			old.end(a.ID, 0, StatusOK)
+		}
+	}
+	old.b.closeWindow()
+	for _, n := range append(old.b.caches, old.b.origins...) {
+		n.seen, n.limit, n.latency, n.tokens = 50, 20+float64(n.m.ID%7), 0.01, 3
+	}
+	old.ask(Request{ID: 9999, Key: 5, Class: 1, Write: true}) // an order in hand
+	l := old.b.Learnt(old.now)
+
+	list[0].State = Gone
+	list[1].StartedAt = time.Hour // started anew
+	list[2].State = Draining
+	fresh := func() *fakeHost {
+		h := newHost(t, s, 2)
+		h.members(ListCached, list...)
+		return h
+	}
+	h, plain := fresh(), fresh()
+	if got := h.b.Inherit(h.now, l); got != 4 { // two caches, the cold one and the origin
+		t.Errorf("something is taken over of %d members", got)
+	}
+	for id, n := range h.b.nodes {
+		want := float64(startLimit)
+		if id != 2 && id != 3 {
+			want = 20 + float64(id%7)
+		}
+		if n.limit != want {
+			t.Errorf("member %d: limit %v, want %v", id, n.limit, want)
+		}
+		if other := plain.b.nodes[id]; n.tokens != other.tokens || n.m.State != other.m.State || n.out != 0 {
+			t.Errorf("member %d: a budget, a state or an attempt is taken over: %+v", id, n)
+		}
+	}
+	if len(h.b.flights) != 0 || len(h.b.hot) == 0 {
+		t.Errorf("%d requests, %d hot keys", len(h.b.flights), len(h.b.hot))
+	}
+	for key, p := range h.b.hot {
+		for _, n := range p.nodes {
+			if n.m.State != Ready || n.m.ID == 1 || n.m.ID == 3 {
+				t.Errorf("key %d is placed at member %d", key, n.m.ID)
+			}
+			if was := old.b.hot[key]; was != nil && len(p.nodes) == 1 && was.nodes[0].m.ID > 3 && was.nodes[0].m.ID != n.m.ID {
+				t.Errorf("key %d moves from %d to %d", key, was.nodes[0].m.ID, n.m.ID)
+			}
+		}
+	}
+	if h.b.Inherit(h.now, l) != 0 {
+		t.Error("taken over twice")
+	}
+}
--- a/logic/random_test.go
+++ b/logic/random_test.go
@@ -54,6 +54,9 @@
 	rng := rand.New(rand.NewPCG(seed, 42))
 	list := withOrigin(12)
 	h.members(ListCached, list...)
+	if h.heirOf != nil {
+		h.b.Inherit(h.now, *h.heirOf)
+	}
 	next := RequestID(0)
 	for range 6000 {
 		switch p := rng.IntN(100); {
