Reads written behind a cache's first long value no longer wait for its client

Need: nothing is written behind others once a long value has been seen, but what was written before waited until the client of that one had taken all of it: a client that reads slowly held up reads of others, up to their own time.

Change: where requests stand behind a long value, and there is room for all of it at once, it is read at the cache's pace and passed on at its client's. Weighed: half-closing the connection and asking again elsewhere (an attempt whose connection stays open counts as out, so that would be a second copy), and reading every long value whole (a dozen would fill the memory).

Measured: the new test, with a client that takes nothing until the others are answered: without the change they end with the 3 s in which that client takes nothing, with it they are answered at once.

--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -84,6 +84,11 @@
 
 // Wait waits for the room.
 func (w *heldPlace) Wait() bool {
+	select {
+	case <-w.let:
+		return true
+	default:
+	}
 	late := time.NewTimer(w.left)
 	defer late.Stop()
 	select {
--- a/internal/proxy/long_test.go
+++ b/internal/proxy/long_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"linenloom/internal/discovery"
+	"linenloom/internal/pool"
 	"linenloom/internal/resp"
 	"linenloom/internal/upstream"
 	"linenloom/logic"
@@ -135,6 +136,77 @@
 	}
 }
 
+// Reads that were written behind the first long value of a cache, before anybody could know of it, don't wait for its client.
+func TestReadsBehindALongValue(t *testing.T) {
+	cfg := testConfig()
+	cfg.Multiplex, cfg.Settings.Instances = 64, pool.NodeSockets // so that it has one connection to the cache
+	value := long(3 << 20)
+	asked, behind := make(chan struct{}), make(chan struct{})
+	p := start(t, cfg, entry("c", listen(t, func(conn net.Conn) {
+		for in := resp.NewReader(conn, 4096); ; {
+			w, err := readCommand(in)
+			if err != nil {
+				return
+			}
+			if w[1] != "long" {
+				io.WriteString(conn, hit("v"))
+				continue
+			}
+			close(asked)
+			for range 2 {
+				if _, err := readCommand(in); err != nil {
+					return
+				}
+			}
+			fmt.Fprintf(conn, "*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n%s%s", len(value), value, hit("first"), hit("second"))
+		}
+	}), "large"))
+	p.Do(func() { p.ups.SetSlowHead(patience) })
+	c := p.dial()
+	for i := range 2 * pool.CleanFirst {
+		c.send(get(fmt.Sprint("k", i), fmt.Sprint("w", i)))
+		if got := c.answer(); got != "v" {
+			t.Fatal(got)
+		}
+	}
+	slow := p.dial()
+	slow.conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+	p.eventually("it is taken in", func() bool { return len(p.redis.clients) == 2 })
+	p.Do(func() { // the value must not fit into the kernel's buffers
+		for c := range p.redis.clients {
+			c.conn.SetWriteBuffer(64 << 10)
+		}
+	})
+	slow.send(get("long", "l")) // and takes nothing yet
+	<-asked
+	go func() {
+		d := p.dial()
+		d.send(get("a", "ra"))
+		if got := d.answer(); got != "first" && got != "second" {
+			t.Errorf("%.60q", got)
+		}
+		close(behind)
+	}()
+	p.eventually("one is written behind the long one", func() bool {
+		for _, m := range p.members {
+			for _, u := range m.Conns {
+				return len(u.Behind) > 0
+			}
+		}
+		return false
+	})
+	e := p.dial()
+	e.send(get("e", "re"))
+	if got := e.answer(); got != "first" && got != "second" {
+		t.Errorf("%.60q", got)
+	}
+	<-behind
+	if got := slow.answer(); got != value {
+		t.Errorf("the long value: %d bytes", len(got))
+	}
+	p.eventually("nothing is held", func() bool { return p.long.used == 0 && p.held == 0 && len(p.requests) == 0 })
+}
+
 // A member that breaks off in the middle, and a client that leaves there: the client sees that the value is not whole,
 // nothing is tried again, and nothing stays behind.
 func TestLongValueCutOff(t *testing.T) {
--- a/internal/upstream/long.go
+++ b/internal/upstream/long.go
@@ -42,6 +42,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if place := u.apart(n); place != nil {
+		return x, u.passApart(place, to, in, n, end)
+	}
 	u.slow = true
 	defer func() { u.slow = false }()
 	if err := to.Begin(n); err != nil {
@@ -72,6 +75,60 @@
 	return x, nil
 }
 
+// apart has room for all of a value that others stand behind on the connection, if there is any at once. Nothing is written behind others
+// once a long value has been seen lately, but those that were written before the first must not wait for its client.
+func (u *Conn) apart(n int) (place Place) {
+	u.s.host.Do(func() {
+		if len(u.Behind) > 0 {
+			place = u.s.host.LongRoom(n, u.s.host.Now())
+		}
+	})
+	if place != nil && !place.Wait() {
+		return nil
+	}
+	return place
+}
+
+// passApart reads a value at the member's pace and passes it on at the client's, in a goroutine that ends when the client has it, or takes
+// nothing any more.
+func (u *Conn) passApart(place Place, to Passer, in io.Reader, n int, end func() error) error {
+	u.slow = true
+	defer func() { u.slow = false }()
+	pieces := make(chan []byte, n/longPiece+1) // room for all of them: what is read never waits here
+	cut := false                               // set before pieces is closed
+	go func() {
+		defer place.Leave()
+		err := to.Begin(n)
+		for piece := range pieces {
+			if err == nil {
+				err = to.Pass(piece)
+			}
+		}
+		switch {
+		case err != nil:
+		case cut:
+			to.Cut()
+		default:
+			to.Finish()
+		}
+	}()
+	var err error
+	for left := n; left > 0 && err == nil; left -= longPiece {
+		piece := make([]byte, min(left, longPiece))
+		if _, err = io.ReadFull(in, piece); err != nil {
+			err = fmt.Errorf("%w: %w", errCut, err)
+			break
+		}
+		pieces <- piece
+	}
+	if err == nil && end != nil {
+		err = end()
+	}
+	cut = err != nil
+	close(pieces)
+	return err
+}
+
 // passed ends an exchange whose member has done its part.
 func (u *Conn) passed(x *Exchange, note int) {
 	u.s.host.Do(func() { x.ended(logic.StatusOK, note) })
