--- a/cmd/linenloom/upgrade_test.go
+++ b/cmd/linenloom/upgrade_test.go
@@ -87,7 +87,22 @@
 	for i := range 2 {
 		progress()
 		out := fleet.Boxes[0].Began()
+		process.Process.Signal(syscall.SIGHUP) // a reload falls into the upgrade
 		next := start(calls[i+1])
+		for range 200 { // callers who say nothing must not keep the operators out, at either process
+			for _, at := range calls[i : i+2] {
+				conn, err := net.Dial("tcp", at)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+			}
+		}
+		for _, at := range calls[i : i+2] {
+			if got := call("GET", at, "/status", ""); got != 200 {
+				t.Errorf("among silent callers: %d", got)
+			}
+		}
 		progress()
 		process.Process.Signal(syscall.SIGTERM)
 		if err := process.Wait(); err != nil {
