--- a/internal/inherit/inherit.go
+++ b/internal/inherit/inherit.go
@@ -4,17 +4,18 @@
 package inherit
 
 import (
+	"bytes"
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/crc32"
 	"hash/fnv"
 	"math"
 	"slices"
+	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"linenloom/internal/pool"
 	"linenloom/logic"
 )
@@ -82,24 +83,13 @@
 	return h.Sum64()
 }
 
-var (
-	castagnoli = crc32.MakeTable(crc32.Castagnoli)
-	encoding   = must(cbor.CoreDetEncOptions().EncMode())
-	decoding   = must(cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 16, MaxNestedLevels: 8,
-		DupMapKey: cbor.DupMapKeyEnforcedAPF, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode())
-)
-
-func must[T any](v T, err error) T {
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	return v
-}
+// Made when first used: most processes neither leave nor find anything.
+var castagnoli = sync.OnceValue(func() *crc32.Table { return crc32.MakeTable(crc32.Castagnoli) })
 
 // Encode writes a snapshot. Of one that takes too much, the members are left out that are known least.
 func Encode(s Snapshot) ([]byte, error) {
 	for {
-		body, err := encoding.Marshal(s)
+		body, err := json.Marshal(s)
 		if err != nil {
 			return nil, fmt.Errorf("inherit: %w", err)
 		}
@@ -107,7 +97,7 @@
 			b := make([]byte, 0, headBytes+len(body))
 			b = binary.BigEndian.AppendUint16(append(b, magic...), Version)
 			b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
-			b = binary.BigEndian.AppendUint32(b, crc32.Checksum(body, castagnoli))
+			b = binary.BigEndian.AppendUint32(b, crc32.Checksum(body, castagnoli()))
 			return append(b, body...), nil
 		}
 		n := len(s.Learnt.Members) / 2
@@ -144,10 +134,12 @@
 	case int64(len(body)) > int64(n):
 		return s, fmt.Errorf("%w: %d bytes follow it", ErrForeign, len(body)-int(n))
 	}
-	if crc32.Checksum(body, castagnoli) != binary.BigEndian.Uint32(head[6:]) {
+	if crc32.Checksum(body, castagnoli()) != binary.BigEndian.Uint32(head[6:]) {
 		return s, ErrDamaged
 	}
-	if err := decoding.Unmarshal(body, &s); err != nil {
+	in := json.NewDecoder(bytes.NewReader(body))
+	in.DisallowUnknownFields()
+	if err := in.Decode(&s); err != nil {
 		return Snapshot{}, fmt.Errorf("inherit: %w", err)
 	}
 	return s, nil
