The external processor answers and takes long values, held in the host's room for them

Change: in mode answer a long value is gathered whole, in the room for long values, and answered in one message; a body that comes in pieces (full duplex, or streamed) is not read on past 64 KiB before there is room for all of it, up to 4 MiB. A body in one message stays within 64 KiB, as it is in memory before anybody can refuse it; weighed: a larger bound on messages, at 256 streams a gigabyte.

--- a/internal/extproc/caller/caller.go
+++ b/internal/extproc/caller/caller.go
@@ -30,6 +30,11 @@
 	"google.golang.org/protobuf/types/known/structpb"
 )
 
+const (
+	mostAnswer = 8 << 20  // of a message that is taken
+	mostChunk  = 60 << 10 // of a body that is sent on as it comes
+)
+
 // Caller is the stand-in.
 type Caller struct {
 	MessageTimeout    time.Duration
@@ -71,6 +76,7 @@
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
 	for _, t := range targets {
 		conn, err := grpc.NewClient(t, grpc.WithTransportCredentials(creds),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(mostAnswer)),
 			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
 				Backoff: backoff.Config{BaseDelay: 20 * time.Millisecond, Multiplier: 1.5, MaxDelay: 100 * time.Millisecond}}))
 		if err != nil {
@@ -318,7 +324,7 @@
 func (x *exchange) body(ctx context.Context) error {
 	chunk := len(x.q.Body)
 	if x.mode == filterv3.ProcessingMode_STREAMED {
-		chunk = max(1, (chunk+2)/3)
+		chunk = min(max(1, (chunk+2)/3), mostChunk)
 	}
 	for rest := x.q.Body; len(rest) > 0; {
 		part := rest[:min(chunk, len(rest))]
--- a/internal/extproc/server/answer.go
+++ b/internal/extproc/server/answer.go
@@ -80,8 +80,8 @@
 // fail promises nothing.
 func (s *stream) fail(why string) error { return s.immediate(502, []byte("failed: "+why+"\n"), "") }
 
-func (s *stream) tooLong() error {
-	return s.immediate(413, []byte("the body is over "+strconv.Itoa(maxBody)+" bytes\n"), "")
+func (s *stream) tooLong(most int) error {
+	return s.immediate(413, []byte("the body is over "+strconv.Itoa(most)+" bytes\n"), "")
 }
 
 // answer passes the host's final answer on.
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -31,6 +31,7 @@
 	"linenloom/internal/operator"
 	"linenloom/internal/proxy"
 	"linenloom/internal/resp"
+	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
 
@@ -387,7 +388,13 @@
 			s.conn.streams--
 			s.conn.left()
 		}
-		f.p.Hold(-streamCost - cap(s.body) - s.window)
+		if s.place == nil {
+			f.p.Hold(-cap(s.body))
+		} else {
+			go s.place.Leave() // which wants the lock
+			s.place = nil
+		}
+		f.p.Hold(-streamCost - s.window)
 		s.body = nil
 		if s.call != nil {
 			s.call.left(s)
@@ -408,6 +415,8 @@
 	attempt *proxy.Attempt // the latest that the host has named; mode route
 	named   string         // the addresses that the caller was given for it
 	final   *proxy.Answer  // the final answer, its value copied
+	place   upstream.Place // of a long value, which is not counted as held
+	value   []byte         // that is not whole yet
 	settled bool           // the caller has the answer, or nobody waits for one
 	ended   chan struct{}  // of one token: something has been decided
 }
@@ -480,6 +489,9 @@
 	case c.final.Body != nil:
 		c.final.Body.Release()
 		c.final.Body, c.final.Value = nil, nil
+	case c.place != nil:
+		go c.place.Leave() // which wants the lock
+		c.final.Value, c.place = nil, nil
 	default:
 		c.f.p.Hold(-len(c.final.Value))
 		c.final.Value = nil
@@ -502,8 +514,10 @@
 }
 
 const (
-	// maxBody is the longest body of a request: the platform's longest value.
+	// maxBody is the longest body of a request that comes in one message, and maxLong of one that comes in pieces, which are not read
+	// before there is room for them.
 	maxBody = resp.MaxValue
+	maxLong = resp.MaxLong
 	// maxText bounds what a request tells beside it, as on the RESP2 front.
 	maxText = 2 << 10
 )
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -57,13 +57,16 @@
 	delivered    bool         // the response has come whole
 
 	// Under the host's lock.
-	call   *call
-	body   []byte
-	window int           // held for what the caller may have sent ahead
-	due    time.Duration // when it has stood for too long
-	idle   bool          // all has been said; more may come, and needs nothing
-	kicks  bool
-	kicked chan struct{}
+	call  *call
+	body  []byte
+	place upstream.Place // in the room for long values, of a body over maxBody; nil: it is counted as held
+	// roomFor is what there is room for there.
+	roomFor int
+	window  int           // held for what the caller may have sent ahead
+	due     time.Duration // when it has stood for too long
+	idle    bool          // all has been said; more may come, and needs nothing
+	kicks   bool
+	kicked  chan struct{}
 }
 
 type received struct {
@@ -367,8 +370,8 @@
 		return s.spent(class)
 	}
 	s.deadline = s.asOf.Add(left)
-	if h.length > maxBody {
-		return s.tooLong()
+	if most := s.mostBody(); h.length > most {
+		return s.tooLong(most)
 	}
 	if err := s.stretch(m.GetEndOfStream()); err != nil {
 		return err
@@ -428,7 +431,7 @@
 	}
 	r := &extprocv3.ProcessingResponse{Response: &extprocv3.ProcessingResponse_RequestHeaders{
 		RequestHeaders: &extprocv3.HeadersResponse{Response: &extprocv3.CommonResponse{}}}}
-	if !s.told || s.bodyMode != filterv3.ProcessingMode_BUFFERED {
+	if !s.told || s.bodyMode != filterv3.ProcessingMode_BUFFERED && s.head.length <= maxBody {
 		r.ModeOverride = &filterv3.ProcessingMode{
 			RequestBodyMode: filterv3.ProcessingMode_BUFFERED, ResponseHeaderMode: filterv3.ProcessingMode_SKIP,
 			RequestTrailerMode: filterv3.ProcessingMode_SKIP, ResponseTrailerMode: filterv3.ProcessingMode_SKIP,
@@ -437,6 +440,14 @@
 	return s.send(r)
 }
 
+// mostBody is how long the request's body may be. What comes in one message is in memory before anybody can say that there is no room.
+func (s *stream) mostBody() int {
+	if s.route() || !s.target.Write || !s.told || s.bodyMode != fullDuplex && s.bodyMode != filterv3.ProcessingMode_STREAMED {
+		return maxBody
+	}
+	return maxLong
+}
+
 // taken tells the caller, by the call's response headers, that its call is taken: a caller that offers a call to another
 // processor where one is UNAVAILABLE does so only until then (Envoy, grpc_service.retry_policy), and an order that was in
 // the hands of one that is killed must not be. A caller that has sent a body after our answer knows already.
@@ -447,16 +458,20 @@
 	if s.passed {
 		return s.continueBody(m)
 	}
-	if s.bodyLen > maxBody {
-		return s.tooLong()
+	if most := s.mostBody(); s.bodyLen > most {
+		return s.tooLong(most)
 	}
 	if s.collecting {
 		over := false
-		s.f.p.Do(func() {
-			was := cap(s.body)
-			s.body = append(s.body, m.GetBody()...)
-			over = s.f.p.Hold(cap(s.body) - was)
-		})
+		if s.bodyLen > maxBody {
+			over = !s.longBody(m.GetBody())
+		} else {
+			s.f.p.Do(func() {
+				was := cap(s.body)
+				s.body = append(s.body, m.GetBody()...)
+				over = s.f.p.Hold(cap(s.body) - was)
+			})
+		}
 		switch {
 		case over:
 			s.why = reasons.HostFull
@@ -505,6 +520,9 @@
 // collected hands over a write whose body has come whole.
 func (s *stream) collected(ctx context.Context) error {
 	s.collecting = false
+	if s.place != nil {
+		s.place.Shrink(len(s.body))
+	}
 	return s.begin(ctx, true)
 }
 
@@ -621,9 +639,13 @@
 	}
 	c.req.Command = proxy.Command{Only: h.only, Message: upstream.Message{
 		Write: s.target.Write, Key: []byte(s.target.Key), ReqID: []byte(id), Attrs: attrs, Value: s.body}}
-	if c.req.Taker = c; s.route() {
+	c.req.Taker = whole{c}
+	if s.route() {
 		c.req.Taker = routed{c}
 	}
+	if s.place != nil {
+		c.req.InRoom(len(s.body))
+	}
 	c.req.By, c.req.Front = s.proof, "extproc"
 	if s.target.Many {
 		return s.submitMany(c)
@@ -639,7 +661,7 @@
 		s.drop(c)
 		return err
 	}
-	s.body = nil // the host counts it now
+	s.body, s.place = nil, nil // the host counts it now
 	return nil
 }
 
--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -75,6 +75,16 @@
 	return &heldPlace{place: h.long.enter(n, h.longMax()), p: h.Proxy, left: until - h.now}
 }
 
+// LongRoom asks, outside the lock, for room for a long value that a front holds, for so long at the most.
+func (p *Proxy) LongRoom(n int, within time.Duration) (place upstream.Place) {
+	p.Do(func() { place = host{p}.LongRoom(n, p.now+within) })
+	return place
+}
+
+// InRoom says, before the request is taken, that its value is in the room for long values, with so many bytes. From then on they are given
+// back with the request.
+func (r *Request) InRoom(n int) { r.long = n }
+
 // heldPlace is a place in the room of a value that a member sends.
 type heldPlace struct {
 	*place
