Tests that were left of joining and many keys; identity's memory and rotations for 32 s

Change: a thousand followers of a lead that is turned away, reset half way, or in the line of an origin at its limit; a tenant without the right to a key beside one that has it; all keys of a request at one cache that drains or is cold. linenlab identity rotates keys for 32 s; BenchmarkMemory fills what is remembered of callers to its bounds.

--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -11,6 +11,8 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -406,3 +408,47 @@
 		}
 	}
 }
+
+// BenchmarkMemory fills what is remembered of callers up to the bounds of the operator's file, and tells what that takes.
+func BenchmarkMemory(b *testing.B) {
+	const tokens, ids, sources = 4096, 65536, 4096
+	s := newSigner(b, "a", jose.EdDSA)
+	keys := keySet(b, s.jwk(b, ""))
+	signed := make([][]byte, tokens)
+	for i := range signed {
+		signed[i] = []byte(s.sign(b, claims("jti", fmt.Sprintf("%q", fmt.Sprintf("%032x", i))), nil))
+	}
+	heap := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for b.Loop() {
+		t := terms
+		t.CacheSize, t.ChecksPerS = tokens, 1e12
+		v, r, src := NewVerifier(t, keys), &Replays{Most: ids}, &Sources{Most: sources}
+		at := heap()
+		for _, token := range signed {
+			if _, err := v.Check(epoch, token, false); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(heap()-at, "B/known")
+		at = heap()
+		for i := range ids {
+			if err := r.Use(epoch, &Proof{Tenant: "kiosk", ID: fmt.Sprintf("%032x", i), Until: epoch.Add(time.Hour)}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(heap()-at, "B/replays")
+		at = heap()
+		for i := range sources {
+			src.Bad(epoch, netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}))
+		}
+		b.ReportMetric(heap()-at, "B/suspects")
+		if v.Known() != tokens || r.Len() != ids || src.Len() != sources {
+			b.Fatalf("%d tokens, %d ids, %d addresses", v.Known(), r.Len(), src.Len())
+		}
+	}
+}
--- a/internal/lab/identity.go
+++ b/internal/lab/identity.go
@@ -25,6 +25,7 @@
 const (
 	identityWorkers = 16
 	identityRounds  = 6
+	identityRotates = 32 * time.Second // all rounds together, at the least
 	forgers         = 16
 )
 
@@ -265,7 +266,7 @@
 		})
 	}
 	worst := time.Duration(0)
-	each := max(2600*time.Millisecond, time.Duration(e.Seconds)*time.Second/identityRounds) // the file is looked at every second
+	each := max(identityRotates, time.Duration(e.Seconds)*time.Second) / identityRounds // the file is looked at every second
 	for round := range identityRounds {
 		now, next := fmt.Sprint("k", round), fmt.Sprint("k", round+1)
 		if err := is.publish(now, next); err != nil { // before callers use it
--- a/internal/proxy/callers_test.go
+++ b/internal/proxy/callers_test.go
@@ -75,7 +75,7 @@
 }
 
 // guarded is a proxy whose callers are proven; the kiosk may only read, and of map/ only.
-func guarded(t *testing.T, o *office) (p *testProxy, g *callers.Gate, seen func() []string) {
+func guarded(t *testing.T, o *office, more ...any) (p *testProxy, g *callers.Gate, seen func() []string) {
 	t.Helper()
 	var mu sync.Mutex
 	var attrs []string
@@ -94,7 +94,16 @@
 		t.Fatal(err)
 	}
 	cfg.Callers = g
-	p = start(t, cfg, entry("s-a", cache(t, func(a asked) string { note(a.attrs); return hit("v") }), "large"),
+	answer := func(asked) string { return hit("v") }
+	for _, m := range more {
+		switch m := m.(type) {
+		case func(*Config):
+			m(&cfg)
+		case func(asked) string:
+			answer = m
+		}
+	}
+	p = start(t, cfg, entry("s-a", cache(t, func(a asked) string { note(a.attrs); return answer(a) }), "large"),
 		entry("s-o", origin(t, func(r *http.Request) string { note(r.Header.Get("X-Attrs")); return page("receipt") }), "origin"))
 	return p, g, func() []string { mu.Lock(); defer mu.Unlock(); return append([]string(nil), attrs...) }
 }
--- a/internal/proxy/join_test.go
+++ b/internal/proxy/join_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -384,3 +385,152 @@
 		t.Errorf("the draining cache was asked %d times", n)
 	}
 }
+
+// A thousand reads follow a lead that is turned away by all that it asks, whose connection is reset in the middle of the value, or that
+// stands in the line of an origin at its limit: each has its one answer, the key is asked for a few times, and nothing is left.
+func TestThousandFollowers(t *testing.T) {
+	for name, c := range map[string]struct {
+		lead string // how its answer begins
+		most int32  // attempts for the key, over caches and origin
+		box  func(n int32, asked func(), conn net.Conn, k string) (answer string)
+		of   func(n int32, asked func(), free chan struct{}, k string) string
+		fill int // other keys at the origin before
+	}{
+		"turned away": {lead: "-BUSY", most: 8,
+			box: func(n int32, asked func(), _ net.Conn, _ string) string {
+				if asked(); n <= 4 {
+					return "-BUSY\r\n"
+				}
+				return hit("v")
+			},
+			of: func(n int32, _ func(), _ chan struct{}, _ string) string {
+				if n <= 4 {
+					return "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+				}
+				return page("v")
+			}},
+		"reset half way": {lead: "v", most: 4,
+			box: func(n int32, asked func(), conn net.Conn, _ string) string {
+				if asked(); n > 1 {
+					return hit("v")
+				}
+				io.WriteString(conn, "*3\r\n$1000\r\nhalf of it")
+				conn.(*net.TCPConn).SetLinger(0)
+				return ""
+			},
+			of: func(int32, func(), chan struct{}, string) string { return page("v") }},
+		"an origin at its limit": {lead: "v", most: 4, fill: 30,
+			box: func(_ int32, _ func(), _ net.Conn, k string) string { return miss },
+			of: func(_ int32, asked func(), free chan struct{}, k string) string {
+				<-free
+				return page("v")
+			}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var n atomic.Int32
+			begun, free, done := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			// The lead's attempts wait until all that follow it are there.
+			asked := func() { begun <- struct{}{}; <-done }
+			once := sync.OnceFunc(asked)
+			count := func(k string) int32 {
+				if k == "a" {
+					return n.Add(1)
+				}
+				return 0
+			}
+			cfg := testConfig()
+			cfg.Joining, cfg.MostHeld, cfg.Sockets = &joinAll, 5000, 2048
+			box := listen(t, func(conn net.Conn) {
+				for in := resp.NewReader(conn, 4096); ; {
+					w, err := readCommand(in)
+					if err != nil {
+						return
+					}
+					text := c.box(count(w[1]), once, conn, w[1])
+					if text == "" {
+						return
+					}
+					io.WriteString(conn, text)
+				}
+			})
+			p := start(t, cfg, entry("s-a", box, "large"), entry("s-o", origin(t, func(r *http.Request) string {
+				return c.of(count(r.URL.Path[1:]), once, free, r.URL.Path[1:])
+			}), "origin"))
+			filler := p.dial()
+			for i := range c.fill {
+				filler.send(get(fmt.Sprint("f", i), fmt.Sprint("f", i)))
+			}
+			p.eventually("the origin has what it takes", func() bool { return len(p.requests) == c.fill })
+			lead := p.dial()
+			lead.send(get("a", "lead"))
+			if c.fill == 0 {
+				<-begun
+			} else {
+				p.eventually("the lead waits for the origin", func() bool { return n.Load() == 1 && len(p.requests) == c.fill+1 })
+			}
+			const clients, each = 40, 25
+			var all []*testClient
+			for i := range clients {
+				all = append(all, p.dial())
+				for j := range each {
+					all[i].send(get("a", fmt.Sprintf("r%d-%d", i, j)))
+				}
+			}
+			p.followed(clients * each)
+			close(done)
+			close(free)
+			if got := lead.answer(); !strings.HasPrefix(got, c.lead) {
+				t.Errorf("the lead: %q", got)
+			}
+			for i, cl := range all {
+				for j := range each {
+					if got := cl.answer(); got != "v" {
+						t.Fatalf("client %d, read %d: %q", i, j, got)
+					}
+				}
+			}
+			if got := n.Load(); got > c.most {
+				t.Errorf("%d attempts for %d reads of one key", got, clients*each)
+			}
+			p.eventually("nothing is left", func() bool { n, f := p.joins.Len(); return n+f+len(p.requests)+p.held == 0 })
+		})
+	}
+}
+
+// A tenant without the right to a key gets nothing of another's attempt for it, also where tenants share attempts.
+func TestJoiningAsksForTheRightFirst(t *testing.T) {
+	g := newGate()
+	o := newOffice(t, "k1")
+	shared := joinAll
+	shared.AcrossTenants = true
+	p, _, _ := guarded(t, o, func(cfg *Config) { cfg.Joining = &shared }, g.answer)
+	proven := func(tenant string) *testClient {
+		c := p.dial()
+		c.send(words("AUTH", o.token("k1", tenant, "")))
+		if got := c.answer(); got != "+OK" {
+			t.Fatal(got)
+		}
+		return c
+	}
+	shop, kiosk, other := proven("shop"), proven("kiosk"), proven("shop")
+	shop.send(get("orders/1", "r1"))
+	<-g.asks
+	kiosk.send(get("orders/1", "r2"))
+	if got := kiosk.answer(); !strings.HasPrefix(got, "-NOPERM") {
+		t.Errorf("without the right: %q", got)
+	}
+	other.send(get("orders/1", "r3"))
+	p.followed(1)
+	g.out <- hit("secret")
+	for _, c := range []*testClient{shop, other} {
+		if got := c.answer(); got != "secret" {
+			t.Errorf("%q", got)
+		}
+	}
+	kiosk.send(get("map/1", "r4"))
+	<-g.asks
+	g.out <- hit("map")
+	if got := kiosk.answer(); got != "map" {
+		t.Errorf("what it may read: %q", got)
+	}
+}
--- a/internal/proxy/many_test.go
+++ b/internal/proxy/many_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"linenloom/internal/discovery"
 	"linenloom/internal/manykeys"
 	"linenloom/internal/resp"
 )
@@ -206,6 +207,57 @@
 	}
 }
 
+// All keys of a request at one cache that drains, or that is cold: each is had elsewhere or marked, none waits for that cache, and what a
+// cold one is sent stays within its budget.
+func TestManyKeysAtOneCache(t *testing.T) {
+	keys := make([]string, 24)
+	for i := range keys {
+		keys[i] = fmt.Sprint("k", i)
+	}
+	for name, change := range map[string]func(*discovery.Member){
+		"draining": func(m *discovery.Member) { m.Phase = discovery.PhaseTerminating },
+		"cold":     func(m *discovery.Member) { m.UpSinceMS = float64(time.Now().UnixMilli()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.ManyKeys = &manyUsual
+			cfg.Settings.ColdFor, cfg.Settings.Instances = time.Hour, 1
+			var asks atomic.Int32
+			only := entry("s-a", cache(t, func(a asked) string { asks.Add(1); return hit("value of " + a.key) }), "large")
+			origin := entry("s-o", origin(t, func(r *http.Request) string { return page("origin's " + r.URL.Path[1:]) }), "origin")
+			r := newRegistry(t, discoveryList(1, true, only, origin))
+			p := startAt(t, cfg, r)
+			<-r.watched
+			c := p.dial()
+			c.send(mget("warm", "c=tile-read,d=4000", keys...))
+			if got, line := c.reply(); len(got) != len(keys) {
+				t.Fatalf("%d places, %q", len(got), line)
+			}
+			change(&only)
+			r.tell(discoveryList(2, false, only))
+			p.eventually("the list is told", func() bool { return p.revision == 2 })
+			asks.Store(0)
+			c.send(mget("all", "c=tile-read,d=4000", keys...))
+			got, line := c.reply()
+			if len(got) != len(keys) {
+				t.Fatalf("%d places, %q", len(got), line)
+			}
+			served := int32(0)
+			for i, v := range got {
+				if v == "value of "+keys[i] {
+					served++
+				} else if !strings.HasPrefix(v, "-") && v != "origin's "+keys[i] {
+					t.Errorf("%s: %q", keys[i], v)
+				}
+			}
+			if n := asks.Load(); n != served || name == "draining" && n > 0 || name == "cold" && n == int32(len(keys)) {
+				t.Errorf("the cache is asked for %d keys, %d served by it", n, served)
+			}
+			p.eventually("nothing is left", func() bool { return len(p.requests) == 0 && p.held == 0 })
+		})
+	}
+}
+
 // A client that leaves, and a stop, in the midst of it.
 func TestManyKeysCutShort(t *testing.T) {
 	release := make(chan struct{})
