The record of orders: what may be sent and what a repeat is told, across crashes

Weighed: a write for each attempt that came back unrun (not needed: a crash makes the order unknown, which is safe), running a repeat that nobody knows (another process may have had it; told to look it up).

--- /dev/null
+++ b/internal/orders/orders.go
@@ -0,0 +1,404 @@
+// Package orders is the record of orders: what has become of each request that must not run twice, across crashes. It decides whether an
+// order may be sent and what a client that asks again is told, and makes the entries that a durable log has to hold; a host appends them,
+// and says when each is on stable storage. It is free of I/O, clock and goroutines, knows no members' protocol, and never sends anything.
+//
+// Two rules carry it. An order is sent only once its entry Sent is durable, so whatever may have run is on record after any crash. Its
+// receipt goes to the client only once the entry Done is durable, so a receipt that was told can be told again.
+package orders
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// State is what is on record of an order.
+type State uint8
+
+// The states. Where the process ends, an order that is Taken has surely not run, and one that is Sent is Unknown from then on.
+const (
+	Taken    State = iota + 1 // in hand, never sent, or known not to have run when it was
+	Sent                      // it may have run, or may yet
+	Done                      // it has run, and its receipt is on record
+	NeverRan                  // it has ended without having run, and may come again
+	Unknown                   // it may have run, and nobody here can tell
+)
+
+func (s State) String() string {
+	switch s {
+	case Taken:
+		return "taken"
+	case Sent:
+		return "sent"
+	case Done:
+		return "done"
+	case NeverRan:
+		return "never_ran"
+	case Unknown:
+		return "unknown"
+	}
+	return fmt.Sprintf("state(%d)", uint8(s))
+}
+
+// Name tells orders apart: the tenant, and the idempotency key, or where there is none the request's id.
+type Name struct{ Tenant, Key string }
+
+// Order is a request that must not run twice, as a front has taken it.
+type Order struct {
+	Name
+	Digest [32]byte      // of what it asks for: the same name for something else is a fault of its client
+	Again  bool          // its client says that it has asked before
+	Token  string        // the id of the token that it uses up; "": none
+	Until  time.Duration // when that token has run out
+}
+
+// Verdict is what is to be done with an order that comes.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Go       Verdict = iota // it is taken: append the entry, and go on once it is durable
+	Receipt                 // it has run: this is its receipt
+	InHand                  // it is in hand already; who has it gets the answer
+	LookUp                  // it may have run, here or elsewhere: never a second run
+	Mismatch                // the name stands for something else
+	Used                    // its token has been used by another order
+	Full                    // there is no room to remember it
+)
+
+var verdicts = [...]string{"go", "receipt", "in_hand", "look_up", "mismatch", "used", "full"}
+
+func (v Verdict) String() string { return verdicts[v] }
+
+// Limits bound a Book.
+type Limits struct {
+	Keep      time.Duration // an order that has ended is remembered for so long, at the least
+	Most      int           // orders, in any state
+	MostBytes int           // of receipts, together
+}
+
+// Errors of what a host asks for.
+var (
+	ErrNotInHand = errors.New("orders: it is not in hand")
+	ErrNotSent   = errors.New("orders: it has not been sent")
+	ErrPending   = errors.New("orders: an entry of it is not durable yet")
+	ErrSettled   = errors.New("orders: only an unknown order can be settled")
+)
+
+// order is what the book has of an order. Ended ones stand in the order of their ends.
+type order struct {
+	Entry
+	pending bool // an entry of it is on its way to stable storage
+	inHand  bool // by this process
+	settled bool // an operator has looked it up
+	done    bool // it stands in ended
+}
+
+// Book is the record. It is not safe for concurrent use.
+type Book struct {
+	limits Limits
+	now    time.Duration
+	by     map[Name]*order
+	tokens map[Name]*token // by tenant and token id
+	ended  []*order
+	bytes  int
+}
+
+// token is a token's id that an order has used up.
+type token struct {
+	by    Name
+	until time.Duration
+}
+
+// New makes an empty book.
+func New(l Limits) *Book {
+	return &Book{limits: l, by: map[Name]*order{}, tokens: map[Name]*token{}}
+}
+
+// advance takes the time, which may have jumped back: then it stands, so that nothing is forgotten early.
+func (b *Book) advance(now time.Duration) { b.now = max(b.now, now) }
+
+// Take decides on an order that comes. With Go there is an entry to append; it is not in hand before Durable.
+func (b *Book) Take(now time.Duration, o Order) (v Verdict, receipt []byte, e *Entry) {
+	b.advance(now)
+	b.forget()
+	was := b.by[o.Name]
+	switch {
+	case was == nil && o.Again:
+		// It was forgotten, or whoever had it first keeps a record of its own. What has not run is known to who refused it.
+		return LookUp, nil, nil
+	case was == nil:
+	case was.Digest != o.Digest:
+		return Mismatch, nil, nil
+	case was.State == Done:
+		return Receipt, was.Receipt, nil
+	case was.State == Unknown:
+		return LookUp, nil, nil
+	case was.inHand || was.pending:
+		return InHand, nil, nil
+	}
+	if o.Token != "" {
+		t := b.tokens[Name{o.Tenant, o.Token}]
+		switch {
+		case t != nil && b.now < t.until && (t.by != o.Name || was == nil): // its order may be forgotten, and it is still used
+			return Used, nil, nil
+		case t == nil && len(b.tokens) >= 2*b.limits.Most:
+			return Full, nil, nil
+		}
+	}
+	if was == nil && len(b.by) >= b.limits.Most || b.bytes >= b.limits.MostBytes {
+		return Full, nil, nil
+	}
+	e = &Entry{State: Taken, At: b.now, Name: o.Name, Digest: o.Digest, Token: o.Token, Until: o.Until}
+	if was != nil { // it never ran: it comes anew
+		e.Tries = was.Tries
+		b.unend(was)
+	}
+	b.by[o.Name] = &order{Entry: *e, pending: true, inHand: true}
+	b.use(e)
+	return Go, nil, e
+}
+
+// Send asks to send an order in hand to a member. It must not be sent before the entry is Durable.
+func (b *Book) Send(now time.Duration, n Name, to string) (*Entry, error) {
+	b.advance(now)
+	o := b.by[n]
+	switch {
+	case o == nil || !o.inHand || o.State != Taken:
+		return nil, ErrNotInHand
+	case o.pending:
+		return nil, ErrPending
+	}
+	e := o.Entry
+	e.State, e.At, e.To, e.Tries = Sent, b.now, to, o.Tries+1
+	o.pending = true
+	return &e, nil
+}
+
+// Returned tells that an order that was sent has surely not run. Nothing has to be written: until the next entry a crash makes it unknown,
+// which is safe.
+func (b *Book) Returned(n Name) error {
+	o := b.by[n]
+	if o == nil || !o.inHand || o.State != Sent || o.pending {
+		return ErrNotSent
+	}
+	o.State = Taken
+	return nil
+}
+
+// End ends an order in hand: with its receipt (Done), without having run (NeverRan), or Unknown. The client is told of it once the entry
+// is Durable; where it can't be made durable, an order that was sent is unknown to its client.
+func (b *Book) End(now time.Duration, n Name, s State, receipt []byte) (*Entry, error) {
+	b.advance(now)
+	o := b.by[n]
+	switch {
+	case o == nil || !o.inHand:
+		return nil, ErrNotInHand
+	case o.pending:
+		return nil, ErrPending
+	case s == NeverRan && o.State != Taken, (s == Done || s == Unknown) && o.State != Sent, s < Done:
+		return nil, ErrNotSent
+	}
+	e := o.Entry
+	e.State, e.At = s, b.now
+	if s == Done {
+		e.Receipt = slices.Clone(receipt)
+	}
+	o.pending = true
+	return &e, nil
+}
+
+// Durable takes in that an entry is on stable storage.
+func (b *Book) Durable(e *Entry) { b.apply(e, true) }
+
+// Lost takes in that an entry could not be written. Whether it is there after a crash nobody knows, and neither is harmful: an order that
+// could not be taken has not run, one that could not be marked as sent is not sent, and one that has run and whose receipt could not be
+// recorded is unknown.
+func (b *Book) Lost(e *Entry) {
+	o := b.by[e.Name]
+	if o == nil || !o.pending {
+		return
+	}
+	o.pending = false
+	switch e.State {
+	case Done, Unknown:
+		if o.State == Unknown { // it was not settled
+			return
+		}
+		o.State, o.inHand, o.At = Unknown, false, e.At
+		b.end(o)
+	case Taken, NeverRan: // it has not run, whatever is on record
+		if o.State == Unknown {
+			return
+		}
+		o.State, o.inHand, o.At = NeverRan, false, e.At
+		b.end(o)
+	}
+}
+
+// Settle puts on record what an operator has found out about an unknown order: Done with a receipt, or NeverRan.
+func (b *Book) Settle(now time.Duration, n Name, s State, receipt []byte, by string) (*Entry, error) {
+	b.advance(now)
+	o := b.by[n]
+	switch {
+	case o == nil || o.State != Unknown || s != Done && s != NeverRan:
+		return nil, ErrSettled
+	case o.pending:
+		return nil, ErrPending
+	}
+	e := o.Entry
+	e.State, e.At, e.By = s, b.now, by
+	if s == Done {
+		e.Receipt = slices.Clone(receipt)
+	}
+	o.pending = true
+	return &e, nil
+}
+
+// Replay takes in an entry of the log, in its order, at an opening; Opened ends it.
+func (b *Book) Replay(e *Entry) {
+	b.advance(e.At)
+	b.apply(e, false)
+}
+
+// Opened ends the replay: what was in hand when the process ended is not any more. What was taken and not sent has not run, and what was
+// sent may have.
+func (b *Book) Opened(now time.Duration) {
+	b.advance(now)
+	for _, o := range b.by {
+		switch o.State {
+		case Taken:
+			o.State, o.At = NeverRan, b.now
+			b.end(o)
+		case Sent:
+			o.State, o.At = Unknown, b.now
+			b.end(o)
+		}
+	}
+	slices.SortStableFunc(b.ended, func(x, y *order) int { return cmp.Or(cmp.Compare(x.At, y.At), cmpNames(x.Name, y.Name)) })
+	b.forget()
+}
+
+func cmpNames(a, b Name) int {
+	return cmp.Or(cmp.Compare(a.Tenant, b.Tenant), cmp.Compare(a.Key, b.Key))
+}
+
+func (b *Book) apply(e *Entry, inHand bool) {
+	o := b.by[e.Name]
+	if o == nil {
+		o = &order{}
+		b.by[e.Name] = o
+	}
+	b.unend(o)
+	o.Entry, o.pending, o.inHand = *e, false, inHand && e.State < Done
+	o.settled = e.By != ""
+	b.use(e)
+	if e.State >= Done {
+		b.end(o)
+	}
+}
+
+// use notes the token that an order uses up; an order that never ran gives it back.
+func (b *Book) use(e *Entry) {
+	if e.Token == "" {
+		return
+	}
+	n := Name{e.Tenant, e.Token}
+	if e.State != NeverRan {
+		b.tokens[n] = &token{e.Name, e.Until}
+	} else if t := b.tokens[n]; t != nil && t.by == e.Name {
+		delete(b.tokens, n)
+	}
+}
+
+// end puts an order behind those that have ended; unend takes it out again.
+func (b *Book) end(o *order) {
+	b.unend(o)
+	o.done = true
+	b.ended = append(b.ended, o)
+	b.bytes += len(o.Receipt)
+	b.use(&o.Entry)
+}
+
+func (b *Book) unend(o *order) {
+	if !o.done {
+		return
+	}
+	o.done = false
+	if i := slices.Index(b.ended, o); i >= 0 {
+		b.ended = slices.Delete(b.ended, i, i+1)
+	}
+	b.bytes -= len(o.Receipt)
+}
+
+func (b *Book) drop(o *order) {
+	b.unend(o)
+	delete(b.by, o.Name)
+	if t := b.tokens[Name{o.Tenant, o.Token}]; t != nil && t.by == o.Name && (o.State == Taken || o.State == NeverRan || b.now >= t.until) {
+		delete(b.tokens, Name{o.Tenant, o.Token})
+	}
+}
+
+// forget lets go of what ended longer than Keep ago. An unknown order is kept until an operator has settled it: it is what the record is
+// for. Where all is younger, new orders are refused rather than old ones forgotten.
+func (b *Book) forget() {
+	kept := b.ended[:0]
+	for i, o := range b.ended {
+		if b.now-o.At < b.limits.Keep {
+			kept = append(kept, b.ended[i:]...) // all behind it ended later
+			break
+		}
+		if o.State == Unknown || o.pending {
+			kept = append(kept, o)
+			continue
+		}
+		o.done = false
+		b.bytes -= len(o.Receipt)
+		b.drop(o)
+	}
+	clear(b.ended[len(kept):])
+	b.ended = kept
+	if len(b.tokens) >= 2*b.limits.Most { // those of orders that are forgotten, until they have run out
+		for n, t := range b.tokens {
+			if b.now >= t.until && b.by[t.by] == nil {
+				delete(b.tokens, n)
+			}
+		}
+	}
+}
+
+// Get tells what is on record of an order.
+func (b *Book) Get(n Name) (e Entry, ok bool) {
+	o := b.by[n]
+	if o == nil {
+		return Entry{}, false
+	}
+	return o.Entry, true
+}
+
+// Len counts orders, and those that are unknown.
+func (b *Book) Len() (all, unknown int) {
+	for _, o := range b.by {
+		if o.State == Unknown {
+			unknown++
+		}
+	}
+	return len(b.by), unknown
+}
+
+// Entries tells all that a fresh log has to hold for the same record, in a fixed order: for compaction.
+func (b *Book) Entries(yield func(*Entry) bool) {
+	all := make([]*order, 0, len(b.by))
+	for _, o := range b.by {
+		all = append(all, o)
+	}
+	slices.SortFunc(all, func(x, y *order) int { return cmp.Or(cmp.Compare(x.At, y.At), cmpNames(x.Name, y.Name)) })
+	for _, o := range all {
+		e := o.Entry
+		if !yield(&e) {
+			return
+		}
+	}
+}
