--- /dev/null
+++ b/internal/orders/ledger/ledger.go
@@ -0,0 +1,194 @@
+// Package ledger keeps the record of orders (package orders) in a log on a disk. It writes what the record asks for, waits until that is on
+// stable storage before it says so, opens it again after a crash and compacts it. It decides nothing about orders and never sends one.
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"linenloom/internal/orders"
+	"linenloom/internal/store/disk"
+	"linenloom/internal/store/log"
+)
+
+// The kinds of the log's records.
+const (
+	kindEntry = 1
+	kindMark  = 2 // ends a compaction, and says nothing
+)
+
+// Options set a ledger's bounds.
+type Options struct {
+	orders.Limits
+	SegmentSize int64
+	// CompactAt is how many entries more than orders the log holds before it is compacted, at the least.
+	CompactAt int
+}
+
+// Ledger is an open record. It is safe for concurrent use; whoever changes it waits for the disk, and those who come meanwhile share a sync.
+type Ledger struct {
+	opt Options
+	now func() time.Duration
+	log *log.Log
+
+	writes sync.RWMutex // held for a write, and alone for a compaction
+	mu     sync.Mutex   // of what follows; nothing waits under it
+	book   *orders.Book
+	since  int // entries since the last compaction
+	broken error
+}
+
+// Open opens the ledger in a folder. The clock is the time since the epoch; it may jump.
+func Open(fs disk.FS, opt Options, now func() time.Duration) (*Ledger, error) {
+	l := &Ledger{opt: opt, now: now, book: orders.New(opt.Limits)}
+	var err error
+	l.log, err = log.Open(fs, log.Options{SegmentSize: opt.SegmentSize}, func(r log.Record) error {
+		switch r.Kind {
+		case kindMark:
+		case kindEntry:
+			e, err := orders.Parse(r.Payload)
+			if err != nil {
+				return err
+			}
+			l.book.Replay(e)
+			l.since++
+		default:
+			return fmt.Errorf("a record of kind %d, of a later version", r.Kind)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("ledger: %w", err)
+	}
+	l.book.Opened(now())
+	return l, nil
+}
+
+// write has an entry on stable storage, and the book know of it.
+func (l *Ledger) write(e *orders.Entry) error {
+	l.writes.RLock()
+	_, err := l.log.Append(kindEntry, e.Append(nil))
+	l.mu.Lock()
+	if err != nil {
+		l.book.Lost(e)
+		err = fmt.Errorf("ledger: %w", err)
+	} else {
+		l.book.Durable(e)
+		l.since++
+	}
+	all, _ := l.book.Len()
+	full := err == nil && l.since >= l.opt.CompactAt+2*all
+	l.mu.Unlock()
+	l.writes.RUnlock()
+	if full {
+		l.compact() // an order does not fail for it; the next one tries again
+	}
+	return err
+}
+
+// decide runs one of the book's decisions and has the entry that it asks for written.
+func (l *Ledger) decide(f func(b *orders.Book, now time.Duration) (*orders.Entry, error)) error {
+	l.mu.Lock()
+	e, err := f(l.book, l.now())
+	l.mu.Unlock()
+	if err != nil || e == nil {
+		return err
+	}
+	return l.write(e)
+}
+
+// Take decides on an order that comes. With Go it is in hand, and on record. An error means that it could not be recorded, and has not run.
+func (l *Ledger) Take(o orders.Order) (v orders.Verdict, receipt []byte, err error) {
+	err = l.decide(func(b *orders.Book, now time.Duration) (e *orders.Entry, _ error) {
+		v, receipt, e = b.Take(now, o)
+		return e, nil
+	})
+	return v, receipt, err
+}
+
+// Send records that an order in hand is sent to a member. It must be sent only if there is no error.
+func (l *Ledger) Send(n orders.Name, to string) error {
+	return l.decide(func(b *orders.Book, now time.Duration) (*orders.Entry, error) { return b.Send(now, n, to) })
+}
+
+// Returned notes that an order that was sent has surely not run.
+func (l *Ledger) Returned(n orders.Name) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Returned(n)
+}
+
+// End records how an order in hand has ended. Its client may be told so only if there is no error; of one that was sent it then is told
+// that it may have run.
+func (l *Ledger) End(n orders.Name, s orders.State, receipt []byte) error {
+	return l.decide(func(b *orders.Book, now time.Duration) (*orders.Entry, error) { return b.End(now, n, s, receipt) })
+}
+
+// Settle records what an operator has found out about an unknown order.
+func (l *Ledger) Settle(n orders.Name, s orders.State, receipt []byte, by string) error {
+	return l.decide(func(b *orders.Book, now time.Duration) (*orders.Entry, error) {
+		return b.Settle(now, n, s, receipt, by)
+	})
+}
+
+// Get tells what is on record of an order.
+func (l *Ledger) Get(n orders.Name) (orders.Entry, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Get(n)
+}
+
+// Each tells all that is on record, in the order of the latest changes.
+func (l *Ledger) Each(yield func(*orders.Entry) bool) {
+	var all []*orders.Entry
+	l.mu.Lock()
+	l.book.Entries(func(e *orders.Entry) bool { all = append(all, e); return true })
+	l.mu.Unlock()
+	for _, e := range all {
+		if !yield(e) {
+			return
+		}
+	}
+}
+
+// compact puts what is on record in the place of all that was written. Changes wait for as long as it takes.
+func (l *Ledger) compact() error {
+	l.writes.Lock()
+	defer l.writes.Unlock()
+	l.mu.Lock()
+	all, _ := l.book.Len()
+	if l.since < l.opt.CompactAt+2*all { // somebody else has done it
+		l.mu.Unlock()
+		return nil
+	}
+	var records []log.Record
+	l.book.Entries(func(e *orders.Entry) bool {
+		records = append(records, log.Record{Kind: kindEntry, Payload: e.Append(nil)})
+		return true
+	})
+	l.mu.Unlock()
+	err := l.log.Compact(records, log.Record{Kind: kindMark})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.broken = err; err == nil {
+		l.since = len(records)
+	}
+	return err
+}
+
+// Fault tells why the latest compaction failed; nil, if it did not.
+func (l *Ledger) Fault() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.broken
+}
+
+// Close ends the ledger. What is in hand stands as it is on record.
+func (l *Ledger) Close() error {
+	if err := l.log.Close(); err != nil && !errors.Is(err, log.ErrClosed) {
+		return fmt.Errorf("ledger: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/orders/ledger/ledger_test.go
@@ -0,0 +1,187 @@
+package ledger
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"linenloom/internal/orders"
+	"linenloom/internal/store/crash"
+	"linenloom/internal/store/disk"
+)
+
+var usual = Options{Limits: orders.Limits{Keep: time.Hour, Most: 1000, MostBytes: 1 << 20}, SegmentSize: 600, CompactAt: 10}
+
+func clock() time.Duration { return time.Minute }
+
+func name(i int) orders.Name { return orders.Name{Tenant: "kiosk", Key: fmt.Sprint("k", i)} }
+
+// played is what clients and the origin know of a run.
+type played struct {
+	told map[orders.Name][]byte
+	ran  map[orders.Name]bool
+}
+
+// play takes so many orders through, one after another; every fourth is given up before it is sent, every fifth comes back unrun once, and
+// the ledger is opened anew now and then.
+func play(d disk.FS, n int) played {
+	p := played{map[orders.Name][]byte{}, map[orders.Name]bool{}}
+	var l *Ledger
+	for i := range n {
+		if l == nil || i%9 == 8 {
+			if l != nil {
+				l.Close()
+			}
+			var err error
+			if l, err = Open(d, usual, clock); err != nil {
+				l = nil
+				continue
+			}
+		}
+		o := orders.Order{Name: name(i)}
+		if v, _, err := l.Take(o); v != orders.Go || err != nil {
+			continue
+		}
+		if i%4 == 3 {
+			l.End(o.Name, orders.NeverRan, nil)
+			continue
+		}
+		if l.Send(o.Name, "o-1") != nil {
+			continue
+		}
+		if i%5 == 4 {
+			l.Returned(o.Name)
+			if l.Send(o.Name, "o-2") != nil {
+				continue
+			}
+		}
+		p.ran[o.Name] = true
+		if r := []byte(fmt.Sprint("receipt ", i)); l.End(o.Name, orders.Done, r) == nil {
+			p.told[o.Name] = r
+		}
+	}
+	if l != nil {
+		l.Close()
+	}
+	return p
+}
+
+// held opens a ledger after a crash and tells what contradicts what is known outside.
+func held(t *testing.T, d disk.FS, p played, n int) (all []orders.Entry) {
+	t.Helper()
+	l, err := Open(d, usual, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	l.Each(func(e *orders.Entry) bool { all = append(all, *e); return true })
+	for i := range n {
+		e, _ := l.Get(name(i))
+		if r := p.told[name(i)]; r != nil && (e.State != orders.Done || !bytes.Equal(e.Receipt, r)) {
+			t.Fatalf("order %d: its receipt was told, and on record is %v", i, e.State)
+		}
+		if e.State == orders.Done && !p.ran[name(i)] {
+			t.Fatalf("order %d is on record as done, and has not run", i)
+		}
+		if v, _, _ := l.Take(orders.Order{Name: name(i)}); v == orders.Go && p.ran[name(i)] {
+			t.Fatalf("order %d has run, and may be sent again: %v", i, e.State)
+		}
+	}
+	return all
+}
+
+// The power goes at every step of a run with rotations, openings and compactions, with every part of what was not synced; or each step fails
+// once. No order that has run may be sent again, each receipt that was told is on record.
+func TestPowerGoesAtEveryStep(t *testing.T) {
+	const n = 26
+	whole := crash.New()
+	if p := play(whole, n); len(p.told) < n/2 || whole.Ops < 100 {
+		t.Fatalf("%d receipts, %d steps", len(p.told), whole.Ops)
+	}
+	errPower := errors.New("the power is gone")
+	for step := 1; step <= whole.Ops; step++ {
+		for cut := -2; cut < 200; cut += 1 + max(0, cut)*2/3 {
+			d := crash.New()
+			d.Fail = func(op int, _ string) error {
+				if op >= step {
+					return errPower
+				}
+				return nil
+			}
+			p := play(d, n)
+			held(t, d.Crash(max(-1, cut), rand.New(rand.NewPCG(uint64(step), uint64(cut+9)))), p, n)
+		}
+		for _, how := range []error{errors.New("no space left on device"), crash.ErrShort} {
+			d := crash.New()
+			d.Fail = func(op int, _ string) error {
+				if op == step {
+					return how
+				}
+				return nil
+			}
+			p := play(d, n)
+			d.Fail = nil
+			held(t, d.Crash(-1, rand.New(rand.NewPCG(uint64(step), 1))), p, n)
+		}
+	}
+}
+
+// Many at once on a real folder: each order is taken by one of those that ask for it, and compactions lose none.
+func TestManyAtOnce(t *testing.T) {
+	dir := disk.Dir(t.TempDir())
+	l, err := Open(dir, usual, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(dir, usual, clock); !errors.Is(err, disk.ErrLocked) {
+		t.Errorf("opened twice: %v", err)
+	}
+	const names, askers = 60, 8
+	var mu sync.Mutex
+	ran := map[orders.Name]int{}
+	var all sync.WaitGroup
+	for a := range askers {
+		all.Go(func() {
+			for i := range names {
+				n := name((i + a*7) % names)
+				v, _, err := l.Take(orders.Order{Name: n})
+				if err != nil {
+					t.Error(err)
+				}
+				if v != orders.Go {
+					continue
+				}
+				if err := l.Send(n, "o-1"); err != nil {
+					t.Error(err)
+				}
+				mu.Lock()
+				ran[n]++
+				mu.Unlock()
+				if err := l.End(n, orders.Done, []byte("r "+n.Key)); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	if err := errors.Join(l.Fault(), l.Close()); err != nil {
+		t.Error(err)
+	}
+	l, err = Open(dir, usual, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for i := range names {
+		if v, r, _ := l.Take(orders.Order{Name: name(i)}); ran[name(i)] != 1 || v != orders.Receipt || string(r) != "r "+name(i).Key {
+			t.Errorf("order %d ran %d times; asked again: %v %q", i, ran[name(i)], v, r)
+		}
+	}
+	if err := l.Settle(name(0), orders.NeverRan, nil, "ops"); !errors.Is(err, orders.ErrSettled) {
+		t.Errorf("settling what is done: %v", err)
+	}
+}
