--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -78,8 +78,7 @@
 		l.book.Durable(e)
 		l.since++
 	}
-	all, _ := l.book.Len()
-	full := err == nil && l.since >= l.opt.CompactAt+2*all
+	full := err == nil && l.since >= l.opt.CompactAt+2*l.book.Size()
 	l.mu.Unlock()
 	l.writes.RUnlock()
 	if full {
@@ -158,8 +157,7 @@
 	l.writes.Lock()
 	defer l.writes.Unlock()
 	l.mu.Lock()
-	all, _ := l.book.Len()
-	if l.since < l.opt.CompactAt+2*all { // somebody else has done it
+	if l.since < l.opt.CompactAt+2*l.book.Size() { // somebody else has done it
 		l.mu.Unlock()
 		return nil
 	}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -344,12 +344,12 @@
 // forget lets go of what ended longer than Keep ago. An unknown order is kept until an operator has settled it: it is what the record is
 // for. Where all is younger, new orders are refused rather than old ones forgotten.
 func (b *Book) forget() {
-	kept := b.ended[:0]
-	for i, o := range b.ended {
-		if b.now-o.At < b.limits.Keep {
-			kept = append(kept, b.ended[i:]...) // all behind it ended later
-			break
-		}
+	old := 0
+	for old < len(b.ended) && b.now-b.ended[old].At >= b.limits.Keep {
+		old++ // all behind it ended later
+	}
+	var kept []*order
+	for _, o := range b.ended[:old] {
 		if o.State == Unknown || o.pending {
 			kept = append(kept, o)
 			continue
@@ -358,8 +358,9 @@
 		b.bytes -= len(o.Receipt)
 		b.drop(o)
 	}
-	clear(b.ended[len(kept):])
-	b.ended = kept
+	if len(kept) < old {
+		b.ended = slices.Replace(b.ended, 0, old, kept...)
+	}
 	if len(b.tokens) >= 2*b.limits.Most { // those of orders that are forgotten, until they have run out
 		for n, t := range b.tokens {
 			if b.now >= t.until && b.by[t.by] == nil {
@@ -378,7 +379,10 @@
 	return o.Entry, true
 }
 
-// Len counts orders, and those that are unknown.
+// Size counts orders.
+func (b *Book) Size() int { return len(b.by) }
+
+// Len counts orders, and those that are unknown. It looks at all of them.
 func (b *Book) Len() (all, unknown int) {
 	for _, o := range b.by {
 		if o.State == Unknown {
