--- a/cmd/linenloom/main.go
+++ b/cmd/linenloom/main.go
@@ -11,11 +11,12 @@
 	"linenloom/internal/app"
 	"linenloom/internal/demo"
 	"linenloom/internal/idcmd"
+	"linenloom/internal/ordercmd"
 )
 
 func main() {
 	g := app.Program{
-		Name: "linenloom", Elsewhere: elsewhere, Commands: map[string]func([]string) int{"demo": demo.Run, "token": idcmd.Token, "keys": idcmd.Keys},
+		Name: "linenloom", Elsewhere: elsewhere, Commands: map[string]func([]string) int{"demo": demo.Run, "token": idcmd.Token, "keys": idcmd.Keys, "orders": ordercmd.Run},
 		About: `       linenloom demo                  a fleet of stand-ins, traffic, and what becomes of it
        linenloom token sign|inspect    tokens that prove callers
        linenloom keys list|rotate      the keys that sign them
--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -152,15 +152,28 @@
 	}
 }
 
-// compact puts what is on record in the place of all that was written. Changes wait for as long as it takes.
+// compact compacts, unless somebody else has.
 func (l *Ledger) compact() error {
 	l.writes.Lock()
 	defer l.writes.Unlock()
 	l.mu.Lock()
-	if l.since < l.opt.CompactAt+2*l.book.Size() { // somebody else has done it
-		l.mu.Unlock()
+	due := l.since >= l.opt.CompactAt+2*l.book.Size()
+	l.mu.Unlock()
+	if !due {
 		return nil
 	}
+	return l.rewrite()
+}
+
+// Compact puts what is on record in the place of all that was written. Changes wait for as long as it takes.
+func (l *Ledger) Compact() error {
+	l.writes.Lock()
+	defer l.writes.Unlock()
+	return l.rewrite()
+}
+
+func (l *Ledger) rewrite() error {
+	l.mu.Lock()
 	var records []log.Record
 	l.book.Entries(func(e *orders.Entry) bool {
 		records = append(records, log.Record{Kind: kindEntry, Payload: e.Append(nil)})
