A successor's look at who serves no longer races with the watch on it

Change: what it goes by is what was so as it began, which never changes. Measured: TestUpgrade and the package three times under the detector.

--- a/internal/app/share.go
+++ b/internal/app/share.go
@@ -38,6 +38,7 @@
 	log   *slog.Logger
 	alone bool
 	began time.Time
+	first bool // nobody served as this process began; never changed
 	left  bool // what this process has learnt is left for the one that follows it now
 	// what is in force
 	sockets int
@@ -55,6 +56,7 @@
 	if s.dir, s.alone, err = handover.Open(path, cfg.Name+" "+cfg.Listen); err != nil {
 		log.Warn("no directory to hand over by: members out of use are forgotten at the end of this process", "err", err)
 	}
+	s.first = s.alone
 	if settings.Out, _, err = s.dir.Look(); err != nil {
 		log.Error("the record of members out of use can't be read", "err", err)
 	}
@@ -73,7 +75,7 @@
 func (s *sharing) inherit() (*inherit.Snapshot, error) {
 	for {
 		text, err := s.dir.Left(inherit.MaxBytes)
-		if err != nil || text == nil && s.alone {
+		if err != nil || text == nil && s.first {
 			return nil, err
 		}
 		var old inherit.Snapshot
@@ -81,9 +83,9 @@
 			old, err = inherit.Decode(text)
 		}
 		switch {
-		case text != nil && err == nil && (s.alone || old.TakenMS >= s.began.UnixMilli()):
+		case text != nil && err == nil && (s.first || old.TakenMS >= s.began.UnixMilli()):
 			return &old, nil
-		case s.alone:
+		case s.first:
 			return nil, err
 		case time.Since(s.began) < leaveWait:
 			time.Sleep(leaveLook)
