Read again: twins of this change made one, and a place given back without a goroutine

Need: the change read once more; no change of behaviour is meant.

- Written again: reading flags that must be given (internal/flags, for idcmd and ordercmd), the check of a folder in two commands (disk.Dir.There), the wait for room of a long write beside that of a long answer (LongRoom), the push of a new key in the counter, the reading of short answers of an origin with and without a length, the start of a rig's proxy with an operator's file (Env.proxy takes arguments, four copies of write and start are one).
- At the wrong depth: three goroutines that only waited for a lock to give a place back; a place can now be dropped under it.
- State that follows: what a body has room for (its capacity), whether what was learnt is left (followed, a local), Fleet's parts.
- A rig left its fleet open where a folder could not be made.

--- a/internal/app/share.go
+++ b/internal/app/share.go
@@ -39,7 +39,6 @@
 	alone bool
 	began time.Time
 	first bool // nobody served as this process began; never changed
-	left  bool // what this process has learnt is left for the one that follows it now
 	// what is in force
 	sockets int
 	memory  float64
@@ -75,32 +74,29 @@
 func (s *sharing) inherit() (*inherit.Snapshot, error) {
 	for {
 		text, err := s.dir.Left(inherit.MaxBytes)
-		if err != nil || text == nil && s.first {
+		if err != nil {
 			return nil, err
 		}
-		var old inherit.Snapshot
+		var old *inherit.Snapshot // nil: nothing was left, by a version that leaves nothing, or nothing that can be read
 		if text != nil {
-			old, err = inherit.Decode(text)
+			var got inherit.Snapshot
+			if got, err = inherit.Decode(text); err == nil {
+				old = &got
+			}
 		}
-		switch {
-		case text != nil && err == nil && (s.first || old.TakenMS >= s.began.UnixMilli()):
-			return &old, nil
-		case s.first:
-			return nil, err
-		case time.Since(s.began) < leaveWait:
-			time.Sleep(leaveLook)
-		case text == nil: // a version that leaves nothing
-			return nil, nil
-		case err != nil:
-			return nil, err
-		default:
-			return &old, nil // its age tells what of it holds
+		// Of an older one its age tells what holds.
+		if s.first || old != nil && old.TakenMS >= s.began.UnixMilli() || time.Since(s.began) >= leaveWait {
+			return old, err
 		}
+		time.Sleep(leaveLook)
 	}
 }
 
 // leave writes what this process has learnt.
 func (s *sharing) leave(p *proxy.Proxy) {
+	if !s.dir.Lasts() {
+		return
+	}
 	text, err := inherit.Encode(p.Learnt())
 	if err == nil {
 		err = s.dir.Leave(text)
@@ -117,12 +113,13 @@
 func (s *sharing) run(p *proxy.Proxy, stop, quit <-chan struct{}) {
 	tick := time.NewTicker(shareEvery)
 	defer tick.Stop()
+	followed := false
 	for {
 		select {
 		case <-quit:
 			return
 		case <-stop: // a planned stop begins: another process may take this one's place
-			if stop = nil; s.alone && !s.left && s.dir.Lasts() {
+			if stop = nil; s.alone && !followed {
 				s.leave(p)
 			}
 		case <-tick.C:
@@ -136,11 +133,10 @@
 				s.log.Info("the process before has ended")
 			}
 		}
-		followed := s.alone && s.dir.Followed()
-		if followed && !s.left && s.dir.Lasts() {
+		was := followed
+		if followed = s.alone && s.dir.Followed(); followed && !was {
 			s.leave(p)
 		}
-		s.left = followed
 		switch {
 		case !s.alone || followed:
 			s.keep(p)
--- a/internal/extproc/server/long.go
+++ b/internal/extproc/server/long.go
@@ -24,7 +24,7 @@
 )
 
 // Begin waits for room.
-func (w whole) Begin(n int) error {
+func (w whole) Begin(n int) (err error) {
 	var left time.Duration
 	w.f.p.Do(func() {
 		if s := w.stream; s != nil && !w.settled {
@@ -37,15 +37,14 @@
 		return errNoRoom
 	}
 	w.f.p.Do(func() {
-		if !w.settled {
-			w.place, w.value = place, make([]byte, 0, n)
+		if w.settled {
+			place.Drop()
+			err = errUnwanted
+			return
 		}
+		w.place, w.value = place, make([]byte, 0, n)
 	})
-	if w.value == nil {
-		place.Leave()
-		return errUnwanted
-	}
-	return nil
+	return err
 }
 
 // Pass takes a piece.
@@ -94,7 +93,7 @@
 func (w whole) release() {
 	if w.value != nil {
 		w.value = nil
-		go w.place.Leave() // which wants the lock
+		w.place.Drop()
 		w.place = nil
 	}
 }
@@ -113,10 +112,10 @@
 		value := append(make([]byte, 0, n), s.body...)
 		s.f.p.Do(func() {
 			s.f.p.Hold(-cap(s.body)) // it is in the room now
-			s.body, s.place, s.roomFor = value, place, n
+			s.body, s.place = value, place
 		})
 	}
-	if len(s.body)+len(piece) > s.roomFor {
+	if len(s.body)+len(piece) > cap(s.body) { // what there is room for
 		return false // more than it said
 	}
 	s.body = append(s.body, piece...)
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -391,7 +391,7 @@
 		if s.place == nil {
 			f.p.Hold(-cap(s.body))
 		} else {
-			go s.place.Leave() // which wants the lock
+			s.place.Drop()
 			s.place = nil
 		}
 		f.p.Hold(-streamCost - s.window)
@@ -490,7 +490,7 @@
 		c.final.Body.Release()
 		c.final.Body, c.final.Value = nil, nil
 	case c.place != nil:
-		go c.place.Leave() // which wants the lock
+		c.place.Drop()
 		c.final.Value, c.place = nil, nil
 	default:
 		c.f.p.Hold(-len(c.final.Value))
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -57,16 +57,14 @@
 	delivered    bool         // the response has come whole
 
 	// Under the host's lock.
-	call  *call
-	body  []byte
-	place upstream.Place // in the room for long values, of a body over maxBody; nil: it is counted as held
-	// roomFor is what there is room for there.
-	roomFor int
-	window  int           // held for what the caller may have sent ahead
-	due     time.Duration // when it has stood for too long
-	idle    bool          // all has been said; more may come, and needs nothing
-	kicks   bool
-	kicked  chan struct{}
+	call   *call
+	body   []byte
+	place  upstream.Place // in the room for long values, of a body over maxBody; nil: it is counted as held
+	window int            // held for what the caller may have sent ahead
+	due    time.Duration  // when it has stood for too long
+	idle   bool           // all has been said; more may come, and needs nothing
+	kicks  bool
+	kicked chan struct{}
 }
 
 type received struct {
--- a/internal/idcmd/idcmd.go
+++ b/internal/idcmd/idcmd.go
@@ -22,6 +22,7 @@
 	"github.com/go-jose/go-jose/v4"
 	"github.com/go-jose/go-jose/v4/jwt"
 
+	"linenloom/internal/flags"
 	"linenloom/internal/identity"
 )
 
@@ -33,8 +34,6 @@
 // Keys is the command keys: list and rotate.
 func Keys(args []string) int { return run("keys", args, os.Stdin, os.Stdout, os.Stderr, time.Now) }
 
-var errUsage = errors.New("usage")
-
 func run(command string, args []string, in io.Reader, out, errs io.Writer, now func() time.Time) int {
 	name := ""
 	if len(args) > 0 {
@@ -60,7 +59,7 @@
 		return usageStatus
 	}
 	switch {
-	case errors.Is(err, errUsage), errors.Is(err, flag.ErrHelp):
+	case errors.Is(err, flags.ErrUsage), errors.Is(err, flag.ErrHelp):
 		return usageStatus
 	case err != nil:
 		fmt.Fprintf(errs, "linenloom %s %s: %v\n", command, name, err)
@@ -69,25 +68,6 @@
 	return 0
 }
 
-// parse reads flags; those named must be given.
-func parse(f *flag.FlagSet, errs io.Writer, args []string, must ...string) error {
-	f.SetOutput(errs)
-	if err := f.Parse(args); err != nil {
-		return errUsage // it has been told
-	}
-	given := map[string]bool{}
-	f.Visit(func(g *flag.Flag) { given[g.Name] = true })
-	for _, m := range must {
-		if !given[m] {
-			return fmt.Errorf("-%s is missing", m)
-		}
-	}
-	if f.NArg() > 0 {
-		return fmt.Errorf("unexpected argument %q", f.Arg(0))
-	}
-	return nil
-}
-
 func sign(args []string, out, errs io.Writer, now time.Time) error {
 	f := flag.NewFlagSet("token sign", flag.ContinueOnError)
 	key := f.String("key", "", "the private key, a JWK `FILE`")
@@ -95,7 +75,7 @@
 	tenant, claim := f.String("tenant", "", "the tenant"), f.String("claim", "tenant", "the claim that names it")
 	subject, jti := f.String("subject", "", "sub"), f.String("jti", "", "an id, for an order's token")
 	life := f.Duration("for", 10*time.Minute, "how long it holds")
-	if err := parse(f, errs, args, "key", "issuer", "audience", "tenant"); err != nil {
+	if err := flags.Parse(f, errs, args, "key", "issuer", "audience", "tenant"); err != nil {
 		return err
 	}
 	text, err := os.ReadFile(*key)
@@ -139,7 +119,7 @@
 func inspect(args []string, in io.Reader, out, errs io.Writer, now time.Time) error {
 	f := flag.NewFlagSet("token inspect", flag.ContinueOnError)
 	file := f.String("keys", "", "check it by this key set, a JWK set `FILE`")
-	if err := parse(f, errs, args); err != nil {
+	if err := flags.Parse(f, errs, args); err != nil {
 		return err
 	}
 	text, err := io.ReadAll(io.LimitReader(in, identity.MaxToken+2))
@@ -204,7 +184,7 @@
 func list(args []string, out, errs io.Writer, now time.Time) error {
 	f := flag.NewFlagSet("keys list", flag.ContinueOnError)
 	file := f.String("keys", "", "a JWK set `FILE`")
-	if err := parse(f, errs, args, "keys"); err != nil {
+	if err := flags.Parse(f, errs, args, "keys"); err != nil {
 		return err
 	}
 	keys, err := load(*file)
@@ -231,7 +211,7 @@
 	after := f.Duration("after", time.Minute, "when the new key begins to count: long enough for every process to have read the file")
 	overlap := f.Duration("overlap", time.Hour, "how long the keys before it count after that: as long as their tokens hold")
 	prune := f.Duration("prune", 24*time.Hour, "leave out keys that ended longer ago than this")
-	if err := parse(f, errs, args, "keys", "private"); err != nil {
+	if err := flags.Parse(f, errs, args, "keys", "private"); err != nil {
 		return err
 	}
 	var set struct {
--- a/internal/lab/doors.go
+++ b/internal/lab/doors.go
@@ -39,11 +39,7 @@
 	if err != nil {
 		return err
 	}
-	file, err := e.write("doors.toml", []byte("[identity]\n[[identity.tenant]]\nname = \"acme\"\n"+doorTable(a)))
-	if err != nil {
-		return err
-	}
-	addr, p, err := e.guarded(fleet, file)
+	addr, p, err := e.guarded("doors", fleet, "[identity]\n[[identity.tenant]]\nname = \"acme\"\n"+doorTable(a))
 	if err != nil {
 		return err
 	}
--- a/internal/lab/identity.go
+++ b/internal/lab/identity.go
@@ -166,15 +166,11 @@
 		return r, err
 	}
 	defer plain.Kill()
-	file, err := e.write("operator.toml", fmt.Appendf(nil, "[identity]\nkeys = %q\nissuer = \"lab\"\naudience = \"lab\"\nchecks_per_s = 500\n"+
+	addr, p, err := e.guarded("identity", fleet, fmt.Sprintf("[identity]\nkeys = %q\nissuer = \"lab\"\naudience = \"lab\"\nchecks_per_s = 500\n"+
 		"[[identity.tenant]]\nname = \"acme\"\n", is.file))
 	if err != nil {
 		return r, err
 	}
-	addr, p, err := e.guarded(fleet, file)
-	if err != nil {
-		return r, err
-	}
 	defer p.Kill()
 	if err := e.rotate(r, is, addr); err != nil {
 		return r, err
@@ -197,21 +193,13 @@
 	return r, p.Stop()
 }
 
-func (e *Env) guarded(fleet *standin.Fleet, file string) (string, *Process, error) {
-	addr, err := freeAddr()
-	if err != nil {
-		return "", nil, err
-	}
-	config, err := fleet.Config("identity", addr, "8c1f30d27a5be964", 192, 4096)
-	if err != nil {
-		return "", nil, err
-	}
-	path, err := e.write("identity.json", config)
+// guarded starts a proxy with an operator's file.
+func (e *Env) guarded(name string, fleet *standin.Fleet, operator string) (string, *Process, error) {
+	file, err := e.write(name+".toml", []byte(operator))
 	if err != nil {
 		return "", nil, err
 	}
-	p, err := Start("msg=ready", []string{"LB_CONFIG=" + path, "LB_LISTEN=" + addr}, e.Bin+"/linenloom", "-operator", file)
-	return addr, p, err
+	return e.proxy(name, fleet, 192, 4096, "-operator", file)
 }
 
 // rotate changes the keys several times while callers, half of them by AUTH and half by a token in each request, go on. A caller signs
--- a/internal/lab/mountain.go
+++ b/internal/lab/mountain.go
@@ -106,11 +106,7 @@
 	}
 	defer fleet.Close()
 	fleet.Tenants = overloadTenants
-	file, err := e.write("many.toml", []byte("[many_keys]\nkeys = 256\n"))
-	if err != nil {
-		return r, err
-	}
-	addr, p, err := e.guarded(fleet, file)
+	addr, p, err := e.guarded("many", fleet, "[many_keys]\nkeys = 256\n")
 	if err != nil {
 		return r, err
 	}
--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -90,7 +90,7 @@
 }
 
 // proxy starts linenloom before a fleet, on one core, and tells where it listens.
-func (e *Env) proxy(name string, fleet *standin.Fleet, memoryMB, sockets int) (addr string, p *Process, err error) {
+func (e *Env) proxy(name string, fleet *standin.Fleet, memoryMB, sockets int, args ...string) (addr string, p *Process, err error) {
 	if addr, err = freeAddr(); err != nil {
 		return "", nil, err
 	}
@@ -102,7 +102,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	p, err = Start("msg=ready", []string{"LB_CONFIG=" + path, "LB_LISTEN=" + addr}, e.Bin+"/linenloom")
+	p, err = Start("msg=ready", []string{"LB_CONFIG=" + path, "LB_LISTEN=" + addr}, e.Bin+"/linenloom", args...)
 	return addr, p, err
 }
 
--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -44,11 +44,7 @@
 		return r, err
 	}
 	defer plain.Kill()
-	file, err := e.write("joining.toml", []byte("[joining]\nfollowers = 16384\nfollowers_per_tenant = 8192\n"))
-	if err != nil {
-		return r, err
-	}
-	addr, p, err := e.guarded(fleet, file)
+	addr, p, err := e.guarded("joining", fleet, "[joining]\nfollowers = 16384\nfollowers_per_tenant = 8192\n")
 	if err != nil {
 		return r, err
 	}
--- a/internal/lab/successor.go
+++ b/internal/lab/successor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -42,6 +43,7 @@
 	}
 	dir := filepath.Join(e.Dir, name)
 	if err := os.MkdirAll(dir, 0o700); err != nil {
+		fleet.Close()
 		return nil, nil, err
 	}
 	scratch := *e
@@ -131,7 +133,6 @@
 		b.SetService(heirService, heirPlaces)
 	}
 	o.fleet.Origin.SetService(heirFetch, heirFetches)
-	left := filepath.Join(filepath.Dir(o.path), "linenloom-*", "learnt")
 
 	var inTime, other atomic.Int64
 	quit := make(chan struct{})
@@ -180,18 +181,14 @@
 		return got, err
 	}
 	old := o.process
-	spoil := func() error { // a folder in the file's place: nothing can be left there, and nothing be read
-		if with {
-			return nil
-		}
-		dirs, err := filepath.Glob(filepath.Dir(left))
+	if !with { // a folder in the file's place: nothing can be left there, and nothing be read
+		dirs, err := filepath.Glob(filepath.Join(filepath.Dir(o.path), "linenloom-*"))
 		if err != nil || len(dirs) != 1 {
-			return fmt.Errorf("%v %w", dirs, err)
+			return got, errors.Join(fmt.Errorf("%d folders to hand over by", len(dirs)), err)
+		}
+		if err := os.Mkdir(filepath.Join(dirs[0], "learnt"), 0o700); err != nil {
+			return got, err
 		}
-		return os.Mkdir(filepath.Join(dirs[0], "learnt"), 0o700)
-	}
-	if err := spoil(); err != nil {
-		return got, err
 	}
 	if !upgrade {
 		old.Stop()
--- a/internal/ordercmd/ordercmd.go
+++ b/internal/ordercmd/ordercmd.go
@@ -12,6 +12,7 @@
 	"text/tabwriter"
 	"time"
 
+	"linenloom/internal/flags"
 	"linenloom/internal/orders"
 	"linenloom/internal/orders/ledger"
 	"linenloom/internal/store/disk"
@@ -37,11 +38,10 @@
 // far is what bounds a ledger that an operator opens: nothing is forgotten, or turned away, by looking.
 var far = ledger.Options{Limits: orders.Limits{Keep: 1 << 62, Most: 1 << 40, MostBytes: 1 << 50}, SegmentSize: 4 << 20, CompactAt: 1 << 40}
 
-// command is a command's flags and what it does with the open ledger.
+// command is the flags that a command needs, and what it does with the open ledger.
 type command struct {
-	flags *flag.FlagSet
-	must  []string
-	do    func(l *ledger.Ledger, out io.Writer) error
+	must []string
+	do   func(l *ledger.Ledger, out io.Writer) error
 }
 
 func run(args []string, out, errs io.Writer, now func() time.Duration) int {
@@ -50,23 +50,17 @@
 		name = args[0]
 	}
 	f := flag.NewFlagSet("orders "+name, flag.ContinueOnError)
-	f.SetOutput(errs)
 	dir := f.String("dir", "", "the folder of the record")
 	c := commands(f)[name]
 	if c == nil {
 		fmt.Fprint(errs, usage)
 		return usageStatus
 	}
-	if f.Parse(args[1:]) != nil {
-		return usageStatus // it has been told
-	}
-	given := map[string]bool{}
-	f.Visit(func(g *flag.Flag) { given[g.Name] = true })
-	for _, m := range append([]string{"dir"}, c.must...) {
-		if !given[m] {
-			fmt.Fprintf(errs, "linenloom orders %s: -%s is missing\n", name, m)
-			return usageStatus
+	if err := flags.Parse(f, errs, args[1:], append([]string{"dir"}, c.must...)...); err != nil {
+		if !errors.Is(err, flags.ErrUsage) {
+			fmt.Fprintf(errs, "linenloom orders %s: %v\n", name, err)
 		}
+		return usageStatus
 	}
 	if err := on(*dir, now, out, c.do); err != nil {
 		fmt.Fprintf(errs, "linenloom orders %s: %v\n", name, err)
@@ -77,10 +71,8 @@
 
 // on opens the ledger in a folder that is there.
 func on(dir string, now func() time.Duration, out io.Writer, do func(*ledger.Ledger, io.Writer) error) error {
-	if s, err := os.Stat(dir); err != nil {
+	if err := disk.Dir(dir).There(); err != nil {
 		return err
-	} else if !s.IsDir() {
-		return fmt.Errorf("%s is no folder", dir)
 	}
 	l, err := ledger.Open(disk.Dir(dir), far, now)
 	var damage *log.Damage
--- a/internal/proxy/inherit.go
+++ b/internal/proxy/inherit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"linenloom/internal/inherit"
@@ -11,9 +12,8 @@
 // fleet is what tells this proxy's snapshots from those of others.
 func (c *Config) fleet() uint64 {
 	s := &c.Settings
-	parts := []string{fmt.Sprint(s.Self, s.Instances, s.Zone, s.Mode, s.OriginKind)}
-	parts = append(append(append(parts, c.Zones...), "kinds"), c.Kinds...)
-	return inherit.Fleet(parts...)
+	place := fmt.Sprint(s.Self, s.Instances, s.Zone, s.Mode, s.OriginKind)
+	return inherit.Fleet(slices.Concat([]string{place}, c.Zones, []string{"kinds"}, c.Kinds)...)
 }
 
 // Learnt is what this proxy has learnt, for the process that takes its place. Only the copy is made under the lock.
--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -85,7 +85,7 @@
 // back with the request.
 func (r *Request) InRoom(n int) { r.long = n }
 
-// heldPlace is a place in the room of a value that a member sends.
+// heldPlace is a place in the room that is waited for without the lock, for so long at the most.
 type heldPlace struct {
 	*place
 	p    *Proxy
@@ -93,21 +93,19 @@
 }
 
 // Wait waits for the room.
-func (w *heldPlace) Wait() bool {
-	select {
-	case <-w.let:
-		return true
-	default:
-	}
+func (w *heldPlace) Wait() (let bool) {
 	late := time.NewTimer(w.left)
 	defer late.Stop()
 	select {
 	case <-w.let:
-		return true
 	case <-late.C:
 	}
-	w.Leave()
-	return false
+	w.p.Do(func() {
+		if let = w.done; !let {
+			w.Drop()
+		}
+	})
+	return let
 }
 
 // Shrink gives back what the value does not take.
@@ -116,7 +114,10 @@
 }
 
 // Leave gives the room back.
-func (w *heldPlace) Leave() { w.p.Do(func() { w.p.long.leave(w.place) }) }
+func (w *heldPlace) Leave() { w.p.Do(w.Drop) }
+
+// Drop is Leave under the lock.
+func (w *heldPlace) Drop() { w.p.long.leave(w.place) }
 
 func (p *Proxy) longMax() int { return int(float64(p.cfg.MemoryMB) * (1 << 20) * longShare) }
 
@@ -133,23 +134,10 @@
 // longValue reads a long value of a client, once there is room for it.
 func (c *client) longValue(cmd *input, n int) error {
 	p := c.p
-	p.enter()
-	w := p.long.enter(n, p.longMax())
-	c.waits = true
-	p.leave()
-	late := time.NewTimer(longestWait)
-	defer late.Stop()
-	select {
-	case <-w.let:
-	case <-late.C:
-	}
-	p.enter()
-	c.waits = false
-	let := w.done
-	if !let {
-		p.long.leave(w)
-	}
-	p.leave()
+	p.Do(func() { c.waits = true })
+	w := p.LongRoom(n, longestWait)
+	let := w.Wait()
+	p.Do(func() { c.waits = false })
 	if !let { // it is read over, and refused
 		*cmd = input{refused: true}
 		c.limit()
@@ -161,9 +149,7 @@
 		err = c.in.End()
 	}
 	if err != nil {
-		p.enter()
-		p.long.leave(w)
-		p.leave()
+		w.Leave()
 		return err
 	}
 	cmd.Value, cmd.long = value, n
--- a/internal/store/disk/disk.go
+++ b/internal/store/disk/disk.go
@@ -46,6 +46,17 @@
 
 var _ FS = Dir("")
 
+// There tells what is wrong with a folder that should be there.
+func (d Dir) There() error {
+	switch s, err := os.Stat(string(d)); {
+	case err != nil:
+		return err
+	case !s.IsDir():
+		return fmt.Errorf("%s is no folder", string(d))
+	}
+	return nil
+}
+
 func (d Dir) path(name string) string { return filepath.Join(string(d), name) }
 
 // Create makes a file that is not there yet.
--- a/internal/storecmd/storecmd.go
+++ b/internal/storecmd/storecmd.go
@@ -59,10 +59,8 @@
 
 // read goes through the log in a folder that is there.
 func read(dir string, dump bool, most int, out io.Writer) error {
-	if s, err := os.Stat(dir); err != nil {
+	if err := disk.Dir(dir).There(); err != nil {
 		return err
-	} else if !s.IsDir() {
-		return fmt.Errorf("%s is no folder", dir)
 	}
 	records, bytes, first, last := 0, 0, uint64(0), uint64(0)
 	l, err := log.Open(disk.Dir(dir), log.Options{SegmentSize: segment}, func(r log.Record) error {
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -280,20 +280,26 @@
 	return resp.ErrProtocol
 }
 
-// readAnswer reads an answer's value.
+// readAnswer reads an answer's value. An origin need not tell its length: it comes in chunks, or ends with the connection, and then is
+// whole unless the connection broke (RFC 9112, sections 7.1 and 8).
 func (u *Conn) readAnswer(answer *http.Response, limit *capped) error {
 	st, n := statusOf(answer), answer.ContentLength
 	switch {
-	case n < 0:
-		return u.readUntold(answer, st, limit)
 	case n > resp.MaxValue && n <= resp.MaxLong && st == logic.StatusOK:
 		return u.passHTTP(answer, limit, int(n))
 	case n > resp.MaxValue:
 		return resp.ErrProtocol
 	}
-	body, err := io.ReadAll(answer.Body)
-	if err != nil {
+	u.toEnd = n < 0 && len(answer.TransferEncoding) == 0
+	defer func() { u.toEnd = false }()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, resp.MaxValue+1))
+	switch {
+	case err != nil:
 		return fmt.Errorf("%w: %w", errCut, err)
+	case len(body) > resp.MaxValue && st != logic.StatusOK:
+		return resp.ErrProtocol
+	case len(body) > resp.MaxValue:
+		return u.passUntold(answer, body, limit)
 	}
 	if err := u.result(st, 0, body); err != nil {
 		return err
--- a/internal/upstream/long.go
+++ b/internal/upstream/long.go
@@ -117,9 +117,9 @@
 		piece := make([]byte, min(left, longPiece))
 		if _, err = io.ReadFull(in, piece); err != nil {
 			err = fmt.Errorf("%w: %w", errCut, err)
-			break
+		} else {
+			pieces <- piece
 		}
-		pieces <- piece
 	}
 	if err == nil && end != nil {
 		err = end()
@@ -171,24 +171,9 @@
 // untoldHead is how many bytes the framing of a long value in chunks may take beside it.
 const untoldHead = 256 << 10
 
-// readUntold reads a value of an origin that does not tell its length: it comes in chunks, or ends with the connection, and then
-// is whole unless the connection broke (RFC 9112, sections 7.1 and 8). RESP2 wants the length first, so it is held until it is whole,
-// a long one in the room for long values.
-func (u *Conn) readUntold(answer *http.Response, st logic.Status, limit *capped) error {
-	u.toEnd = len(answer.TransferEncoding) == 0
-	defer func() { u.toEnd = false }()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, resp.MaxValue+1))
-	switch {
-	case err != nil:
-		return fmt.Errorf("%w: %w", errCut, err)
-	case len(body) <= resp.MaxValue:
-		if err := u.result(st, 0, body); err != nil {
-			return err
-		}
-		return endOf(answer)
-	case st != logic.StatusOK:
-		return resp.ErrProtocol
-	}
+// passUntold passes on a long value of an origin that does not tell its length, of which body has come. RESP2 wants the length first, so it
+// is held until it is whole, in the room for long values.
+func (u *Conn) passUntold(answer *http.Response, body []byte, limit *capped) (err error) {
 	h := u.s.host
 	var place Place
 	h.Do(func() {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -82,11 +82,12 @@
 	LongRoom(n int, until time.Duration) Place
 }
 
-// Place is a place in the room for long values. None of its methods may be called under the lock.
+// Place is a place in the room for long values. None of its methods but Drop may be called under the lock.
 type Place interface {
 	Wait() bool   // until there is room, or the time has passed: then the place is gone
 	Shrink(n int) // what is held is only so much
 	Leave()       // give it back
+	Drop()        // the same, under the lock
 }
 
 // Due is something to do at a time. None is withdrawn; one that is no longer wanted does nothing.
--- a/logic/counter.go
+++ b/logic/counter.go
@@ -35,9 +35,7 @@
 	case ok:
 		c.items[i].count++
 	case len(c.items) < c.size:
-		i = len(c.items)
-		c.at[key] = i
-		heap.Push(c, counted{key: key, count: 1})
+		c.put(counted{key: key, count: 1})
 		return
 	default:
 		least := c.items[0]
