Ledger: a slow disk has a bounded line, and orders past it are refused as never run

Change: Options.Line bounds the changes that wait; an order past it gets ErrSlow at once and has not run. Repeats of what is known are answered without the disk, and what is in hand is always written, since an order that has run would else be unknown. Measured: TestDiskIsSlow, a disk whose syncs wait until they are let go; without the check the fifth order hangs there.

--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -25,8 +25,14 @@
 	SegmentSize int64
 	// CompactAt is how many entries more than orders the log holds before it is compacted, at the least.
 	CompactAt int
+	// Line is how many changes may wait for the disk before no further order is taken; 0: any number. What is in hand is always written:
+	// an order that has run would else be unknown for a slow disk.
+	Line int
 }
 
+// ErrSlow tells that an order was not taken, since too many changes wait for the disk. It has not run, and may come again.
+var ErrSlow = errors.New("ledger: the disk is behind: too many changes wait for it")
+
 // Ledger is an open record. It is safe for concurrent use; whoever changes it waits for the disk, and those who come meanwhile share a sync.
 type Ledger struct {
 	opt Options
@@ -37,6 +43,7 @@
 	mu     sync.Mutex   // of what follows; nothing waits under it
 	book   *orders.Book
 	since  int // entries since the last compaction
+	line   int // changes that wait for the disk
 	broken error
 }
 
@@ -71,6 +78,7 @@
 	l.writes.RLock()
 	_, err := l.log.Append(kindEntry, e.Append(nil))
 	l.mu.Lock()
+	l.line--
 	if err != nil {
 		l.book.Lost(e)
 		err = fmt.Errorf("ledger: %w", err)
@@ -91,6 +99,9 @@
 func (l *Ledger) decide(f func(b *orders.Book, now time.Duration) (*orders.Entry, error)) error {
 	l.mu.Lock()
 	e, err := f(l.book, l.now())
+	if err == nil && e != nil {
+		l.line++
+	}
 	l.mu.Unlock()
 	if err != nil || e == nil {
 		return err
@@ -101,6 +112,11 @@
 // Take decides on an order that comes. With Go it is in hand, and on record. An error means that it could not be recorded, and has not run.
 func (l *Ledger) Take(o orders.Order) (v orders.Verdict, receipt []byte, err error) {
 	err = l.decide(func(b *orders.Book, now time.Duration) (e *orders.Entry, _ error) {
+		if l.opt.Line > 0 && l.line >= l.opt.Line {
+			if _, known := b.Get(o.Name); !known { // what a repeat is told needs no disk
+				return nil, ErrSlow
+			}
+		}
 		v, receipt, e = b.Take(now, o)
 		return e, nil
 	})
--- a/internal/orders/ledger/ledger_test.go
+++ b/internal/orders/ledger/ledger_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"os"
 	"os/exec"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -236,6 +237,91 @@
 	}
 }
 
+// stuck is a disk whose syncs wait, once it is told so.
+type stuck struct {
+	*crash.Disk
+	mu   sync.Mutex
+	hold chan struct{} // nil: they don't
+}
+
+func (s *stuck) Create(name string) (disk.File, error) {
+	f, err := s.Disk.Create(name)
+	return stuckFile{f, s}, err
+}
+
+type stuckFile struct {
+	disk.File
+	s *stuck
+}
+
+func (f stuckFile) Sync() error {
+	f.s.mu.Lock()
+	hold := f.s.hold
+	f.s.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
+	return f.File.Sync()
+}
+
+// The disk takes its time: so many orders wait for it and no more are taken, at once and as never run; repeats of what is known are answered, and what
+// is in hand ends as it should when the disk is back.
+func TestDiskIsSlow(t *testing.T) {
+	s := &stuck{Disk: crash.New()}
+	opt := usual
+	opt.Line = 4
+	l, err := Open(s, opt, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	take := func(i int) (orders.Verdict, error) {
+		v, _, err := l.Take(orders.Order{Name: name(i)})
+		return v, err
+	}
+	if _, err := take(0); err != nil {
+		t.Fatal(err)
+	}
+	errs := []error{l.Send(name(0), "o-1"), l.End(name(0), orders.Done, []byte("r"))}
+	_, err = take(1)
+	if err := errors.Join(append(errs, err, l.Send(name(1), "o-1"))...); err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	s.hold = make(chan struct{})
+	s.mu.Unlock()
+	ended, came := make(chan error, 1), make(chan error, 3)
+	go func() { ended <- l.End(name(1), orders.Done, []byte("late")) }()
+	for i := range 3 {
+		go func() { _, err := take(2 + i); came <- err }()
+	}
+	for waiting := 0; waiting < opt.Line; runtime.Gosched() { // each of them is in line now
+		l.mu.Lock()
+		waiting = l.line
+		l.mu.Unlock()
+	}
+	if _, err := take(9); !errors.Is(err, ErrSlow) {
+		t.Errorf("one more is taken: %v", err)
+	}
+	if v, err := take(0); v != orders.Receipt || err != nil {
+		t.Errorf("a repeat: %v, %v", v, err)
+	}
+	close(s.hold)
+	for range 3 {
+		if err := <-came; err != nil {
+			t.Error(err)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("what has run is not recorded: %v", err)
+	}
+	if v, err := take(9); v != orders.Go || err != nil {
+		t.Errorf("once the disk is back: %v, %v", v, err)
+	}
+	if _, there := l.Get(name(1)); !there || l.line != 0 {
+		t.Errorf("%d changes wait", l.line)
+	}
+}
+
 // Many at once on a real folder: each order is taken by one of those that ask for it, and compactions lose none.
 func TestManyAtOnce(t *testing.T) {
 	dir := disk.Dir(t.TempDir())
