Pool: idle connections are held only as long as few new ones are turned away

Ruled out: caches that are gone, swapped or slow to accept, and load.

A hundred proxies that ask a cache every few seconds each fill it with connections that rest; who holds one never hears that others lack it.

Change: one hold time for a proxy's caches (internal/pool/hold.go), a fifth less for each connection turned away, 3% more for each new one that carries an answer, never beyond what it was. Refusals at the dial count once in a row, so that a cache that has died takes nothing of it. With few proxies nothing changes. Weighed: five rates, hold times by cache (docs/fleet.md).

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -195,13 +195,15 @@
 	restedSpare []*Member[X]
 	wakeAt      time.Duration
 	idle        idleTimes
+	hold        holdTime
 	slowHead    time.Duration // see the constant
 	alone       time.Duration // until then nothing is written behind another
 }
 
 // New makes a Pool.
 func New[X Exchange](cfg Config, do Actions[X]) *Pool[X] {
-	return &Pool[X]{cfg: cfg, do: do, idle: newIdleTimes(cfg.ConnIdle * IdleShare / 100), slowHead: slowHead}
+	return &Pool[X]{cfg: cfg, do: do, idle: newIdleTimes(cfg.ConnIdle * IdleShare / 100),
+		hold: newHoldTime(cfg.ConnIdle * IdleShare / 100), slowHead: slowHead}
 }
 
 // Advance sets the time.
@@ -271,6 +273,9 @@
 // Broken takes in that a connection has ended.
 func (p *Pool[X]) Broken(c *Conn[X]) {
 	if !c.Closed && !c.Kept && (c.TurnedAway || c.Pinged) {
+		if c.TurnedAway && !c.M.Origin {
+			p.hold.refused()
+		}
 		p.holdBack(c.M)
 	}
 	p.Close(c)
@@ -539,6 +544,9 @@
 // that is up but holds all the connections it will goes on answering on the open ones. Refused at once, it is
 // tried once more, since that has taken no time.
 func (p *Pool[X]) dialFailed(m *Member[X], atOnce bool) {
+	if atOnce && !m.Origin && m.backoff == 0 { // one that has died, and could as well be full, says so each time
+		p.hold.refused()
+	}
 	p.holdBack(m)
 	p.serveWaiting(m)
 	if len(m.Waiting) > 0 && len(m.Conns) == 0 {
@@ -675,9 +683,16 @@
 func (p *Pool[X]) Rest(c *Conn[X]) {
 	var none X
 	c.Current, c.Pinged, c.used = none, false, p.now
+	if !c.M.Origin && !c.Kept && !c.TurnedAway {
+		p.hold.carried()
+	}
 	if c.Kept = c.Kept || !c.TurnedAway; c.Kept {
 		c.M.backoff, c.M.full = 0, 0
 	}
+	if !c.M.Origin && c.Kept && p.hold.now < holdLeast && len(c.M.Waiting) == 0 { // one turned away has its end coming, and what follows from it
+		p.Close(c)
+		return
+	}
 	c.restEnd = p.now + RestTime
 	p.awaitRest(c.M)
 }
@@ -725,8 +740,12 @@
 // takes that wait in a request's place. It costs each cache a little work every few seconds, so where proxies are many, or
 // members more than there are descriptors for, it is left out.
 func (p *Pool[X]) Sweep(m *Member[X], members int) {
-	p.CloseIdle(m, p.idle.limit)
-	if p.idle.limit < p.cfg.ConnIdle*WarmShare/100 { // it would not last
+	if m.Origin {
+		p.CloseIdle(m, p.idle.limit)
+	} else {
+		p.CloseIdle(m, min(p.idle.limit, p.hold.now))
+	}
+	if min(p.idle.limit, p.hold.now) < p.cfg.ConnIdle*WarmShare/100 { // it would not last
 		return
 	}
 	if !p.cfg.CanProbe || m.Origin || !m.Ready || m.warming ||
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -13,6 +13,7 @@
 	Request
 	key     string
 	n       int
+	m       *Member[*fake] // where it was placed, if that is asked for
 	verdict []Verdict
 }
 
@@ -26,6 +27,7 @@
 	sent                   []*fake // in order, those answered left out
 	pings                  int
 	blocked, noisy, closed bool
+	away                   bool // one too many: its first request is turned away
 }
 
 func (l *wire) Send(x *fake) {
