--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -86,7 +86,7 @@
 		l.book.Durable(e)
 		l.since++
 	}
-	full := err == nil && l.since >= l.opt.CompactAt+2*l.book.Size()
+	full := err == nil && l.due()
 	l.mu.Unlock()
 	l.writes.RUnlock()
 	if full {
@@ -168,12 +168,15 @@
 	}
 }
 
+// due tells whether the log holds so much more than what counts that it is to be compacted; under mu.
+func (l *Ledger) due() bool { return l.since >= l.opt.CompactAt+2*l.book.Size() }
+
 // compact compacts, unless somebody else has.
 func (l *Ledger) compact() error {
 	l.writes.Lock()
 	defer l.writes.Unlock()
 	l.mu.Lock()
-	due := l.since >= l.opt.CompactAt+2*l.book.Size()
+	due := l.due()
 	l.mu.Unlock()
 	if !due {
 		return nil
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -92,7 +92,6 @@
 	Entry
 	pending bool // an entry of it is on its way to stable storage
 	inHand  bool // by this process
-	settled bool // an operator has looked it up
 	done    bool // it stands in ended
 }
 
@@ -293,7 +292,6 @@
 	}
 	b.unend(o)
 	o.Entry, o.pending, o.inHand = *e, false, inHand && e.State < Done
-	o.settled = e.By != ""
 	b.use(e)
 	if e.State >= Done {
 		b.end(o)
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -25,7 +25,7 @@
 
 func newHoldTime(most time.Duration) holdTime { return holdTime{most, most} }
 
-// refused takes in that a cache that had answered took no further connection.
+// refused takes in that a cache took no further connection.
 func (h *holdTime) refused() {
 	h.now = max(holdLeast/2, h.now-time.Duration(holdCut*float64(h.now)))
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -688,10 +688,11 @@
 	}
 	if c.Kept = c.Kept || !c.TurnedAway; c.Kept {
 		c.M.backoff, c.M.full = 0, 0
-	}
-	if !c.M.Origin && c.Kept && p.hold.now < holdLeast && len(c.M.Waiting) == 0 { // one turned away has its end coming, and what follows from it
-		p.Close(c)
-		return
+		// One that was turned away is left: its end is coming, and tells that there is no room.
+		if !c.M.Origin && p.hold.now < holdLeast && len(c.M.Waiting) == 0 {
+			p.Close(c)
+			return
+		}
 	}
 	c.restEnd = p.now + RestTime
 	p.awaitRest(c.M)
@@ -740,12 +741,12 @@
 // takes that wait in a request's place. It costs each cache a little work every few seconds, so where proxies are many, or
 // members more than there are descriptors for, it is left out.
 func (p *Pool[X]) Sweep(m *Member[X], members int) {
-	if m.Origin {
-		p.CloseIdle(m, p.idle.limit)
-	} else {
-		p.CloseIdle(m, min(p.idle.limit, p.hold.now))
+	age := p.idle.limit
+	if !m.Origin {
+		age = min(age, p.hold.now)
 	}
-	if min(p.idle.limit, p.hold.now) < p.cfg.ConnIdle*WarmShare/100 { // it would not last
+	p.CloseIdle(m, age)
+	if age < p.cfg.ConnIdle*WarmShare/100 { // it would not last
 		return
 	}
 	if !p.cfg.CanProbe || m.Origin || !m.Ready || m.warming ||
