--- a/internal/proxy/givenup_test.go
+++ b/internal/proxy/givenup_test.go
@@ -14,6 +14,18 @@
 	"linenloom/logic"
 )
 
+// handClock stands still until the test moves it on, a millisecond at a time.
+func handClock(cfg *Config) (on func(*testProxy, time.Duration)) {
+	var now atomic.Int64
+	cfg.Clock = func() time.Duration { return time.Duration(now.Load()) }
+	return func(p *testProxy, d time.Duration) {
+		for range d / time.Millisecond {
+			now.Add(int64(time.Millisecond))
+			p.Tick()
+		}
+	}
+}
+
 // slowClock lets the module's time pass up to a bound, far before any aim: what needs more of it never comes.
 func slowClock(t *testing.T, cfg *Config, most time.Duration) (run func(p *testProxy)) {
 	var now atomic.Int64
