Orders on record on both fronts: [orders] in the operator's file, and a keeper beside the host

No front used the record of orders: a process that died left its clients' orders to nobody. The host now has an order taken before the Balancer sees it, its sending before a member does, its end before its client hears the receipt; each change goes to the disk in a goroutine of its own (internal/orders/keeper), never under the lock. A successor's orders wait until the process before has closed the record, which it does as soon as it takes nothing more and has no order in hand. A repeat is told what is on record; refusals are told at once and recorded behind. A disk that fails or takes long has orders refused as never run; what has run and could not be recorded is failed and looked up. Off without [orders]: one nil check for each order.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -15,11 +15,14 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"linenloom/internal/callers"
 	"linenloom/internal/mgmt"
 	"linenloom/internal/operator"
+	"linenloom/internal/orders/keeper"
 	"linenloom/internal/proxy"
+	"linenloom/internal/store/disk"
 	"linenloom/logic"
 )
 
@@ -147,6 +150,9 @@
 	return 0
 }
 
+// wallClock is the time since the epoch, which what lasts is told by.
+func wallClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 func (g *Program) run(file *operator.File) error {
 	// From the start, so that none of these ends the process by its default. A log that nobody reads any more
 	// must not do so either.
@@ -187,6 +193,14 @@
 	}
 	shared := share(cfg, &settings, log)
 	defer shared.dir.Close()
+	if file.Orders != nil {
+		record, err := keeper.Open(disk.Dir(file.Orders.Dir), file.Orders.Options(!shared.first), wallClock, log)
+		if err != nil {
+			return fmt.Errorf("%s: %w", file.Orders.Dir, err)
+		}
+		defer record.Close()
+		settings.Record, settings.Receipts = record, file.Orders.Receipts
+	}
 	p, err := proxy.New(settings, log)
 	if err != nil {
 		return err
--- a/internal/extproc/calls.go
+++ b/internal/extproc/calls.go
@@ -58,17 +58,18 @@
 
 // Begin takes a call. attempt is the caller's count of attempts, 1 for the first; 0 if it does not tell. The entry is
 // the new one for Fresh and Replace, and the one that stands for Continue; for the others there is none to use. For
-// Replace, replaced is what the caller has given up.
-func (c *Calls) Begin(id string, attempt int, unsafe bool, now time.Duration) (e, replaced *Entry, d Decision) {
+// Replace, replaced is what the caller has given up. Of an order onRecord, the record knows what has become of those before: it is Fresh
+// unless one is in hand.
+func (c *Calls) Begin(id string, attempt int, unsafe, onRecord bool, now time.Duration) (e, replaced *Entry, d Decision) {
 	c.expire(now)
 	old, again := c.byID[id], false
 	switch {
-	case old == nil && unsafe && attempt > 1:
+	case old == nil && unsafe && attempt > 1 && !onRecord:
 		// Whoever had the attempts before (a processor that was killed, or another one) can't be asked any more.
 		return nil, nil, MayRun
 	case old == nil:
 		d = Fresh
-	case old.Over && old.Ran && (unsafe || old.Unsafe):
+	case old.Over && old.Ran && (unsafe || old.Unsafe) && !onRecord:
 		return nil, nil, MayRun
 	case old.Over:
 		c.forget(old)
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -226,7 +226,7 @@
 			switch op := rng.IntN(5); {
 			case op < 2:
 				attempt := rng.IntN(4)
-				e, replaced, d := c.Begin(id, attempt, true, now)
+				e, replaced, d := c.Begin(id, attempt, true, false, now)
 				switch d {
 				case Fresh:
 					if m.e != nil {
@@ -284,38 +284,38 @@
 func TestFullTableForgetsOnlyWhatIsHarmless(t *testing.T) {
 	c := NewCalls(2, time.Minute)
 	for i, ran := range []bool{true, false} {
-		e, _, d := c.Begin(fmt.Sprint(i), 1, true, 0)
+		e, _, d := c.Begin(fmt.Sprint(i), 1, true, false, 0)
 		if d != Fresh {
 			t.Fatal(d)
 		}
 		c.End(e, ran, 0)
 	}
-	if _, _, d := c.Begin("2", 1, true, 0); d != Fresh {
+	if _, _, d := c.Begin("2", 1, true, false, 0); d != Fresh {
 		t.Errorf("%v with one that never ran to let go of", d)
 	}
-	if _, _, d := c.Begin("3", 1, true, 0); d != Crowded {
+	if _, _, d := c.Begin("3", 1, true, false, 0); d != Crowded {
 		t.Errorf("%v with no room", d)
 	}
-	if _, _, d := c.Begin("0", 1, true, 0); d != MayRun {
+	if _, _, d := c.Begin("0", 1, true, false, 0); d != MayRun {
 		t.Errorf("%v for what may have run", d)
 	}
 }
 
 func TestReadsAreReplaced(t *testing.T) {
 	c := NewCalls(4, time.Minute)
-	first, _, _ := c.Begin("r", 1, false, 0)
-	if _, _, d := c.Begin("r", 1, false, 0); d != InUse {
+	first, _, _ := c.Begin("r", 1, false, false, 0)
+	if _, _, d := c.Begin("r", 1, false, false, 0); d != InUse {
 		t.Errorf("the same id at once: %v", d)
 	}
-	if _, _, d := c.Begin("r", 0, false, 0); d != InUse {
+	if _, _, d := c.Begin("r", 0, false, false, 0); d != InUse {
 		t.Errorf("the same id at once, without a count: %v", d)
 	}
-	second, replaced, d := c.Begin("r", 2, false, 0)
+	second, replaced, d := c.Begin("r", 2, false, false, 0)
 	if d != Replace || replaced != first {
 		t.Errorf("the caller's repeat: %v", d)
 	}
 	c.End(first, true, 0)
-	if _, _, d := c.Begin("r", 2, false, 0); d != InUse {
+	if _, _, d := c.Begin("r", 2, false, false, 0); d != InUse {
 		t.Errorf("after the end of what was replaced: %v", d)
 	}
 	c.End(second, true, 0)
--- a/internal/extproc/server/answer.go
+++ b/internal/extproc/server/answer.go
@@ -96,6 +96,21 @@
 	case proxy.Refused:
 		return s.refuse(a.RetryAfter)
 	}
+	if err := s.call.req.Denied(); err != nil {
+		return s.denied(err)
+	}
+	switch a.Why {
+	case reasons.OrderInHand:
+		return s.immediate(409, []byte("an order of this key is in hand\n"), "")
+	case reasons.OtherOrder:
+		return s.immediate(422, []byte("the idempotency key stands for another order\n"), "")
+	case reasons.OrderHasRun:
+		return s.fail("the order has run, and its receipt is not told again here")
+	case reasons.OrderUnknown:
+		return s.fail("an earlier attempt may have run: look it up; it is not sent again")
+	case reasons.RecordFault, reasons.RecordBehind:
+		return s.fail("the order may have run, and could not be recorded in time")
+	}
 	return s.fail("the request may have run")
 }
 
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -543,7 +543,7 @@
 			id = f.newID()
 		}
 		now := f.p.Now()
-		entry, replaced, decision := f.calls.Begin(id, h.attempt, s.unsafe(class), now)
+		entry, replaced, decision := f.calls.Begin(id, h.attempt, s.unsafe(class), class.Effect == logic.Once && f.p.Records(), now)
 		if d = decision; replaced != nil {
 			replaced.Owner.(*call).abandon()
 		}
@@ -635,7 +635,7 @@
 	if h.attempt > 1 {
 		attrs = append(attrs, ",r=1"...)
 	}
-	c.req.Command = proxy.Command{Only: h.only, Message: upstream.Message{
+	c.req.Command = proxy.Command{Only: h.only, Again: h.attempt > 1, Message: upstream.Message{
 		Write: s.target.Write, Key: []byte(s.target.Key), ReqID: []byte(id), Attrs: attrs, Value: s.body}}
 	c.req.Taker = whole{c}
 	if s.route() {
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -167,7 +167,7 @@
 		if err := l.Send(name, "o-1"); err != nil {
 			return err
 		}
-		return l.End(name, orders.Done, payload[:200])
+		return l.End(name, orders.Done, payload[:200], "")
 	})
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,6 +21,7 @@
 	Identity *Identity
 	Joining  *Joining
 	ManyKeys *ManyKeys
+	Orders   *Orders
 }
 
 // ExtProc sets up the external processor (docs/extproc.md).
@@ -82,10 +83,11 @@
 	Identity Identity `toml:"identity"`
 	Joining  Joining  `toml:"joining"`
 	ManyKeys ManyKeys `toml:"many_keys"`
+	Orders   Orders   `toml:"orders"`
 }
 
 func defaults() root {
-	return root{Identity: identityDefaults, Joining: joiningDefaults, ManyKeys: manyKeysDefaults, ExtProc: ExtProc{
+	return root{Identity: identityDefaults, Joining: joiningDefaults, ManyKeys: manyKeysDefaults, Orders: ordersDefaults, ExtProc: ExtProc{
 		Mode: "answer", Unmapped: "refuse", MaxStreams: 256, MessageTimeout: Duration(200 * time.Millisecond),
 		Margin: Duration(10 * time.Millisecond), ReturnWithin: Duration(250 * time.Millisecond),
 		Remember: Duration(30 * time.Second), ContentType: "application/octet-stream", MissStatus: 404,
@@ -129,6 +131,10 @@
 		f.ManyKeys = &r.ManyKeys
 		d.checkManyKeys(f.ManyKeys)
 	}
+	if d.given("orders") {
+		f.Orders = &r.Orders
+		d.checkOrders(f.Orders)
+	}
 	return f, d.err()
 }
 
@@ -315,6 +321,7 @@
 		"suspects", "tls"},
 	"joining":   {"followers", "followers_per_tenant", "flights", "across_tenants"},
 	"many_keys": {"keys", "bytes", "out", "part"},
+	"orders":    {"dir", "most", "most_bytes", "keep", "line", "segment", "compact_at", "strangers", "receipts"},
 }
 
 // Changed names what differs from a file that is in force and can't change while the program runs, and what can.
@@ -325,6 +332,8 @@
 	h, l = changed("joining", f.Joining, now.Joining)
 	held, live = append(held, h...), append(live, l...)
 	h, l = changed("many_keys", f.ManyKeys, now.ManyKeys)
+	held, live = append(held, h...), append(live, l...)
+	h, l = changed("orders", f.Orders, now.Orders)
 	return append(held, h...), append(live, l...)
 }
 
@@ -356,6 +365,7 @@
 	f.Identity = keep("identity", f.Identity, old.Identity)
 	f.Joining = keep("joining", f.Joining, old.Joining)
 	f.ManyKeys = keep("many_keys", f.ManyKeys, old.ManyKeys)
+	f.Orders = keep("orders", f.Orders, old.Orders)
 }
 
 func keep[T any](table string, now, old *T) *T {
--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -31,7 +31,7 @@
 }
 
 // ErrSlow tells that an order was not taken, since too many changes wait for the disk. It has not run, and may come again.
-var ErrSlow = errors.New("ledger: the disk is behind: too many changes wait for it")
+var ErrSlow = fmt.Errorf("ledger: the disk is behind: %w", orders.ErrBehind)
 
 // Ledger is an open record. It is safe for concurrent use; whoever changes it waits for the disk, and those who come meanwhile share a sync.
 type Ledger struct {
@@ -137,8 +137,8 @@
 
 // End records how an order in hand has ended. Its client may be told so only if there is no error; of one that was sent it then is told
 // that it may have run.
-func (l *Ledger) End(n orders.Name, s orders.State, receipt []byte) error {
-	return l.decide(func(b *orders.Book, now time.Duration) (*orders.Entry, error) { return b.End(now, n, s, receipt) })
+func (l *Ledger) End(n orders.Name, s orders.State, receipt []byte, by string) error {
+	return l.decide(func(b *orders.Book, now time.Duration) (*orders.Entry, error) { return b.End(now, n, s, receipt, by) })
 }
 
 // Settle records what an operator has found out about an unknown order.
--- a/internal/orders/ledger/ledger_test.go
+++ b/internal/orders/ledger/ledger_test.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		if i%4 == 3 {
-			l.End(o.Name, orders.NeverRan, nil)
+			l.End(o.Name, orders.NeverRan, nil, "")
 			continue
 		}
 		if l.Send(o.Name, "o-1") != nil {
@@ -65,7 +65,7 @@
 			}
 		}
 		p.ran[o.Name] = true
-		if r := []byte(fmt.Sprint("receipt ", i)); l.End(o.Name, orders.Done, r) == nil {
+		if r := []byte(fmt.Sprint("receipt ", i)); l.End(o.Name, orders.Done, r, "") == nil {
 			p.told[o.Name] = r
 		}
 	}
@@ -172,7 +172,7 @@
 					return
 				}
 				tell("ran", o)
-				if l.End(name(o), orders.Done, []byte("r")) != nil {
+				if l.End(name(o), orders.Done, []byte("r"), "") != nil {
 					return
 				}
 				tell("told", o)
@@ -281,7 +281,7 @@
 	if _, err := take(0); err != nil {
 		t.Fatal(err)
 	}
-	errs := []error{l.Send(name(0), "o-1"), l.End(name(0), orders.Done, []byte("r"))}
+	errs := []error{l.Send(name(0), "o-1"), l.End(name(0), orders.Done, []byte("r"), "")}
 	_, err = take(1)
 	if err := errors.Join(append(errs, err, l.Send(name(1), "o-1"))...); err != nil {
 		t.Fatal(err)
@@ -290,7 +290,7 @@
 	s.hold = make(chan struct{})
 	s.mu.Unlock()
 	ended, came := make(chan error, 1), make(chan error, 3)
-	go func() { ended <- l.End(name(1), orders.Done, []byte("late")) }()
+	go func() { ended <- l.End(name(1), orders.Done, []byte("late"), "") }()
 	for i := range 3 {
 		go func() { _, err := take(2 + i); came <- err }()
 	}
@@ -353,7 +353,7 @@
 				mu.Lock()
 				ran[n]++
 				mu.Unlock()
-				if err := l.End(n, orders.Done, []byte("r "+n.Key)); err != nil {
+				if err := l.End(n, orders.Done, []byte("r "+n.Key), ""); err != nil {
 					t.Error(err)
 				}
 			}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -66,9 +66,10 @@
 	Mismatch                // the name stands for something else
 	Used                    // its token has been used by another order
 	Full                    // there is no room to remember it
+	Ran                     // it has run, and its receipt is not on record
 )
 
-var verdicts = [...]string{"go", "receipt", "in_hand", "look_up", "mismatch", "used", "full"}
+var verdicts = [...]string{"go", "receipt", "in_hand", "look_up", "mismatch", "used", "full", "ran"}
 
 func (v Verdict) String() string { return verdicts[v] }
 
@@ -79,12 +80,21 @@
 	MostBytes int           // of receipts, together
 }
 
+// Who says that an order has run, where its receipt is not on record; operators have other names.
+const (
+	ByCaller  = "(caller)"  // who made the exchange itself
+	ByPassing = "(passing)" // it was passed on piece by piece, too long to be kept
+)
+
 // Errors of what a host asks for.
 var (
 	ErrNotInHand = errors.New("orders: it is not in hand")
 	ErrNotSent   = errors.New("orders: it has not been sent")
 	ErrPending   = errors.New("orders: an entry of it is not durable yet")
 	ErrSettled   = errors.New("orders: only an unknown order can be settled")
+	// ErrBehind is wrapped by what tells that an order was not taken, since the disk has too much to do. It has not run.
+	ErrBehind = errors.New("too much waits for the record of orders")
+	ErrBy     = errors.New("orders: that is no operator's name")
 )
 
 // order is what the book has of an order. Ended ones stand in the order of their ends.
@@ -131,6 +141,8 @@
 	case was == nil:
 	case was.Digest != o.Digest:
 		return Mismatch, nil, nil
+	case was.State == Done && (was.By == ByCaller || was.By == ByPassing):
+		return Ran, nil, nil
 	case was.State == Done:
 		return Receipt, was.Receipt, nil
 	case was.State == Unknown:
@@ -188,8 +200,8 @@
 }
 
 // End ends an order in hand: with its receipt (Done), without having run (NeverRan), or Unknown. The client is told of it once the entry
-// is Durable; where it can't be made durable, an order that was sent is unknown to its client.
-func (b *Book) End(now time.Duration, n Name, s State, receipt []byte) (*Entry, error) {
+// is Durable; where it can't be made durable, an order that was sent is unknown to its client. by is "", or tells why a receipt is missing.
+func (b *Book) End(now time.Duration, n Name, s State, receipt []byte, by string) (*Entry, error) {
 	b.advance(now)
 	o := b.by[n]
 	switch {
@@ -201,8 +213,9 @@
 		return nil, ErrNotSent
 	}
 	e := o.Entry
-	e.State, e.At = s, b.now
+	e.State, e.At, e.By = s, b.now, ""
 	if s == Done {
+		e.By = by
 		e.Receipt = slices.Clone(receipt)
 	}
 	o.pending = true
@@ -244,6 +257,8 @@
 	switch {
 	case o == nil || o.State != Unknown || s != Done && s != NeverRan:
 		return nil, ErrSettled
+	case by == ByCaller || by == ByPassing:
+		return nil, ErrBy
 	case o.pending:
 		return nil, ErrPending
 	}
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -100,7 +100,7 @@
 					w.out[n]--
 					w.ran[n]++
 					if s := rapid.SampledFrom([]State{Done, Unknown}).Draw(t, "end"); true {
-						push(w.b.End(w.now, n, s, receipt(n)))
+						push(w.b.End(w.now, n, s, receipt(n), ""))
 					}
 				}
 			},
@@ -110,7 +110,7 @@
 					w.b.Returned(n) // nobody is there to be told, if a crash came between
 				}
 			},
-			"give up": func(t *rapid.T) { rarely(t); push(w.b.End(w.now, name.Draw(t, "name"), NeverRan, nil)) },
+			"give up": func(t *rapid.T) { rarely(t); push(w.b.End(w.now, name.Draw(t, "name"), NeverRan, nil, "")) },
 			"look up": func(t *rapid.T) {
 				n := name.Draw(t, "name")
 				if w.out[n] > 0 {
@@ -169,7 +169,7 @@
 	b.Durable(e)
 	for _, step := range []func() (*Entry, error){
 		func() (*Entry, error) { return b.Send(now, o.Name, "o-1") },
-		func() (*Entry, error) { return b.End(now, o.Name, Done, make([]byte, 10)) },
+		func() (*Entry, error) { return b.End(now, o.Name, Done, make([]byte, 10), "") },
 	} {
 		e, err := step()
 		if err != nil {
@@ -197,7 +197,7 @@
 	b.Durable(e)
 	e, _ = b.Send(0, lost.Name, "o-1")
 	b.Durable(e)
-	e, _ = b.End(0, lost.Name, Done, []byte("r"))
+	e, _ = b.End(0, lost.Name, Done, []byte("r"), "")
 	b.Lost(e) // it has run, and its receipt is on no record
 	for name, c := range map[string]struct {
 		order Order
--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -43,6 +43,15 @@
 		p.end(a, logic.StatusConnectFailed, 0)
 		return
 	}
+	if r.rec != nil {
+		p.sendRecorded(r, a, m)
+		return
+	}
+	p.launch(r, a, m)
+}
+
+// launch starts the exchange of an attempt, here or at a Carrier's client.
+func (p *Proxy) launch(r *Request, a *attempt, m *member) {
 	if c, ok := r.Taker.(Carrier); ok {
 		a.carried = true
 		p.schedule(due{Due: upstream.Due{At: a.Until}, attempt: a})
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -31,6 +31,7 @@
 	// What comes later is turned away: answered in full, it could take longer than there is time for.
 	p.enter()
 	p.stopping = true
+	p.closeRecord()
 	p.leave()
 	longest := commandTime
 	for _, c := range p.Classes() {
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"linenloom/internal/identity"
+	"linenloom/internal/orders"
 	"linenloom/internal/reasons"
 	"linenloom/internal/upstream"
 	"linenloom/logic"
@@ -42,6 +43,8 @@
 	upstream.Message // the capacity of its value counts as held
 	// Only, if not nil, is the addresses of the members that the client lets the request go to, with or without port.
 	Only []string
+	// Again tells that the client has asked for it before under the same name.
+	Again bool
 }
 
 // Request is a client's command from its last byte to its answer, and on to the end of its last attempt. The
@@ -66,6 +69,7 @@
 	denied   error      // why it was not sent: its proof no longer holds
 	group    uint32     // it is one of several that were asked for at once; 0: of none
 	join     *joined    // it leads other reads or follows one; nil: neither
+	rec      *recorded  // it is an order on record; nil: it is not
 }
 
 // Kind is the kind of a final answer.
@@ -169,6 +173,9 @@
 	if !x.a.Ended {
 		x.a.req.done = true
 		x.p.fence(x.a.req)
+		if c := x.a.req.rec; c != nil {
+			c.ok, c.by = true, orders.ByCaller
+		}
 		x.p.end(x.a, logic.StatusCancelled, 0)
 	}
 }
@@ -188,13 +195,16 @@
 		return true
 	}
 	for _, a := range r.attempts {
-		if !a.Ended && (!a.carried || a.given) {
+		if !a.Ended && !a.recording && (!a.carried || a.given) {
 			return true
 		}
 	}
 	return false
 }
 
+// Denied tells why a request was not sent for who it is from; nil: it was not for that.
+func (r *Request) Denied() error { return r.denied }
+
 // ErrBusy tells that the host can't take a request now; it never ran.
 var ErrBusy = errors.New("no room for the request")
 
@@ -243,6 +253,10 @@
 	lr.Deadline += p.now
 	r.deadline = lr.Deadline
 	p.requests[r.id] = r
+	if p.cfg.Record != nil && r.effect == logic.Once {
+		p.record(r, lr)
+		return nil
+	}
 	if p.joins == nil || !p.join(r, lr) {
 		p.bal.Request(p.now, lr)
 	}
@@ -292,7 +306,7 @@
 	if r.id == 0 {
 		return // it was never taken
 	}
-	if p.joins != nil && p.withdrawJoined(r) {
+	if p.joins != nil && p.withdrawJoined(r) || r.rec != nil && p.withdrawRecorded(r) {
 		return
 	}
 	if !r.done {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -50,6 +50,8 @@
 	Callers    Callers          // who clients are; nil: nobody asks
 	Joining    *joining.Limits  // reads in flight may share an answer; nil: each has its own
 	ManyKeys   *manykeys.Limits // OBJ.MGET; nil: it is unknown
+	Record     Record           // of orders; nil: none is kept. The host closes it when it stops
+	Receipts   []string         // the fronts that answer a repeat with the receipt on record
 	// Inherit brings what the process before has learnt, once, before clients are taken; it may wait for a moment. Nil, or a nil
 	// snapshot: there is nothing.
 	Inherit func() (*inherit.Snapshot, error)
@@ -90,18 +92,20 @@
 	timer    *time.Timer
 	wakeAt   time.Duration
 
-	members  map[logic.MemberID]*member
-	requests map[logic.RequestID]*Request
-	joins    *joining.Table    // nil: reads share nothing but fetches
-	lost     []logic.RequestID // leads that got no answer, to be passed on
-	shares   []logic.RequestID // followers whose answer is there
-	sharing  bool              // a goroutine hands these over
-	joined   Joined
-	manys    []*Many // requests for many keys to go on with
-	groups   uint32  // of them, so far
-	fronts   []Front
-	frontFDs int // descriptors that fronts hold
-	nextID   logic.RequestID
+	members      map[logic.MemberID]*member
+	requests     map[logic.RequestID]*Request
+	joins        *joining.Table    // nil: reads share nothing but fetches
+	lost         []logic.RequestID // leads that got no answer, to be passed on
+	shares       []logic.RequestID // followers whose answer is there
+	sharing      bool              // a goroutine hands these over
+	joined       Joined
+	recorded     int // orders on record that are in hand
+	recordClosed bool
+	manys        []*Many // requests for many keys to go on with
+	groups       uint32  // of them, so far
+	fronts       []Front
+	frontFDs     int // descriptors that fronts hold
+	nextID       logic.RequestID
 
 	ups         *upstream.Set
 	restTimer   *time.Timer
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"linenloom/internal/identity"
+	"linenloom/internal/reasons"
 	"linenloom/internal/resp"
 	"linenloom/internal/sender"
 	"linenloom/internal/shed"
@@ -652,9 +653,12 @@
 	case Refused:
 		b = appendBusy(b, a.RetryAfter)
 	default:
-		if o.denied != nil { // it was never sent for that; else it may have run, whatever has become of its proof
+		switch {
+		case o.denied != nil: // it was never sent for that; else it may have run, whatever has become of its proof
 			b = appendDenied(b, o.denied)
-		} else {
+		case a.Why == reasons.OtherOrder:
+			b = resp.AppendError(b, "ERR the idempotency key stands for another order")
+		default:
 			b = resp.AppendError(b, "ERR failed")
 		}
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -22,6 +22,8 @@
 	n       int32
 	carried bool // by a Carrier
 	given   bool // its client has been told of it
+	// recording: it is sent once the record of orders says so; until then it has surely not run.
+	recording bool
 }
 
 var _ upstream.Client = (*attempt)(nil)
@@ -36,7 +38,9 @@
 
 // Served gives the client the value of the first good answer.
 func (a *attempt) Served(value []byte) {
-	if r := a.req; !r.done {
+	if r := a.req; r.rec != nil {
+		r.p.receipted(r, value)
+	} else if !r.done {
 		r.done = true
 		r.Taker.Answer(Answer{Kind: Served, Value: value})
 		r.p.fence(r)
@@ -76,6 +80,10 @@
 
 // abandon stops waiting for an attempt.
 func (p *Proxy) abandon(a *attempt, s logic.Status) {
+	if a.recording {
+		p.end(a, logic.StatusNoConn, 0)
+		return
+	}
 	if !a.carried {
 		p.ups.GiveUp(&a.Exchange, s)
 		return
@@ -95,6 +103,9 @@
 	r := a.req
 	r.out--
 	r.ran = r.ran || !s.NeverRan()
+	if r.rec != nil {
+		r.rec.attemptEnded(a, s)
+	}
 	// The wait for a connection is this proxy's own: as the member's latency it would cut the member's limit.
 	since := a.sentAt
 	if a.Began > 0 {
@@ -114,7 +125,7 @@
 // settle lets go of a request that is over. Timers still name its attempts for a while, so its value, which
 // may be large, is let go of here.
 func (p *Proxy) settle(r *Request) {
-	if r.done && r.out == 0 && p.requests[r.id] == r {
+	if r.done && r.out == 0 && p.requests[r.id] == r && (r.rec == nil || p.recordOver(r)) {
 		delete(p.requests, r.id)
 		p.letGo(r)
 		for _, a := range r.attempts { // timers still name them
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -249,7 +249,12 @@
 
 func (p *Proxy) ringToken(token uint64) {
 	if token&7 == tickJoin {
-		p.joinLate(logic.RequestID(token >> 3))
+		id := logic.RequestID(token >> 3)
+		if r := p.requests[id]; r != nil && r.rec != nil {
+			p.recordLate(r)
+		} else {
+			p.joinLate(id)
+		}
 		return
 	}
 	p.bal.Timer(p.now, token)
