--- /dev/null
+++ b/internal/lab/orderer.go
@@ -0,0 +1,145 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"linenloom/internal/orders"
+	"linenloom/internal/orders/ledger"
+	"linenloom/internal/store/disk"
+)
+
+// Orderer is clients that place orders by idempotency keys over RESP2 and don't let go: what was refused, or whose connection broke, comes again
+// under the same key, marked as a repeat, until somebody says what has become of it.
+type Orderer struct {
+	Addr string
+	Name string // keys begin with it
+	Wait time.Duration
+
+	Served, Refused, Failed, Broken atomic.Int64
+	told                            map[string]string
+	took                            []time.Duration // of what was served at the first try
+	mu                              sync.Mutex
+	quit                            chan struct{}
+	clients                         sync.WaitGroup
+}
+
+// Open starts the clients.
+func (o *Orderer) Open(clients int) {
+	o.quit, o.told = make(chan struct{}), map[string]string{}
+	for c := range clients {
+		o.clients.Go(func() {
+			var conn *redisClient
+			for n := 0; ; n++ {
+				select {
+				case <-o.quit:
+					if conn != nil {
+						conn.conn.Close()
+					}
+					return
+				default:
+					conn = o.place(conn, fmt.Sprintf("%s-%d-%d", o.Name, c, n))
+				}
+			}
+		})
+	}
+}
+
+// Close has each client bring its order to an end, and ends them.
+func (o *Orderer) Close() {
+	close(o.quit)
+	o.clients.Wait()
+}
+
+// place places one order, and gives back a connection that still stands.
+func (o *Orderer) place(conn *redisClient, key string) *redisClient {
+	names := fmt.Sprintf("c=pass-order,t=kiosk,k=%s,d=%d", key, o.Wait.Milliseconds())
+	for try := 0; ; try++ {
+		if conn == nil {
+			var err error
+			if conn, err = dialRedis(o.Addr); err != nil {
+				conn = nil
+				time.Sleep(2 * time.Millisecond) // nobody listens yet
+				continue
+			}
+		}
+		begun := time.Now()
+		answer, err := conn.ask("OBJ.SET", key, fmt.Sprint(key, ".", try), names, "one pass")
+		if !strings.HasSuffix(names, "r=1") {
+			names += ",r=1"
+		}
+		switch {
+		case err != nil:
+			o.Broken.Add(1)
+			conn.conn.Close()
+			conn = nil
+		case strings.HasPrefix(answer, "-BUSY"):
+			o.Refused.Add(1)
+			time.Sleep(time.Millisecond)
+		case strings.HasPrefix(answer, "-"):
+			o.Failed.Add(1)
+			return conn
+		default:
+			o.Served.Add(1)
+			o.mu.Lock()
+			if o.told[key] = answer; try == 0 {
+				o.took = append(o.took, time.Since(begun))
+			}
+			o.mu.Unlock()
+			return conn
+		}
+	}
+}
+
+// Told is the receipts that clients have got, by key.
+func (o *Orderer) Told() map[string]string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.told)
+}
+
+// Took is how long orders took that were served at the first try.
+func (o *Orderer) Took() []time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]time.Duration(nil), o.took...)
+}
+
+// anything bounds a ledger that is only looked at.
+var anything = ledger.Options{Limits: orders.Limits{Keep: 1 << 62, Most: 1 << 40, MostBytes: 1 << 50}, SegmentSize: 4 << 20, CompactAt: 1 << 40}
+
+// CheckOrders opens the record in a folder three times and holds it against what clients were told, and what an origin ran, by keys: each receipt
+// is there, nothing is in hand, nothing has run twice or is said not to have run that has. It counts orders by state.
+func CheckOrders(dir, tenant string, told map[string]string, ran map[string]int) (states map[orders.State]int, err error) {
+	var faults []error
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
+	for range 3 {
+		l, err := ledger.Open(disk.Dir(dir), anything, func() time.Duration { return time.Duration(time.Now().UnixNano()) })
+		if err != nil {
+			return nil, err
+		}
+		states = map[orders.State]int{}
+		for key, receipt := range told {
+			if e, ok := l.Get(orders.Name{Tenant: tenant, Key: key}); !ok || e.State != orders.Done || string(e.Receipt) != receipt {
+				fault("%s: its client has the receipt %q; on record is %v %q", key, receipt, e.State, e.Receipt)
+			}
+		}
+		l.Each(func(e *orders.Entry) bool {
+			states[e.State]++
+			n := ran[e.Key]
+			if e.State < orders.Done || n > 1 || e.State == orders.NeverRan && n > 0 || e.State == orders.Done && n != 1 {
+				fault("%s is %v and has run %d times", e.Key, e.State, n)
+			}
+			return true
+		})
+		if err := l.Close(); err != nil {
+			return nil, err
+		}
+	}
+	return states, errors.Join(faults...)
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -161,6 +161,14 @@
 		t.Fatalf("%+v, %v", f, err)
 	}
 	text = append(text, third...)
+	fourth, err := os.ReadFile("../../deploy/operator.orders.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f, err = Parse("orders", fourth); err != nil || f.Orders == nil || !reflect.DeepEqual(f.Orders.Options(false), (&ordersDefaults).Options(false)) {
+		t.Fatalf("%+v, %v: not the defaults", f, err)
+	}
+	text = append(text, fourth...)
 	for _, key := range keys(root{}) {
 		if !strings.Contains(string(text), key+" = ") {
 			t.Errorf("the example does not show %s", key)
