linenlab orders: orders on record through both fronts, against none and against the disk

The record had no figures through the fronts. The scenario places orders with 1 to 256 clients, the record off and on in turn, tells p50, p99 and entries for each sync of the disk, holds reads beside orders on record against reads beside orders without, and kills the program ten times.

--- a/cmd/linenlab/main.go
+++ b/cmd/linenlab/main.go
@@ -25,6 +25,7 @@
 	{"identity", "proven callers: keys and roots that change under load, what a proof and TLS cost, a flood of forged tokens", lab.Identity},
 	{"mountain", "many tiles in one request: what it costs against as many, and a box that stalls", lab.Mountain},
 	{"storm", "thousands of identical reads at once, with joining and without", lab.Storm},
+	{"orders", "orders on record through both fronts, beside none, and the program killed under them", lab.Orders},
 	{"store", "the log and the record of orders on this disk, beside bare appends to a file", lab.Store},
 	{"idle", "a proxy that nobody asks: what it takes of the core all the same", lab.Idle},
 	{"overload", "more reads than one core can do: what is served in time, and what another tenant feels of it", lab.Overload},
