Orders on record: tokens over a restart, repeats at the processor, a stop whose disk hangs

The end of the process waits two seconds for a disk that does not answer. Tests: a table of repeats at the processor in both modes, here and after a restart; tokens over a restart.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -150,6 +150,23 @@
 	return 0
 }
 
+// closeWait is how long the end of the process waits for a disk that does not answer. What it has not told is in hand on record, and unknown to
+// the next process.
+const closeWait = 2 * time.Second
+
+func closeRecord(k *keeper.Keeper, log *slog.Logger) {
+	ended := make(chan error, 1)
+	go func() { ended <- k.Close() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			log.Error("the record of orders", "err", err)
+		}
+	case <-time.After(closeWait):
+		log.Error("the record of orders is not closed: the disk does not answer")
+	}
+}
+
 // wallClock is the time since the epoch, which what lasts is told by.
 func wallClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
@@ -198,7 +215,7 @@
 		if err != nil {
 			return fmt.Errorf("%s: %w", file.Orders.Dir, err)
 		}
-		defer record.Close()
+		defer closeRecord(record, log)
 		settings.Record, settings.Receipts = record, file.Orders.Receipts
 	}
 	p, err := proxy.New(settings, log)
--- /dev/null
+++ b/internal/extproc/server/record_test.go
@@ -0,0 +1,85 @@
+package server
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"linenloom/internal/extproc/caller"
+	"linenloom/internal/orders"
+	"linenloom/internal/orders/keeper"
+	"linenloom/internal/orders/ledger"
+	"linenloom/internal/proxy"
+	"linenloom/internal/standin"
+	"linenloom/internal/store/crash"
+)
+
+// What a caller that repeats an order by its key is told, in each mode, at the processor that had it and at the one after a restart.
+func TestRepeatsOnRecord(t *testing.T) {
+	for name, c := range map[string]struct {
+		mode   string
+		fault  standin.Fault
+		first  int
+		repeat int
+		says   string // in the repeat's answer
+		other  bool   // the repeat asks for something else
+		fresh  bool   // nobody knows the order
+	}{
+		"answer, it has run":      {mode: "answer", first: 200, repeat: 200},
+		"answer, it may have run": {mode: "answer", fault: standin.Failing, first: 502, repeat: 502, says: "look it up"},
+		"answer, another order":   {mode: "answer", first: 200, repeat: 422, says: "another order", other: true},
+		"answer, nobody knows it": {mode: "answer", repeat: 502, says: "look it up", fresh: true},
+		"route, it has run":       {mode: "route", first: 200, repeat: 502, says: "has run"},
+		"route, nobody knows it":  {mode: "route", repeat: 502, says: "look it up", fresh: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet, d := newFleet(t, 1), crash.New()
+			open := func() *rig {
+				return newRig(t, fleet, file(c.mode, ""), func(cfg *proxy.Config) {
+					k, err := keeper.Open(d, keeper.Options{Options: ledger.Options{Limits: orders.Limits{Keep: time.Hour, Most: 100, MostBytes: 1 << 20},
+						SegmentSize: 64 << 10, CompactAt: 100, Line: 10}}, func() time.Duration { return time.Duration(time.Now().UnixNano()) }, slog.New(slog.DiscardHandler))
+					if err != nil {
+						t.Fatal(err)
+					}
+					cfg.Record, cfg.Receipts = k, []string{"extproc"}
+				})
+			}
+			q := func(id string) caller.Request {
+				q := order("o1", id)
+				q.Headers["idempotency-key"] = "key-1"
+				return q
+			}
+			r := open()
+			fleet.Origin.SetFault(c.fault)
+			var receipt string
+			if !c.fresh {
+				res := r.do(q("w1"))
+				if receipt = string(res.Body); res.Status != c.first {
+					t.Fatalf("the first: %d %q", res.Status, receipt)
+				}
+			}
+			fleet.Origin.SetFault(standin.Healthy)
+			ran := fleet.Origin.Executions()["o1"]
+			for i := range 2 {
+				again := q(fmt.Sprint("w", 2+i))
+				again.Headers["x-envoy-attempt-count"] = "2"
+				if c.other {
+					again.Body = []byte("two passes")
+				}
+				res := r.do(again)
+				if res.Status != c.repeat || !strings.Contains(string(res.Body), c.says) || c.repeat == 200 && string(res.Body) != receipt {
+					t.Errorf("repeat %d: %d %q, want %d %q", i, res.Status, res.Body, c.repeat, c.says)
+				}
+				if n := fleet.Origin.Executions()["o1"]; n != ran {
+					t.Errorf("repeat %d: it has run %d times, %d before", i, n, ran)
+				}
+				if i == 0 {
+					r.end()
+					r = open()
+				}
+			}
+		})
+	}
+}
--- a/internal/proxy/record_test.go
+++ b/internal/proxy/record_test.go
@@ -352,7 +352,7 @@
 	syncs, stuck, reached := 0, make(chan struct{}), make(chan struct{})
 	d.Fail = func(_ int, what string) error {
 		if strings.HasPrefix(what, "sync") {
-			if syncs++; syncs == 3 { // the folder's or the header's, the taking's, the sending's
+			if syncs++; syncs == 4 { // the file's, the folder's, the taking's, the sending's
 				close(reached)
 				<-stuck
 			}
@@ -391,3 +391,24 @@
 		t.Errorf("%q, %d runs", got, o.runs("p"))
 	}
 }
+
+// A proven caller's token serves one order, over a restart too; a repeat of that order may come by it.
+func TestTokensOverARestart(t *testing.T) {
+	office, d := newOffice(t, "k1"), crash.New()
+	token := office.token("k1", "shop", "j1")
+	for i, at := range []string{"at first", "after a restart"} {
+		p, _, _ := guarded(t, office, func(cfg *Config) {
+			cfg.Record, cfg.Receipts = openRecord(t, d, recordOptions), []string{"resp2"}
+		})
+		c := p.dial()
+		for _, a := range []struct{ key, more, want string }{
+			{"o1", ",k=o1", "receipt"}, {"o2", ",k=o2", "-NOPERM"}, {"o1", ",k=o1,r=1", "receipt"}, {"o3", "", "-NOPERM"},
+		} {
+			c.send(order(a.key, fmt.Sprint(a.key, a.more, i), "a pass", a.more+",tk="+token))
+			if got := c.answer(); !strings.HasPrefix(got, a.want) {
+				t.Errorf("%s, order %s%s: %q, want %q", at, a.key, a.more, got, a.want)
+			}
+		}
+		p.ended()
+	}
+}
