Operators settle unknown orders while the program serves

Unknown orders are never forgotten and count against the record's bound; to settle one the process had to be stopped, since one process has the folder. Two calls at the operators' address list and settle them; yes is said once that is on the disk.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -210,9 +210,9 @@
 	}
 	shared := share(cfg, &settings, log)
 	defer shared.dir.Close()
+	var record *keeper.Keeper
 	if file.Orders != nil {
-		record, err := keeper.Open(disk.Dir(file.Orders.Dir), file.Orders.Options(!shared.first), wallClock, log)
-		if err != nil {
+		if record, err = keeper.Open(disk.Dir(file.Orders.Dir), file.Orders.Options(!shared.first), wallClock, log); err != nil {
 			return fmt.Errorf("%s: %w", file.Orders.Dir, err)
 		}
 		defer closeRecord(record, log)
@@ -227,6 +227,9 @@
 		if err != nil {
 			return err
 		}
+		if record != nil {
+			calls.KeepsOrders(record)
+		}
 		p.AddFront(calls)
 	}
 	ended := make(chan struct{})
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -40,6 +40,7 @@
 	log    *slog.Logger
 	listen net.Listener
 	server *http.Server
+	mux    *http.ServeMux
 	quit   chan struct{}
 
 	mu     sync.Mutex
@@ -68,6 +69,7 @@
 	mux.HandleFunc("GET /status", f.status)
 	mux.HandleFunc("PUT /maintenance/enter", f.enter)
 	mux.HandleFunc("PUT /maintenance/exit", f.exit)
+	f.mux = mux
 	f.server = &http.Server{
 		Handler: mux, ReadTimeout: callTime, WriteTimeout: callTime + answerTime, MaxHeaderBytes: maxHead,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -33,7 +33,7 @@
 	n     int
 }
 
-func start(t *testing.T, path string) *rig {
+func start(t *testing.T, path string, record ...mgmt.Orders) *rig {
 	t.Helper()
 	fleet, err := standin.NewFleet(2, 100)
 	if err != nil {
@@ -61,6 +61,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for _, o := range record {
+		f.KeepsOrders(o)
+	}
 	p.AddFront(f)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- /dev/null
+++ b/internal/mgmt/orders.go
@@ -0,0 +1,101 @@
+package mgmt
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"linenloom/internal/orders"
+)
+
+const (
+	maxSettle  = 512 << 10 // of a call that settles an order, with its receipt
+	mostListed = 1000
+)
+
+// Orders is the record of orders, as operators may look at it and settle what is unknown while it serves. Its calls may wait for a disk.
+type Orders interface {
+	Unknown(most int) (some []orders.Entry, all int, err error)
+	Settle(n orders.Name, s orders.State, receipt []byte, by string) error
+}
+
+// KeepsOrders has operators' calls reach a record of orders. It comes before Serve.
+func (f *Front) KeepsOrders(o Orders) {
+	f.mux.HandleFunc("GET /orders/unknown", func(w http.ResponseWriter, r *http.Request) { f.unknown(o, w, r) })
+	f.mux.HandleFunc("PUT /orders/settle", func(w http.ResponseWriter, r *http.Request) { f.settle(o, w, r) })
+}
+
+// listed is an unknown order as a call is told of it.
+type listed struct {
+	Tenant string    `json:"tenant"`
+	Key    string    `json:"key"`
+	At     time.Time `json:"at"`
+	Sent   int       `json:"sent"`
+	To     string    `json:"to"`
+}
+
+// unknown lists unknown orders, the oldest first.
+func (f *Front) unknown(o Orders, w http.ResponseWriter, r *http.Request) {
+	most := 100
+	if text := r.URL.Query().Get("most"); text != "" {
+		var err error
+		if most, err = strconv.Atoi(text); err != nil || most < 0 || most > mostListed {
+			http.Error(w, fmt.Sprintf("most is %q; it can be from 0 to %d", text, mostListed), http.StatusBadRequest)
+			return
+		}
+	}
+	some, all, err := o.Unknown(most)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	answer := struct {
+		All    int      `json:"all"`
+		Orders []listed `json:"orders"`
+	}{all, []listed{}}
+	for _, e := range some {
+		answer.Orders = append(answer.Orders, listed{e.Tenant, e.Key, time.Unix(0, int64(e.At)).UTC(), e.Tries, e.To})
+	}
+	w.Header().Set("content-type", "application/json")
+	json.NewEncoder(w).Encode(answer)
+}
+
+// settle puts on record what has become of an unknown order. Yes is said only once that is on stable storage.
+func (f *Front) settle(o Orders, w http.ResponseWriter, r *http.Request) {
+	var ask struct{ Tenant, Key, As, By, Receipt string }
+	in := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSettle))
+	in.DisallowUnknownFields()
+	if err := in.Decode(&ask); err != nil {
+		http.Error(w, `the body is {"tenant", "key", "as", "by", "receipt"}: `+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s, ok := map[string]orders.State{"done": orders.Done, "never_ran": orders.NeverRan}[ask.As]
+	switch {
+	case !ok:
+		http.Error(w, fmt.Sprintf("as is %q; it can be done or never_ran", ask.As), http.StatusBadRequest)
+		return
+	case strings.TrimSpace(ask.By) == "" || len(ask.By) > orders.MaxText:
+		http.Error(w, "by, who has looked it up, is missing or too long", http.StatusBadRequest)
+		return
+	case s == orders.NeverRan && ask.Receipt != "":
+		http.Error(w, "an order that never ran has no receipt", http.StatusBadRequest)
+		return
+	}
+	err := o.Settle(orders.Name{Tenant: ask.Tenant, Key: ask.Key}, s, []byte(ask.Receipt), ask.By)
+	switch {
+	case errors.Is(err, orders.ErrBy):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	case errors.Is(err, orders.ErrSettled):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case err != nil:
+		f.log.Error("call to settle an order failed", "tenant", ask.Tenant, "key", ask.Key, "err", err)
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		f.log.Info("order settled", "tenant", ask.Tenant, "key", ask.Key, "as", ask.As, "by", ask.By)
+		fmt.Fprintf(w, "%s as=%s\n", ask.Key, ask.As)
+	}
+}
--- a/internal/orders/keeper/keeper.go
+++ b/internal/orders/keeper/keeper.go
@@ -190,6 +190,43 @@
 	}, func() { over(ErrClosed) })
 }
 
+// use gives an operator the ledger, where it is open; done lets go of it.
+func (k *Keeper) use() (led *ledger.Ledger, done func(), err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case k.closed:
+		return nil, nil, ErrClosed
+	case k.fault != nil:
+		return nil, nil, k.fault
+	case k.led == nil:
+		return nil, nil, disk.ErrLocked
+	}
+	k.work.Add(1)
+	return k.led, k.work.Done, nil
+}
+
+// Unknown tells at most so many unknown orders, the oldest first, and how many there are.
+func (k *Keeper) Unknown(most int) (some []orders.Entry, all int, err error) {
+	led, done, err := k.use()
+	if err != nil {
+		return nil, 0, err
+	}
+	defer done()
+	some, all = led.Unknown(most)
+	return some, all, nil
+}
+
+// Settle records what an operator has found out about an unknown order, and waits until that is on stable storage.
+func (k *Keeper) Settle(n orders.Name, s orders.State, receipt []byte, by string) error {
+	led, done, err := k.use()
+	if err != nil {
+		return err
+	}
+	defer done()
+	return led.Settle(n, s, receipt, by)
+}
+
 // Close closes the record once all that it was asked for is done. Whoever waits for it to be opened is turned away.
 func (k *Keeper) Close() error {
 	k.mu.Lock()
--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -155,6 +155,13 @@
 	return l.book.Get(n)
 }
 
+// Unknown tells at most so many unknown orders, the oldest first, and how many there are.
+func (l *Ledger) Unknown(most int) (some []orders.Entry, all int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Unknown(most)
+}
+
 // Each tells all that is on record, in the order of the latest changes.
 func (l *Ledger) Each(yield func(*orders.Entry) bool) {
 	var all []*orders.Entry
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -392,6 +392,18 @@
 	return o.Entry, true
 }
 
+// Unknown tells at most so many unknown orders, by the time when they became that, and how many there are.
+func (b *Book) Unknown(most int) (some []Entry, all int) {
+	for _, o := range b.ended {
+		if o.State == Unknown {
+			if all++; len(some) < most {
+				some = append(some, o.Entry)
+			}
+		}
+	}
+	return some, all
+}
+
 // Size counts orders.
 func (b *Book) Size() int { return len(b.by) }
 
