Orders that could not be recorded come back at different times, where clients may be told

All of them were told one second, whether the settings let clients be told a time or not, and would have come back together. They are told half a second to one and a half, within the settings' bound, or nothing.

--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -24,7 +25,7 @@
 // Records tells whether orders are kept on record.
 func (p *Proxy) Records() bool { return p.cfg.Record != nil }
 
-// recordSlow is when an order that could not be recorded may come again.
+// recordSlow is about when an order that could not be recorded may come again.
 const recordSlow = time.Second
 
 // The phases of a recorded order here.
@@ -130,11 +131,11 @@
 			p.finish(r)
 		}
 	case err != nil:
-		p.conclude(r.id, Answer{Kind: Refused, RetryAfter: recordSlow, Why: whyOf(err)})
+		p.conclude(r.id, Answer{Kind: Refused, RetryAfter: p.recordAgain(), Why: whyOf(err)})
 	case v == orders.Go:
 		p.bal.Request(p.now, c.lr)
 	case v == orders.Full:
-		p.conclude(r.id, Answer{Kind: Refused, RetryAfter: recordSlow, Why: reasons.RecordFull})
+		p.conclude(r.id, Answer{Kind: Refused, RetryAfter: p.recordAgain(), Why: reasons.RecordFull})
 	case v == orders.Used:
 		r.denied = &identity.Error{Why: identity.Replayed}
 		p.conclude(r.id, Answer{Kind: Failed, Why: logic.Rejected})
@@ -150,6 +151,14 @@
 	}
 }
 
+// recordAgain is when an order that could not be recorded may come again, as far as the settings let clients be told: not all at one time.
+func (p *Proxy) recordAgain() time.Duration {
+	if s := &p.cfg.Settings; s.CanRetryAfter {
+		return min(recordSlow/2+rand.N(recordSlow), s.MaxRetryAfter*2/3)
+	}
+	return 0
+}
+
 func whyOf(err error) logic.Reason {
 	if errors.Is(err, orders.ErrBehind) {
 		return reasons.RecordBehind
@@ -207,7 +216,7 @@
 		p.log.Warn("an order can't be recorded, and is refused", "err", err)
 		p.end(a, logic.StatusMoot, 0)
 		if !r.done {
-			p.conclude(r.id, Answer{Kind: Refused, RetryAfter: recordSlow, Why: whyOf(err)})
+			p.conclude(r.id, Answer{Kind: Refused, RetryAfter: p.recordAgain(), Why: whyOf(err)})
 			p.bal.Expired(p.now, r.id)
 		}
 	case r.done || a.Until <= p.now:
@@ -299,7 +308,7 @@
 		r.Taker.Answer(Answer{Kind: Failed, Why: reasons.RecordBehind})
 		p.settle(r)
 	case c.phase == taking && !r.done:
-		p.conclude(r.id, Answer{Kind: Refused, RetryAfter: recordSlow, Why: reasons.RecordBehind})
+		p.conclude(r.id, Answer{Kind: Refused, RetryAfter: p.recordAgain(), Why: reasons.RecordBehind})
 	}
 }
 
