Tests: a caller that takes nothing is stuck only once thirteen parts are on their way

On two busy cores TestCallerThatTakesNothing failed once: it took the first part that waited for its turn (3 parts sent) for a stream that stands still; ended then, all was written and nothing counted as stuck. Printed: 3 parts at that moment, 13 and 98,304 bytes held a second later, three times of three.

--- a/internal/extproc/server/duplex_test.go
+++ b/internal/extproc/server/duplex_test.go
@@ -115,10 +115,11 @@
 		}
 		sent <- int(parts.Load())
 	}()
-	// The caller's library takes in a window of its own; then everything stands still.
+	// The caller's library takes in a window of its own, and the transports some more; then everything stands still, with thirteen parts on their
+	// way. A part that only waits for its turn is not stuck yet.
 	stuck := func() bool {
 		l := r.p.Load()
-		return l.Held > streamCost+streamWindow
+		return parts.Load() >= 10 && l.Held > streamCost+streamWindow+2*32<<10
 	}
 	r.eventually("parts wait to be taken", stuck)
 	if l := r.p.Load(); l.Held > streamCost+streamWindow+4*mostChunk {
