Handover: who starts between the end of one process and its follower's promotion follows that one

Seen in TestOrdersOverUpgrades: a process was started within the 50 ms in which the one that served had ended and its follower had not looked yet. It took the free lock, held itself for the first, found the record of orders open and refused to start. Open now looks for a follower before it keeps the place, and a later follower takes the slot once the earlier one serves. The new test fails without it (alone true, want false).

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -81,11 +81,10 @@
 	if alone, err = d.Promote(); err != nil {
 		return d, true, err
 	}
-	if !alone {
-		// Two that follow at once are none of the platform's doing; the later one shares the slot.
-		if _, err = tryLock(d.follows); err != nil {
-			return d, true, err
-		}
+	if alone && d.Followed() {
+		// The process that served has just ended, and the one that follows it has yet to see that: the place is that one's.
+		d.serves.Close()
+		d.serves, alone = nil, false
 	}
 	return d, alone, nil
 }
@@ -123,6 +122,10 @@
 	}
 	if ok, err := tryLock(f); !ok || err != nil {
 		f.Close()
+		if err == nil {
+			// Of two that follow at once the later one shares the slot, until the earlier one serves.
+			_, err = tryLock(d.follows)
+		}
 		return false, err
 	}
 	d.serves = f
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -180,3 +180,21 @@
 		t.Errorf("without a directory: %q %v", got, err)
 	}
 }
+
+// Who comes after the one that served has ended, and before the one that follows it has seen so, follows that one, and takes its slot then.
+func TestThirdComesBetweenTwo(t *testing.T) {
+	path := t.TempDir()
+	first, second := open(t, path, true), open(t, path, false)
+	first.Close()
+	third := open(t, path, false)
+	if alone, err := second.Promote(); !alone || err != nil {
+		t.Fatalf("the second: alone %v, %v", alone, err)
+	}
+	if alone, err := third.Promote(); alone || err != nil || !second.Followed() {
+		t.Errorf("the third: alone %v, %v; followed %v", alone, err, second.Followed())
+	}
+	second.Close()
+	if alone, err := third.Promote(); !alone || err != nil {
+		t.Errorf("the third, left alone: %v, %v", alone, err)
+	}
+}
