Read again: one clock and one set of bounds for ledgers opened by hand, one table of reasons

The bounds of a ledger that is only looked at stood in ordercmd and in lab, the wall clock in six places; both are the ledger's now. The keeper's two changes share what notes an attempt back unrun; names of the host's reasons are one table; the digest uses the library's byte order. Behaviour is as it was.

--- a/cmd/linenloom/main.go
+++ b/cmd/linenloom/main.go
@@ -23,7 +23,7 @@
        linenloom token sign|inspect    tokens that prove callers
        linenloom keys list|rotate      the keys that sign them
        linenloom orders list|show|settle|check|compact    the record of orders
-       linenloom store check|dump      a log of the store
+       linenloom store check|dump|repair    a log of the store
 SIGHUP reads the files again, SIGTERM drains. README.md and docs/ tell the rest.
 `,
 	}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -21,6 +21,7 @@
 	"linenloom/internal/mgmt"
 	"linenloom/internal/operator"
 	"linenloom/internal/orders/keeper"
+	"linenloom/internal/orders/ledger"
 	"linenloom/internal/proxy"
 	"linenloom/internal/store/disk"
 	"linenloom/logic"
@@ -167,9 +168,6 @@
 	}
 }
 
-// wallClock is the time since the epoch, which what lasts is told by.
-func wallClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 func (g *Program) run(file *operator.File) error {
 	// From the start, so that none of these ends the process by its default. A log that nobody reads any more
 	// must not do so either.
@@ -212,7 +210,7 @@
 	defer shared.dir.Close()
 	var record *keeper.Keeper
 	if file.Orders != nil {
-		if record, err = keeper.Open(disk.Dir(file.Orders.Dir), file.Orders.Options(!shared.first), wallClock, log); err != nil {
+		if record, err = keeper.Open(disk.Dir(file.Orders.Dir), file.Orders.Options(!shared.first), ledger.WallClock, log); err != nil {
 			return fmt.Errorf("%s: %w", file.Orders.Dir, err)
 		}
 		defer closeRecord(record, log)
--- a/internal/lab/orderer.go
+++ b/internal/lab/orderer.go
@@ -110,16 +110,13 @@
 	return append([]time.Duration(nil), o.took...)
 }
 
-// anything bounds a ledger that is only looked at.
-var anything = ledger.Options{Limits: orders.Limits{Keep: 1 << 62, Most: 1 << 40, MostBytes: 1 << 50}, SegmentSize: 4 << 20, CompactAt: 1 << 40}
-
 // CheckOrders opens the record in a folder three times and holds it against what clients were told, and what an origin ran, by keys: each receipt
 // is there, nothing is in hand, nothing has run twice or is said not to have run that has. It counts orders by state.
 func CheckOrders(dir, tenant string, told map[string]string, ran map[string]int) (states map[orders.State]int, err error) {
 	var faults []error
 	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
 	for range 3 {
-		l, err := ledger.Open(disk.Dir(dir), anything, func() time.Duration { return time.Duration(time.Now().UnixNano()) })
+		l, err := ledger.Open(disk.Dir(dir), ledger.Unbounded, ledger.WallClock)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/lab/orders.go
+++ b/internal/lab/orders.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"linenloom/internal/extproc/caller"
@@ -102,11 +101,7 @@
 		p, err = e.processorWith("orders", fleet, "127.0.0.1:0", OperatorFile(listen, "answer", "2s")+text)
 		return listen, p, err
 	}
-	path, err := e.write("orders.toml", []byte(text))
-	if err != nil {
-		return "", nil, err
-	}
-	return e.proxy("orders", fleet, 128, 1024, "-operator", path)
+	return e.guarded("orders", fleet, text)
 }
 
 // placed has so many clients place orders for a while, and tells how many a second were served, and how long each took.
@@ -263,7 +258,6 @@
 		worst, sum = max(worst, took), sum+took
 	}
 	o.Close()
-	p.Signal(syscall.SIGTERM)
 	if err := p.Stop(); err != nil {
 		return err
 	}
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -154,7 +154,7 @@
 		return many(writers, d, func(int, int) error { _, err := l.Append(1, payload); return err })
 	}
 	l, err := ledger.Open(dir, ledger.Options{Limits: orders.Limits{Keep: time.Hour, Most: 1 << 20, MostBytes: 1 << 30}, SegmentSize: storeSegment, CompactAt: 1 << 30},
-		func() time.Duration { return time.Duration(time.Now().UnixNano()) })
+		ledger.WallClock)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/mgmt/orders_test.go
+++ b/internal/mgmt/orders_test.go
@@ -25,9 +25,8 @@
 	const most = 8
 	opt := keeper.Options{Options: ledger.Options{Limits: orders.Limits{Keep: time.Nanosecond, Most: most, MostBytes: 1 << 20}, SegmentSize: 64 << 10,
 		CompactAt: 10, Line: 100}}
-	now := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
 	d, quiet := crash.New(), slog.New(slog.DiscardHandler)
-	led, err := ledger.Open(d, opt.Options, now)
+	led, err := ledger.Open(d, opt.Options, ledger.WallClock)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -43,7 +42,7 @@
 	if err := led.Close(); err != nil {
 		t.Fatal(err)
 	}
-	k, err := keeper.Open(d, opt, now, quiet)
+	k, err := keeper.Open(d, opt, ledger.WallClock, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -131,7 +130,7 @@
 		t.Error(err)
 	}
 	call("GET", "/orders/unknown", "", 503)
-	if led, err = ledger.Open(d, ledger.Options{Limits: orders.Limits{Keep: time.Hour, Most: 100, MostBytes: 1 << 20}, SegmentSize: 64 << 10, CompactAt: 100}, now); err != nil {
+	if led, err = ledger.Open(d, ledger.Options{Limits: orders.Limits{Keep: time.Hour, Most: 100, MostBytes: 1 << 20}, SegmentSize: 64 << 10, CompactAt: 100}, ledger.WallClock); err != nil {
 		t.Fatal(err)
 	}
 	if _, all := led.Unknown(0); all != most-2 {
--- a/internal/ordercmd/ordercmd.go
+++ b/internal/ordercmd/ordercmd.go
@@ -32,12 +32,9 @@
 
 // Run runs the command.
 func Run(args []string) int {
-	return run(args, os.Stdout, os.Stderr, func() time.Duration { return time.Duration(time.Now().UnixNano()) })
+	return run(args, os.Stdout, os.Stderr, ledger.WallClock)
 }
 
-// far is what bounds a ledger that an operator opens: nothing is forgotten, or turned away, by looking.
-var far = ledger.Options{Limits: orders.Limits{Keep: 1 << 62, Most: 1 << 40, MostBytes: 1 << 50}, SegmentSize: 4 << 20, CompactAt: 1 << 40}
-
 // command is the flags that a command needs, and what it does with the open ledger.
 type command struct {
 	must []string
@@ -74,7 +71,7 @@
 	if err := disk.Dir(dir).There(); err != nil {
 		return err
 	}
-	l, err := ledger.Open(disk.Dir(dir), far, now)
+	l, err := ledger.Open(disk.Dir(dir), ledger.Unbounded, now)
 	var damage *log.Damage
 	switch {
 	case errors.As(err, &damage):
--- a/internal/orders/keeper/keeper.go
+++ b/internal/orders/keeper/keeper.go
@@ -153,16 +153,22 @@
 	}, func() { done(orders.Full, nil, ErrClosed) })
 }
 
+// returned notes, where it is so, that an order that was sent has surely not run.
+func (k *Keeper) returned(n orders.Name, so bool) error {
+	if !so {
+		return nil
+	}
+	return k.led.Returned(n)
+}
+
 // Send records that an order in hand is about to be sent to a member. returned tells that it had been sent before, and has surely not run.
 func (k *Keeper) Send(n orders.Name, to string, returned bool, done func(error)) {
 	k.begin(func() {
-		if returned {
-			if err := k.led.Returned(n); err != nil {
-				done(err)
-				return
-			}
+		err := k.returned(n, returned)
+		if err == nil {
+			err = k.led.Send(n, to)
 		}
-		done(k.led.Send(n, to))
+		done(err)
 	}, func() { done(ErrClosed) })
 }
 
@@ -180,13 +186,11 @@
 		done(err)
 	}
 	k.begin(func() {
-		if returned {
-			if err := k.led.Returned(n); err != nil {
-				over(err)
-				return
-			}
+		err := k.returned(n, returned)
+		if err == nil {
+			err = k.led.End(n, s, receipt, by)
 		}
-		over(k.led.End(n, s, receipt, by))
+		over(err)
 	}, func() { over(ErrClosed) })
 }
 
--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -30,6 +30,12 @@
 	Line int
 }
 
+// Unbounded is for who opens a ledger by hand: nothing is forgotten, turned away or compacted by looking.
+var Unbounded = Options{Limits: orders.Limits{Keep: 1 << 62, Most: 1 << 40, MostBytes: 1 << 50}, SegmentSize: 4 << 20, CompactAt: 1 << 40}
+
+// WallClock is the time since the epoch, which what lasts is told by.
+func WallClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 // ErrSlow tells that an order was not taken, since too many changes wait for the disk. It has not run, and may come again.
 var ErrSlow = fmt.Errorf("ledger: the disk is behind: %w", orders.ErrBehind)
 
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -110,7 +111,7 @@
 func (r *Request) digest() (d [sha256.Size]byte) {
 	h := sha256.New()
 	for _, part := range [...][]byte{r.Key, r.Value} {
-		h.Write([]byte{byte(len(part)), byte(len(part) >> 8), byte(len(part) >> 16), byte(len(part) >> 24)})
+		h.Write(binary.LittleEndian.AppendUint32(nil, uint32(len(part))))
 		h.Write(part)
 	}
 	h.Sum(d[:0])
--- a/internal/proxy/record_test.go
+++ b/internal/proxy/record_test.go
@@ -22,11 +22,9 @@
 var recordOptions = keeper.Options{Options: ledger.Options{
 	Limits: orders.Limits{Keep: time.Hour, Most: 1000, MostBytes: 1 << 20}, SegmentSize: 64 << 10, CompactAt: 1000, Line: 32}}
 
-func wall() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 func openRecord(t *testing.T, d *crash.Disk, opt keeper.Options) *keeper.Keeper {
 	t.Helper()
-	k, err := keeper.Open(d, opt, wall, slog.New(slog.DiscardHandler))
+	k, err := keeper.Open(d, opt, ledger.WallClock, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/reasons/reasons.go
+++ b/internal/reasons/reasons.go
@@ -45,16 +45,9 @@
 
 // Name is a reason's name in logs and reports.
 func Name(r logic.Reason) string {
-	switch r {
-	case HostFull:
-		return "host_full"
-	case Stopping:
-		return "stopping"
-	case Overload:
-		return "overload"
-	}
-	if r > Overload && r < all {
-		return [...]string{"record_full", "record_behind", "record_fault", "order_in_hand", "other_order", "order_has_run", "order_unknown"}[r-RecordFull]
+	if r >= HostFull && r < all {
+		return [all - HostFull]string{"host_full", "stopping", "overload", "record_full", "record_behind", "record_fault", "order_in_hand", "other_order",
+			"order_has_run", "order_unknown"}[r-HostFull]
 	}
 	return r.String()
 }
