--- /dev/null
+++ b/internal/extproc/server/leave_test.go
@@ -0,0 +1,69 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"linenloom/internal/discovery"
+	"linenloom/internal/standin"
+)
+
+// A caller that leaves while its order waits for a connection to the origin has had none: it is not sent once the connection is up, and
+// the caller's repeat is a new order.
+func TestCallerLeavesBeforeTheConnectionIsUp(t *testing.T) {
+	fleet := newFleet(t, 1)
+	door, err := standin.NewDoor()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { door.Close() })
+	fleet.Registry.Tell(discovery.Member{ID: "o-1", HostPort: door.Addr().String(), Locality: standin.Zone, Flavor: "origin",
+		Phase: discovery.PhaseInService, Size: 1})
+	r := newRig(t, fleet, file("answer", ""), nil)
+	ctx, leave := context.WithCancel(context.Background())
+	left := r.start(ctx, order("o1", "left"))
+	r.eventually("it is in hand", func() bool { return r.p.Load().Attempts == 1 })
+	leave()
+	await(t, left, "the call ends")
+	r.eventually("nothing is in hand", func() bool { l := r.p.Load(); return l.Requests == 0 && l.Attempts == 0 })
+	if err := door.Open(); err != nil {
+		t.Fatal(err)
+	}
+	asked := make(chan string, 10)
+	go func() {
+		for {
+			conn, err := door.Accept()
+			if err != nil {
+				return
+			}
+			go serveOrders(conn, asked)
+		}
+	}()
+	q := order("o1", "left")
+	q.Headers["x-envoy-attempt-count"] = "2"
+	r.want(r.do(q), 200, "receipt")
+	await(t, asked, "the repeat comes")
+	if n := len(asked); n != 0 {
+		t.Errorf("%d orders too many came to the origin", n)
+	}
+}
+
+func serveOrders(conn net.Conn, asked chan<- string) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		asked <- r.Header.Get("X-Request-ID")
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt")
+	}
+}
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -458,8 +458,8 @@
 		return
 	}
 	c.settled = true
-	ran := c.req.MayHaveRun()
 	c.f.p.Withdraw(&c.req)
+	ran := c.req.MayHaveRun() // what had yet to be sent has been taken back
 	if c.many != nil {
 		c.many.leave()
 	}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -301,7 +301,7 @@
 	p.Tell()
 }
 
-// Withdraw says that nobody waits for the request any more. Its attempts end by themselves.
+// Withdraw says that nobody waits for the request any more. What has not been sent for it is not sent; attempts that are out end by themselves.
 func (p *Proxy) Withdraw(r *Request) {
 	if r.id == 0 {
 		return // it was never taken
@@ -311,6 +311,7 @@
 	}
 	if !r.done {
 		r.done = true
+		p.recall(r) // before the module calls off what is out: what was never sent is not told as cancelled, which may have run
 		p.bal.Expired(p.now, r.id)
 	}
 	p.settle(r)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -126,9 +126,29 @@
 	p.settle(r)
 }
 
-// settle lets go of a request that is over. Timers still name its attempts for a while, so its value, which
-// may be large, is let go of here.
+// recall takes back the attempts of a request that is over which surely have not run yet: those that wait for a connection, for the
+// record or for their last byte to go out. Whether the module may cancel what a member has in hand, and whether a fetch is worth its
+// end, is another matter: nothing is sent for nobody.
+func (p *Proxy) recall(r *Request) {
+	for _, a := range r.attempts {
+		switch {
+		case a.Ended:
+		case a.carried || a.recording:
+			if !a.given {
+				p.end(a, logic.StatusNoConn, 0)
+			}
+		default:
+			p.ups.Recall(&a.Exchange)
+		}
+	}
+}
+
+// settle lets go of a request that is over, and first takes back what has not been sent for it. Timers still name its attempts for a
+// while, so its value, which may be large, is let go of here.
 func (p *Proxy) settle(r *Request) {
+	if r.done && r.out > 0 {
+		p.recall(r)
+	}
 	if r.done && r.out == 0 && p.requests[r.id] == r && (r.rec == nil || p.recordOver(r)) {
 		delete(p.requests, r.id)
 		p.letGo(r)
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -252,12 +253,14 @@
 	for _, m = range p.members {
 	}
 	var over *attempt
-	r := &Request{p: p.Proxy, done: true, Command: Command{Message: upstream.Message{Key: []byte("k"), ReqID: []byte("i"), Attrs: []byte("c=tile-read")}}}
+	var all []*Request // one each: nothing is sent for a request that is over
 	for range pool.CacheSockets + pool.WaitingRoom + 1 {
+		r := &Request{p: p.Proxy, Taker: nobody{}, Command: Command{Message: upstream.Message{Key: []byte("k"), ReqID: []byte("i"), Attrs: []byte("c=tile-read")}}}
 		over = &attempt{req: r, to: m.id}
 		over.Until = p.now + patience
 		r.attempts, r.out = append(r.attempts, over), r.out+1
 		p.exchange(m, over)
+		all = append(all, r)
 	}
 	if !over.Ended || len(p.outcomes) != 1 {
 		t.Error("an attempt too many waits")
@@ -269,7 +272,12 @@
 		<-asks
 	}
 	close(release)
-	p.eventually("those that wait are sent", func() bool { return r.out == 0 })
+	for range pool.WaitingRoom {
+		<-asks
+	}
+	p.eventually("those that waited have their answers", func() bool {
+		return !slices.ContainsFunc(all, func(r *Request) bool { return r.out > 0 })
+	})
 }
 
 // An attempt whose client has left runs out on its connection, which then serves others.
--- /dev/null
+++ b/internal/standin/door.go
@@ -0,0 +1,51 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"os"
+
+	"golang.org/x/sys/unix"
+)
+
+// Door is an address at which connections don't come up until it is opened: what dials it waits, as before a machine whose line is
+// full. From then on they come up when their kernel tries again, which is up to a second later.
+type Door struct {
+	net.Listener
+	held net.Conn // takes the only place
+}
+
+// NewDoor makes a Door that is shut.
+func NewDoor() (*Door, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("standin: door: %w", err)
+	}
+	f := os.NewFile(uintptr(fd), "door")
+	defer f.Close()
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return nil, fmt.Errorf("standin: door: %w", err)
+	}
+	if err := unix.Listen(fd, 0); err != nil { // room for one
+		return nil, fmt.Errorf("standin: door: %w", err)
+	}
+	d := &Door{}
+	if d.Listener, err = net.FileListener(f); err != nil {
+		return nil, fmt.Errorf("standin: door: %w", err)
+	}
+	if d.held, err = net.Dial("tcp", d.Addr().String()); err != nil {
+		d.Close()
+		return nil, fmt.Errorf("standin: door: %w", err)
+	}
+	return d, nil
+}
+
+// Open lets connections come up; Accept has them from then on.
+func (d *Door) Open() error {
+	first, err := d.Accept()
+	if err != nil {
+		return err
+	}
+	first.Close()
+	return d.held.Close()
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -155,6 +155,11 @@
 	if u.Current != x && u.Current != nil && u.Current.firstAt > 0 {
 		return // it is skipped when its answer comes
 	}
+	s.cutOff(u)
+}
+
+// cutOff ends a connection for what is on it or waits to be written to it, and with it the exchanges beside that.
+func (s *Set) cutOff(u *Conn) {
 	if u.Current != nil {
 		u.overturn(u.Current)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -157,6 +157,20 @@
 // Passing tells since when its value has been passed on; 0: it is not.
 func (x *Exchange) Passing() (since time.Duration) { return x.firstAt }
 
+// Recall takes back an exchange that nobody waits for any more, if its last byte is still here: it never runs then, and ends as one that
+// nobody was asked for. What may be out is left to end by itself.
+func (s *Set) Recall(x *Exchange) {
+	switch u := x.conn; {
+	case x.Ended:
+	case u == nil:
+		x.m.Leave(x)
+		x.ended(logic.StatusNoConn, 0)
+	case u.unsent(x) && (u.Current == x || u.Current.firstAt == 0): // another's long value is not cut off for it
+		x.ended(logic.StatusNoConn, 0)
+		s.cutOff(u)
+	}
+}
+
 // Shut closes the connections to a member, whatever is on them.
 func (s *Set) Shut(m *Member) {
 	for len(m.Conns) > 0 {
