--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -73,6 +73,10 @@
 	// does not reset the connection before that answer is read. It may have megabytes more to send.
 	lingerBytes = 256 << 10
 	lingerFor   = 500 * time.Millisecond
+	// lingerPiece is how much of what comes is dropped every lingerPace while answers from before are still out. It bounds what a client
+	// that sends garbage for ever costs, and how late the end of one that has sent megabytes is seen.
+	lingerPiece = 64 << 10
+	lingerPace  = 20 * time.Millisecond
 )
 
 // input is a command as it was read.
@@ -115,6 +119,7 @@
 	w       *sender.Sender
 	pending []*owed       // in the order of their commands
 	mid     bool          // a command has been read in part
+	stale   bool          // what comes next may have stood unread for long; the reader's own
 	heard   atomic.Int64  // when bytes of it came last, since the start of the proxy
 	midAt   time.Duration // when it began
 	resume  chan struct{}
@@ -155,6 +160,13 @@
 	if n >= shed.LineLeast || c.line.Active() {
 		c.measure(n, n == len(b))
 	}
+	// What has stood unread for long, with the kernel until the connection was accepted or because the core is short, may be of a client
+	// that has left since. Elsewhere it is read as it comes, and so is the end.
+	if stale := c.stale || c.line.Active(); stale && n > 0 {
+		if c.stale = false; c.w.Left() {
+			return 0, io.EOF
+		}
+	}
 	if c.mid { // most commands come in one piece, and should not pay for this
 		c.heard.Store(int64(time.Since(c.p.started)))
 	}
@@ -260,9 +272,10 @@
 	return owed
 }
 
-// Sweep closes clients that have stood idle for too long, and looks at how much of the core is used.
+// Sweep closes clients that have stood idle for too long or have left, and looks at how much of the core is used.
 func (f *redisFront) Sweep() {
 	f.closeIdleClients()
+	f.closeLeft()
 	f.sweepProofs()
 	f.gate.Used(f.p.now, f.used(f.p.now), f.told)
 	f.told, f.pipeline = 0, f.gate.Pipeline(f.asked, maxPipeline)
@@ -333,7 +346,7 @@
 	if !p.Room() {
 		return nil, nil
 	}
-	c := &client{p: p, f: f, conn: conn, stream: conn, w: w, active: p.now, limited: true}
+	c := &client{p: p, f: f, conn: conn, stream: conn, w: w, active: p.now, limited: true, stale: true}
 	size := clientBuffer
 	if p.cfg.Callers != nil {
 		c.from = AddrOf(conn)
@@ -406,6 +419,16 @@
 	}
 }
 
+// closeLeft closes the connections whose clients have left where no reader would notice: it waits until answers are out, or for room,
+// and the end stands behind what it has not read. What was asked on them is withdrawn then, and the rest is not looked at.
+func (f *redisFront) closeLeft() {
+	for c := range f.clients {
+		if len(c.pending) > 0 && (c.resume != nil || c.waits) && c.w.Left() {
+			c.close()
+		}
+	}
+}
+
 // ask notes that a command has been read whole.
 func (c *client) ask() {
 	f := c.f
@@ -473,23 +496,20 @@
 		c.mid = false
 		c.hangUp(true)
 		c.p.leave()
-		c.linger()
+		if !c.linger() {
+			c.awaitAnswers()
+		}
 		c.p.enter()
 	}
 	c.gone()
 	c.p.leave()
 }
 
-// linger reads and drops what still comes, so that the client can take in what it has been sent.
-func (c *client) linger() {
+// linger reads and drops what still comes, so that the client can take in what it has been sent. It tells whether the client has left.
+func (c *client) linger() (left bool) {
 	c.conn.SetReadDeadline(time.Now().Add(lingerFor))
-	io.CopyN(io.Discard, c.stream, lingerBytes)
-	c.p.enter()
-	owed := len(c.pending) > 0
-	c.p.leave()
-	if owed { // answers before the error are still out: the deadline of the requests bounds the wait
-		c.awaitAnswers()
-	}
+	_, err := io.CopyN(io.Discard, c.stream, lingerBytes)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // hangUp ends the sending side once everything pending is answered. The client sees the end and closes.
@@ -572,6 +592,7 @@
 		}
 		if wait != nil {
 			<-wait
+			c.stale = true
 		}
 	}
 }
@@ -581,18 +602,24 @@
 	return len(c.pending) >= c.f.pipeline || c.w.Backlog() > maxUnsent || c.w.Busy() && c.p.held > c.p.heldMax
 }
 
-// awaitAnswers waits until everything pending is answered or the connection has ended.
+// awaitAnswers waits until everything pending is answered, which the deadline of the requests bounds, or the client has left. What it still
+// sends is read and dropped, no faster than lingerPace: its end stands behind that.
 func (c *client) awaitAnswers() {
 	for {
 		c.p.enter()
-		if c.closed || c.w.Failed() || c.free() {
-			c.p.leave()
+		over := c.closed || c.w.Failed() || c.free()
+		c.p.leave()
+		if over {
 			return
 		}
-		wait := make(chan struct{})
-		c.resume = wait
-		c.p.leave()
-		<-wait
+		c.conn.SetReadDeadline(time.Now().Add(lingerPace))
+		n, err := io.CopyN(io.Discard, c.stream, lingerPiece)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		if n == lingerPiece {
+			time.Sleep(lingerPace)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/unread_test.go
@@ -0,0 +1,139 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// The client's end is seen behind commands that were not read yet, as those before them wait: nothing of either is sent on.
+func TestClientLeavesBehindUnreadCommands(t *testing.T) {
+	l := newRoll()
+	door, open := shut(t, l, "large")
+	p := start(t, leaving(false), entry("s-1", door, "large"))
+	client := p.dial()
+	var all strings.Builder
+	for i := range 4 * maxPipeline {
+		all.WriteString(getLong(fmt.Sprintf("b%d", i), fmt.Sprintf("left%d", i)))
+	}
+	client.send(all.String())
+	p.eventually("its reader waits", func() bool {
+		for c := range p.redis.clients {
+			return c.resume != nil
+		}
+		return false
+	})
+	client.conn.Close()
+	p.gone()
+	open()
+	next := p.dial()
+	next.send(get("a9", "next"))
+	next.answer()
+	if got := l.asked(t, 1); len(got) != 1 || got[0] != "next" {
+		t.Errorf("the member was asked under %v", got)
+	}
+}
+
+// What a client asked in front of something that can't be read is withdrawn with its end, though it is cut off for the rest.
+func TestClientLeavesBehindGarbage(t *testing.T) {
+	for name, rest := range map[string]string{
+		"a little": "*1\r\n!\r\n",
+		"a lot":    "*1\r\n!\r\n" + strings.Repeat("x", 2*lingerBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newRoll()
+			door, open := shut(t, l, "large")
+			p := start(t, leaving(false), entry("s-1", door, "large"))
+			client := p.dial()
+			client.send(getLong("a1", "left"))
+			p.eventually("it waits for a connection", func() bool { return p.inLine() == 1 })
+			client.send(rest)
+			client.conn.Close()
+			p.gone()
+			open()
+			next := p.dial()
+			next.send(get("a9", "next"))
+			next.answer()
+			if got := l.asked(t, 1); got[0] != "next" {
+				t.Errorf("the member was asked under %v", got)
+			}
+		})
+	}
+}
+
+// A client that is gone before its connection is accepted has asked for nothing, though a connection to a member is free.
+func TestClientLeavesBeforeItIsAccepted(t *testing.T) {
+	l := newRoll()
+	node := listen(t, func(conn net.Conn) { noteCache(conn, l, nil) })
+	p := start(t, leaving(false), entry("s-1", node, "large"))
+	first := p.dial()
+	first.send(get("a0", "first"))
+	first.answer()
+	p.enter() // so that nobody is taken in
+	conn, err := net.Dial("tcp", p.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(conn, getLong("a1", "left"))
+	conn.Close()
+	p.leave()
+	p.eventually("it has come and gone", func() bool { return p.redis.count == 2 && len(p.redis.clients) == 1 })
+	first.send(get("a9", "next"))
+	first.answer()
+	if got := fmt.Sprint(l.all()); got != "[first next]" {
+		t.Errorf("the member was asked under %v", got)
+	}
+}
+
+// A thousand that send and go, some behind others on a connection, leave nothing behind: no place, byte, descriptor or goroutine, and
+// nothing of theirs is sent.
+func TestBurstThatSendsAndGoes(t *testing.T) {
+	l := newRoll()
+	door, open := shut(t, l, "large")
+	cfg := leaving(false)
+	cfg.Sockets = 4096
+	p := start(t, cfg, entry("s-1", door, "large"), entry("o-1", door, "origin"))
+	p.eventually("nobody is there", func() bool { return len(p.redis.clients) == 0 })
+	const crowd = 1000
+	var all sync.WaitGroup
+	for i := range crowd {
+		all.Go(func() {
+			conn, err := net.Dial("tcp", p.Addr().String())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			text := getLong(fmt.Sprintf("c%d", i), fmt.Sprintf("left%d", i))
+			switch i % 4 {
+			case 1:
+				text = putLong(fmt.Sprintf("c%d", i), fmt.Sprintf("left%d", i), strings.Repeat("x", 500))
+			case 2:
+				text = text[:len(text)-1] // all but its last byte
+			case 3:
+				for n := range 2 * maxPipeline {
+					text += getLong(fmt.Sprintf("c%d-%d", i, n), fmt.Sprintf("left%d-%d", i, n))
+				}
+			}
+			io.WriteString(conn, text)
+			conn.Close()
+		})
+	}
+	all.Wait()
+	p.eventually("all have been accepted", func() bool { return p.redis.count == crowd })
+	p.gone()
+	p.eventually("no descriptor is held for clients", func() bool { return p.frontFDs == 0 && p.inLine() == 0 })
+	open()
+	next := p.dial()
+	next.send(get("a9", "next"))
+	if got := next.answer(); got != "value of a9" {
+		t.Errorf("answered %q", got)
+	}
+	for _, id := range l.asked(t, 1) {
+		if id != "next" {
+			t.Errorf("a member was asked under %v", id)
+		}
+	}
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -7,6 +7,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // StallLimit is how long the other side may take nothing of what is written to it, before it counts as gone.
@@ -244,6 +246,20 @@
 	return w.saw
 }
 
+// Left tells whether the other side has ended its sending, or the connection is reset, also where bytes that came before
+// were not read yet. It costs a system call more than Look, and is for where nobody reads. An end behind more than the kernel takes in is
+// not seen: it has not come.
+func (w *Sender) Left() (left bool) {
+	if err := w.raw.Control(func(fd uintptr) {
+		look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look[:], 0)
+		left = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}); err != nil {
+		return true
+	}
+	return left
+}
+
 // What Peek can see.
 const (
 	Nothing = iota
