--- a/internal/joining/joining.go
+++ b/internal/joining/joining.go
@@ -223,12 +223,16 @@
 	return p.id, true
 }
 
-// Left takes out a follower that waits no longer. The lead does not leave while others wait for what it gets: ask Waited, then Lost.
-func (t *Table) Left(id ID) {
-	if p := t.follows[id]; p != nil {
-		heap.Remove(&p.of.followers, p.at)
-		t.forget(p)
+// Left takes out a follower that waits no longer. It names the lead where that one has been left alone: nobody else waits for what it
+// gets. The lead does not leave while others do: ask Waited, then Lost.
+func (t *Table) Left(id ID) (lead ID, alone bool) {
+	p := t.follows[id]
+	if p == nil {
+		return 0, false
 	}
+	heap.Remove(&p.of.followers, p.at)
+	t.forget(p)
+	return p.of.lead, len(p.of.followers) == 0
 }
 
 // Waited tells how many wait for what a lead gets.
--- a/internal/proxy/join.go
+++ b/internal/proxy/join.go
@@ -181,7 +181,7 @@
 	case f.join.body != nil:
 		p.shareWith(f)
 	default:
-		p.joins.Left(id)
+		p.joinLeft(id)
 		p.conclude(id, Answer{Kind: Refused, Why: logic.OutOfTime})
 	}
 }
@@ -247,12 +247,20 @@
 		r.join.body.Release()
 		r.join.body = nil
 	}
-	p.joins.Left(r.id)
 	r.done = true
+	p.joinLeft(r.id)
 	p.settle(r)
 	return true
 }
 
+// joinLeft takes a follower out. A lead that has gone on for others after its own client had left ends with the last of them.
+func (p *Proxy) joinLeft(id logic.RequestID) {
+	lead, alone := p.joins.Left(id)
+	if r := p.requests[lead]; alone && r != nil && r.Taker == (nobody{}) {
+		p.Withdraw(r)
+	}
+}
+
 // fence keeps reads that come from now on from sharing what was asked for before a write of the key was answered, or may have run.
 func (p *Proxy) fence(r *Request) {
 	if p.joins != nil && r.Write {
--- a/internal/proxy/join_test.go
+++ b/internal/proxy/join_test.go
@@ -543,3 +543,38 @@
 		t.Errorf("what it may read: %q", got)
 	}
 }
+
+// A read that leads others goes on for them when its client leaves, and ends with the last of them.
+func TestAllOfAJoinedReadLeave(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		l := newRoll()
+		door, open := shut(t, l, "large")
+		cfg := leaving(cancel)
+		cfg.Joining = &joining.Limits{Followers: 10, PerTenant: 10, Flights: 10, AcrossTenants: true}
+		p := start(t, cfg, entry("s-1", door, "large"))
+		var clients []*testClient
+		for i := range 3 {
+			c := p.dial()
+			c.send(getLong("a1", fmt.Sprintf("left%d", i)))
+			p.eventually("it is in hand", func() bool { return len(p.requests) == i+1 })
+			clients = append(clients, c)
+		}
+		clients[0].conn.Close()
+		p.eventually("the lead's client is gone", func() bool { return len(p.redis.clients) == 2 })
+		if n := p.Load().Requests; n != 3 {
+			t.Fatalf("%d requests are in hand, want the lead and two that follow", n)
+		}
+		clients[1].conn.Close()
+		clients[2].conn.Close()
+		p.gone()
+		open()
+		next := p.dial()
+		next.send(get("a1", "next"))
+		if got := next.answer(); got != "value of a1" {
+			t.Errorf("answered %q", got)
+		}
+		if got := l.asked(t, 1); got[0] != "next" {
+			t.Errorf("the member was asked under %v", got)
+		}
+	}
+}
