--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,7 +5,6 @@
 package discovery
 
 import (
-	"bufio"
 	"bytes"
 	"cmp"
 	"context"
@@ -224,17 +223,27 @@
 	if w.Opened != nil {
 		w.Opened()
 	}
-	in := bufio.NewScanner(&lineReader{Reader: resp.Body, alarm: short})
-	in.Buffer(nil, maxLine)
-	for in.Scan() {
-		alarm.Reset(silence)
-		lines++
-		if len(in.Bytes()) == 0 {
+	in := newFrames(resp.Body)
+	for {
+		object, err := in.next()
+		short.note(0, in.begun)
+		in.begun = 0
+		if err == nil {
+			alarm.Reset(silence)
+			lines++
+		}
+		if len(object) == 0 {
+			if err != nil {
+				return lines, w.ended(ctx, err)
+			}
 			continue
 		}
 		var list List
-		if err := json.Unmarshal(in.Bytes(), &list); err != nil {
-			if gone := drains(in.Bytes(), w.Revision); len(gone) > 0 {
+		if err == nil || err == io.EOF {
+			err = json.Unmarshal(object, &list)
+		}
+		if err != nil {
+			if gone := drains(object, w.Revision); len(gone) > 0 {
 				w.Take(List{Revision: w.Revision, Members: gone})
 			}
 			return lines, fmt.Errorf("discovery line: %w", cmp.Or(context.Cause(ctx), err))
@@ -255,13 +264,17 @@
 		}
 		w.take(list)
 	}
+}
+
+// ended tells why a watch has.
+func (w *Watcher) ended(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
-		return lines, fmt.Errorf("discovery watch: %w", cause)
+		return fmt.Errorf("discovery watch: %w", cause)
 	}
-	if err := in.Err(); err != nil {
-		return lines, fmt.Errorf("discovery watch: %w", err)
+	if err != io.EOF {
+		return fmt.Errorf("discovery watch: %w", err)
 	}
-	return lines, fmt.Errorf("discovery watch ended")
+	return errors.New("discovery watch ended")
 }
 
 // dial connects to discovery.
@@ -273,8 +286,8 @@
 	return &lineConn{Conn: c, w: w}, nil
 }
 
-// lineAlarm rings when a line that has begun pauses. A line is begun when one of its objects has come and was not read yet: net/http
-// holds back what has come of a chunk until the chunk is whole or the connection ends.
+// lineAlarm rings when a line, or an object on several, that has begun pauses. It is begun when it, or an object in it, has come and was
+// not read yet: net/http holds back what has come of a chunk until the chunk is whole or the connection ends.
 type lineAlarm struct {
 	mu         sync.Mutex
 	timer      *time.Timer
@@ -317,20 +330,3 @@
 	}
 	return n, err
 }
-
-// lineReader tells the alarm what has been read, once a line is whole.
-type lineReader struct {
-	io.Reader
-	alarm *lineAlarm
-	begun int
-}
-
-func (r *lineReader) Read(b []byte) (int, error) {
-	n, err := r.Reader.Read(b)
-	r.begun += bytes.Count(b[:n], []byte{'{'})
-	if n > 0 && b[n-1] == '\n' {
-		r.alarm.note(0, r.begun)
-		r.begun = 0
-	}
-	return n, err
-}
