--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -66,9 +66,12 @@
 	Revision int64    `json:"revision"`
 	Complete bool     `json:"complete"`
 	Members  []Member `json:"members"`
+	// Anew tells, of a whole list that is older than what is known, that it holds all the same: discovery has begun to count anew.
+	Anew bool `json:"-"`
 }
 
-// Watcher follows the list. Take is called with each list, one at a time; Opened, each time discovery has taken up a watch: what it
+// Watcher follows the list. Take is called with each list, one at a time, and tells the newest revision known, and whether the list is
+// taken: another watch may have brought a newer one since this one began; Opened, each time discovery has taken up a watch: what it
 // has to tell beyond Revision is then on its way, and where that is nothing the first line is only the next change; Broken, each
 // time a watch ends.
 type Watcher struct {
@@ -80,7 +83,7 @@
 	Pace   *Pace         // when to ask again
 	Wait   time.Duration // before the first call
 	Held   bool          // members are known, which an empty list would take away
-	Take   func(List)
+	Take   func(List) (newest int64, taken bool)
 	Opened func() // may be nil
 	Broken func()
 	Log    *slog.Logger
@@ -195,20 +198,27 @@
 	if len(list.Members) == 0 && w.Held {
 		return errEmpty
 	}
-	if list.Revision < w.Revision && !w.countsAnew() {
+	if list.Anew = list.Revision < w.Revision; list.Anew && !w.countsAnew() {
 		return errBehind
 	}
 	list.Complete = true
+	if !w.take(list) {
+		return errBehind
+	}
 	w.Whole = false
-	w.take(list)
 	return nil
 }
 
-// take hands a list on that holds.
-func (w *Watcher) take(list List) {
+// take hands a list on that holds, unless a newer one has come another way meanwhile.
+func (w *Watcher) take(list List) bool {
+	if newest, taken := w.Take(list); !taken {
+		w.Revision = newest
+		w.countsAnew()
+		return false
+	}
 	w.Revision, w.behind, w.toldEmpty = list.Revision, time.Time{}, false
 	w.Held = w.Held || len(list.Members) > 0
-	w.Take(list)
+	return true
 }
 
 // watch follows one watch until it breaks and returns how many lines it brought.
@@ -276,10 +286,14 @@
 			}
 			w.toldEmpty = true
 			continue
-		case list.Complete && list.Revision < w.Revision && !w.countsAnew():
+		case list.Complete && list.Revision < w.Revision:
+			if list.Anew = w.countsAnew(); !list.Anew {
+				return lines, errBehind
+			}
+		}
+		if !w.take(list) {
 			return lines, errBehind
 		}
-		w.take(list)
 	}
 }
 
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -128,7 +128,7 @@
 				taken := make(chan List, 10)
 				ctx, stop := context.WithCancel(context.Background())
 				w := Watcher{Addr: p.addr, Pace: NewPace(false, 0, 1, 0, 1), Log: slog.New(slog.DiscardHandler), Broken: func() {},
-					Take:    func(l List) { taken <- l },
+					Take:    func(l List) (int64, bool) { taken <- l; return l.Revision, true },
 					silence: 30 * time.Millisecond, answer: 30 * time.Millisecond}
 				done := make(chan struct{})
 				go func() { w.Run(ctx); close(done) }()
@@ -193,7 +193,7 @@
 	taken := make(chan List, 10)
 	ctx, stop := context.WithCancel(context.Background())
 	w := Watcher{Addr: p.addr, Pace: NewPace(false, 0, 1, 0, 1), Log: slog.New(slog.DiscardHandler), Broken: func() {},
-		Take: func(l List) { taken <- l }}
+		Take: func(l List) (int64, bool) { taken <- l; return l.Revision, true }}
 	done := make(chan struct{})
 	go func() { w.Run(ctx); close(done) }()
 	t.Cleanup(func() { stop(); <-done })
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -58,7 +58,7 @@
 			taken := make(chan List, 10)
 			var log strings.Builder // the watcher's alone until it has ended
 			w := Watcher{Addr: s.Listener.Addr().String(), Pace: NewPace(false, 7, 80, 0, 1), Log: slog.New(slog.NewTextHandler(&log, nil)),
-				Take: func(l List) { taken <- l }, Broken: func() {}}
+				Take: func(l List) (int64, bool) { taken <- l; return 0, true }, Broken: func() {}}
 			done := make(chan struct{})
 			go func() { w.Run(ctx); close(done) }()
 			t.Cleanup(func() { stop(); <-done; s.Close() })
@@ -112,7 +112,7 @@
 			ctx, stop := context.WithTimeout(context.Background(), patience)
 			defer stop()
 			w := Watcher{Addr: s.Listener.Addr().String(), Revision: 5, Held: true, Log: slog.New(slog.NewTextHandler(&log, nil)),
-				Take: func(l List) { took = append(took, l.Revision); stop() }, Broken: func() {}}
+				Take: func(l List) (int64, bool) { took = append(took, l.Revision); stop(); return 0, true }, Broken: func() {}}
 			if c.since > 0 {
 				w.behind = time.Now().Add(-c.since)
 			}
@@ -198,7 +198,7 @@
 	var took []List
 	ctx, stop := context.WithTimeout(context.Background(), patience)
 	defer stop()
-	w := &Watcher{Addr: l.Addr().String(), Revision: 5, Log: slog.New(slog.DiscardHandler), Take: func(l List) { took = append(took, l) }}
+	w := &Watcher{Addr: l.Addr().String(), Revision: 5, Log: slog.New(slog.DiscardHandler), Take: func(l List) (int64, bool) { took = append(took, l); return 0, true }}
 	_, err = w.watch(ctx, &http.Client{Transport: &http.Transport{DialContext: w.dial, DisableKeepAlives: true}})
 	if err == nil || !strings.Contains(err.Error(), "stopped short") {
 		t.Errorf("ended with %v", err)
--- /dev/null
+++ b/internal/proxy/follow_test.go
@@ -0,0 +1,68 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"linenloom/internal/discovery"
+	"linenloom/logic"
+)
+
+// A discovery that the watch is moved to may lag behind the one before, which goes on telling until the first list is there. What it has
+// told by then is not taken back, and no member that drains is called back; once the new one has caught up, its list holds.
+func TestFollowToADiscoveryThatLagsBehind(t *testing.T) {
+	node := cache(t, func(a asked) string { return hit("value") })
+	entries := []discovery.Member{entry("s-1", node, "large"), entry("s-2", node, "large")}
+	drains := entries[0]
+	drains.Phase = discovery.PhaseTerminating
+
+	old := newRegistry(t, discoveryList(41, true, entries...))
+	asked, answer := make(chan struct{}, 100), make(chan discovery.List)
+	lagging := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Query().Get("watch") != "" {
+			w.(http.Flusher).Flush()
+			<-q.Context().Done()
+			return
+		}
+		asked <- struct{}{}
+		select {
+		case l := <-answer:
+			json.NewEncoder(w).Encode(l)
+		case <-q.Context().Done():
+		}
+	}))
+	t.Cleanup(func() { lagging.CloseClientConnections(); lagging.Close() })
+
+	p := startAt(t, testConfig(), old)
+	<-old.watched
+	p.Follow(lagging.Listener.Addr().String())
+	wait := func(what string) {
+		t.Helper()
+		select {
+		case <-asked:
+		case <-time.After(patience):
+			t.Fatalf("never came about: %s", what)
+		}
+	}
+	wait("the new discovery is asked")
+	old.tell(discoveryList(42, false, drains))
+	p.eventually("the drain is known", func() bool { return p.revision == 42 })
+	state := func() (s logic.State) {
+		p.Do(func() { s = p.members[MemberID("s-1")].state })
+		return s
+	}
+	// The call that was out when the drain came, or the next one, if that has run out of time meanwhile.
+	answer <- discoveryList(41, true, entries...)
+	wait("it is asked again, as its list is older")
+	if s := state(); s != logic.Draining {
+		t.Fatalf("the member that drains is %v", s)
+	}
+	answer <- discoveryList(43, true, drains, entries[1])
+	p.eventually("the new list holds", func() bool { return p.revision == 43 && len(p.watches) == 1 })
+	if s := state(); s != logic.Draining {
+		t.Errorf("the member that drains is %v", s)
+	}
+}
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -66,15 +66,16 @@
 	}
 	watcher := discovery.Watcher{
 		Addr: w.addr, Revision: revision, Whole: whole, Pace: w.pace, Wait: w.wait, Held: held, Log: p.log,
-		Take:   func(l discovery.List) { p.take(w, l) },
+		Take:   func(l discovery.List) (int64, bool) { return p.take(w, l) },
 		Opened: sync.OnceFunc(func() { close(w.opened) }),
 		Broken: func() { p.broken(w) },
 	}
 	watcher.Run(ctx)
 }
 
-// take applies a list, if the watch that it came by still counts or begins to.
-func (p *Proxy) take(w *watch, l discovery.List) {
+// take applies a list, if the watch that it came by still counts or begins to. One that begins to may have lagged behind: while it asked
+// for its first list, the one before has told more. That list would call members back that drain, and is not taken.
+func (p *Proxy) take(w *watch, l discovery.List) (newest int64, taken bool) {
 	kind := logic.ListDelta
 	if l.Complete {
 		kind = logic.ListFull
@@ -82,8 +83,11 @@
 	p.enter()
 	defer p.leave()
 	at := slices.Index(p.watches, w)
-	if at < 0 {
-		return
+	switch {
+	case at < 0:
+		return l.Revision, true // it is being ended
+	case at > 0 && l.Revision < p.revision && !l.Anew:
+		return p.revision, false
 	}
 	for _, old := range p.watches[:at] {
 		old.cancel()
@@ -96,6 +100,7 @@
 	default:
 		close(w.told)
 	}
+	return l.Revision, true
 }
 
 // first waits for a watch's first list, for so long at the most. A watch that discovery has taken up and that tells nothing for
