--- /dev/null
+++ b/cmd/linenloom/stop_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"linenloom/internal/app/apptest"
+	"linenloom/internal/standin"
+)
+
+// The program is told to end with an order at an origin that hangs, a read at a cache that hangs and half a command, by its signals in
+// every order that occurs. Each has its answer before the process may be killed, 3 s and 0.7 s after the first, and it ends by itself,
+// well, though the deadlines lie far beyond that.
+func TestSignalsWithRequestsThatHang(t *testing.T) {
+	const patience = 20 * time.Second
+	term, hup := os.Signal(syscall.SIGTERM), os.Signal(syscall.SIGHUP)
+	for name, signals := range map[string][]os.Signal{
+		"ended":                 {term},
+		"ended twice":           {term, term},
+		"reloaded, then ended":  {hup, term},
+		"ended, then reloaded":  {term, hup},
+		"interrupted and ended": {syscall.SIGINT, hup, term},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet, err := standin.NewFleet(1, 100)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(fleet.Close)
+			fleet.Boxes[0].SetFault(standin.Stall)
+			fleet.Origin.SetFault(standin.Stall)
+			settings := standin.Settings()
+			for _, c := range settings["classes"].([]any) {
+				c.(map[string]any)["aim_ms"], c.(map[string]any)["deadline_ms"] = 60e3, 60e3
+			}
+			fleet.Set = map[string]any{"classes": settings["classes"]}
+			listen := freeAddr(t)
+			text, err := fleet.Config("n0", listen, "7", 64, 256)
+			if err != nil {
+				t.Fatal(err)
+			}
+			path := filepath.Join(t.TempDir(), "config.json")
+			apptest.Replace(t, path, text)
+			self, err := os.Executable()
+			if err != nil {
+				t.Fatal(err)
+			}
+			cmd := exec.Command(self)
+			cmd.Env = append(os.Environ(), asProxy+"=1", "LB_CONFIG="+path, "TMPDIR="+t.TempDir())
+			log := &lines{to: t.Output()}
+			cmd.Stderr = log
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { cmd.Process.Kill() })
+			var conn net.Conn
+			for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+				if conn, err = net.Dial("tcp", listen); err == nil {
+					break
+				}
+				if time.Now().After(end) {
+					t.Fatal(err)
+				}
+			}
+			conn.SetDeadline(time.Now().Add(patience))
+			defer conn.Close()
+			half := dial(t, listen)
+			io.WriteString(conn, "*5\r\n$7\r\nOBJ.SET\r\n$2\r\na1\r\n$3\r\nid1\r\n$20\r\nc=pass-order,d=60000\r\n$5\r\norder\r\n"+
+				"*4\r\n$7\r\nOBJ.GET\r\n$2\r\na2\r\n$3\r\nid2\r\n$19\r\nc=tile-read,d=60000\r\n")
+			io.WriteString(half, "*4\r\n$7\r\nOBJ.GET\r\n$2\r\na3")
+			for end := time.Now().Add(patience); fleet.Origin.Began() == 0 || fleet.Boxes[0].Began() == 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the requests never came to the members")
+				}
+			}
+			for _, s := range signals {
+				cmd.Process.Signal(s)
+			}
+			in := bufio.NewReader(conn)
+			for i, want := range []string{"-ERR", "-BUSY"} {
+				if line, err := in.ReadString('\n'); !strings.HasPrefix(line, want) {
+					t.Errorf("request %d was answered %q, %v; want %s", i+1, line, err, want)
+				}
+			}
+			if _, err := in.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("the connection ended with %v", err)
+			}
+			if err := cmd.Wait(); err != nil {
+				t.Errorf("the program ended with %v", err)
+			}
+			if n := fleet.Origin.Executions()["a1"]; n > 1 {
+				t.Errorf("the order ran %d times", n)
+			}
+		})
+	}
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -233,6 +233,9 @@
 	return owed
 }
 
+// End has nothing to add: a stream ends with its answer, and callers know by GOAWAY that the others never ran.
+func (f *Front) End() {}
+
 // Sweep ends streams that stand for too long, and calls whose caller has not come back.
 func (f *Front) Sweep() {
 	now := f.p.Now()
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -122,6 +122,9 @@
 // Owes tells that nothing is owed for which the process should stay.
 func (f *Front) Owes() bool { return false }
 
+// End changes nothing.
+func (f *Front) End() {}
+
 // Sweep has nothing to do: the server's time-outs do it.
 func (f *Front) Sweep() {}
 
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -1,6 +1,12 @@
 package proxy
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"linenloom/internal/reasons"
+)
 
 const (
 	// backlogTime lets accept take what the kernel holds for it before the listener is closed; closing
@@ -11,11 +17,18 @@
 	// lingerTime is how long clients have to hear that their connections end. Closed at once, with
 	// something unread, a connection is reset, and the client can lose its last answer.
 	lingerTime = 100 * time.Millisecond
+	// A process that was told to end may be killed once the longest deadline, taken as killMost if it is longer, and killMore have passed.
+	// Everything taken has its answer endMargin before that, if it is only that it was refused, or may have run: what is still out then is
+	// at members that hang, and a deadline beyond would never come. It costs those that would have answered that late.
+	killMost  = 3 * time.Second
+	killMore  = 700 * time.Millisecond
+	endMargin = 200 * time.Millisecond
 )
 
 // drain brings a planned stop to its end: connections go on coming for a while, then those that are idle
 // are ended one by one until nothing is owed.
 func (p *Proxy) drain() {
+	told := time.Now()
 	for _, f := range p.fronts {
 		f.Drain()
 	}
@@ -33,14 +46,49 @@
 	p.stopping = true
 	p.closeRecord()
 	p.leave()
-	longest := commandTime
+	longest := time.Duration(0)
 	for _, c := range p.Classes() {
 		longest = max(longest, c.Deadline)
 	}
-	for end := time.Now().Add(longest); time.Now().Before(end) && p.owes(); {
+	most := max(longest, commandTime)
+	by := told.Add(min(longest, p.killMost) + killMore - endMargin)
+	p.owedUntil(by)
+	p.Do(p.endTaken)
+	// What is left are answers on their way to clients that take them slowly, and values of which a part has gone out.
+	p.owedUntil(time.Now().Add(most))
+	time.Sleep(lingerTime)
+}
+
+// owedUntil waits until nothing is owed, or for so long.
+func (p *Proxy) owedUntil(end time.Time) {
+	for time.Now().Before(end) && p.owes() {
 		time.Sleep(owedEvery)
 	}
-	time.Sleep(lingerTime)
+}
+
+// endTaken gives everything in hand its final answer, and takes nothing more from anybody: what surely has not run, or may be repeated, is
+// refused, and of anything else nothing is promised.
+func (p *Proxy) endTaken() {
+	ids := slices.Sorted(maps.Keys(p.requests))
+	for _, id := range ids {
+		r := p.requests[id]
+		switch {
+		case r == nil: // it ended with one before
+		case r.rec != nil && r.rec.owes:
+			p.recordLate(r)
+		case !r.done:
+			p.recall(r)
+			a := Answer{Kind: Failed, Why: reasons.Stopping}
+			if r.again || !r.MayHaveRun() {
+				a.Kind = Refused
+			}
+			p.conclude(id, a)
+			p.bal.Expired(p.now, id)
+		}
+	}
+	for _, f := range p.fronts {
+		f.End()
+	}
 }
 
 // owes tells whether a front still owes an answer.
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -16,7 +16,7 @@
 
 // Front is a way in for requests. It hands them to the Proxy, its host, with Submit, and gets each one's single
 // final answer by the request's Taker. The host knows nothing else of it, and all fronts share one Balancer, one
-// count of held bytes and of descriptors, and one drain. Sweep, MakeRoom, Owes and Close are called under the
+// count of held bytes and of descriptors, and one drain. Sweep, MakeRoom, Owes, End and Close are called under the
 // host's lock and must not block.
 type Front interface {
 	// Serve takes clients until StopTaking or Close; an error ends the whole proxy.
@@ -27,6 +27,9 @@
 	StopTaking()
 	// Owes lets go of clients to whom nothing is owed and tells whether others are left.
 	Owes() bool
+	// End says that everything taken has its answer, and that nothing that comes from now on gets one: clients are told of the end even
+	// where they have sent more.
+	End()
 	// Sweep is called every 50 ms.
 	Sweep()
 	// MakeRoom gives up a descriptor with which nothing is lost, if there is one.
@@ -58,7 +61,8 @@
 	id       logic.RequestID
 	class    int // its place in the counts of reasons; below 0: it is dropped since
 	effect   logic.Effect
-	long     int // bytes of the room for long values that its value has; else it is counted as held
+	again    bool // its client may ask for it again whatever has become of it
+	long     int  // bytes of the room for long values that its value has; else it is counted as held
 	tenant   int
 	deadline time.Duration
 	attempts []*attempt // by number
@@ -249,7 +253,9 @@
 	if r.Only != nil {
 		lr.Only = p.named(r.Only)
 	}
-	r.class, r.tenant, r.effect = lr.Class, lr.Tenant, p.cfg.Settings.Classes[lr.Class].Effect
+	class := &p.cfg.Settings.Classes[lr.Class]
+	r.class, r.tenant, r.effect = lr.Class, lr.Tenant, class.Effect
+	r.again = r.effect == logic.Repeatable || r.effect == logic.ByKey && class.Scope == logic.ScopeAll
 	lr.Deadline += p.now
 	r.deadline = lr.Deadline
 	p.requests[r.id] = r
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -117,6 +117,7 @@
 	ids         ids
 	serving     bool                       // clients are taken
 	stopping    bool                       // no request is taken any more
+	killMost    time.Duration              // as the constant; tests have it shorter
 	out         maintenance.Set            // members out of use, whatever the list says
 	watches     []*watch                   // the one that counts, and one that has yet to tell its first list
 	startWatch  func(w *watch, whole bool) // nil while the proxy does not run
@@ -140,7 +141,7 @@
 		cfg: cfg, log: log, started: time.Now(),
 		members: map[logic.MemberID]*member{}, requests: map[logic.RequestID]*Request{},
 		ids:     newIDs(),
-		heldMax: heldMax(cfg.MemoryMB), out: cfg.Out,
+		heldMax: heldMax(cfg.MemoryMB), out: cfg.Out, killMost: killMost,
 	}
 	// The module's clock is monotonic and begins at the wall's time, so that start times, which members
 	// tell by the wall, are positive on it.
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -272,6 +272,13 @@
 	return owed
 }
 
+// End ends every connection behind its last answer, whatever else has come on it: its client sees an end, and no answer behind it.
+func (f *redisFront) End() {
+	for c := range f.clients {
+		c.hangUp(true)
+	}
+}
+
 // Sweep closes clients that have stood idle for too long or have left, and looks at how much of the core is used.
 func (f *redisFront) Sweep() {
 	f.closeIdleClients()
@@ -555,9 +562,10 @@
 			p.letGo(&Request{Command: cmd.Command, long: cmd.long})
 			hung := c.hung
 			p.leave()
-			if hung { // closed at once, with more unread, the connection would be reset, and the client may not see its end
-				c.linger()
+			if !hung { // answers are still out, to what came before
+				c.awaitAnswers()
 			}
+			c.linger() // closed at once, with more unread, the connection would be reset, and the client may not see its end
 			return io.EOF
 		}
 		c.ask()
