--- /dev/null
+++ b/internal/proxy/effect_test.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"linenloom/internal/resp"
+	"linenloom/logic"
+)
+
+// What may have run is tried again only if the class's effect allows it: a keyed request within its group and window, and only if it has
+// the key. One that has none can't be told from another by who gets it.
+func TestRepeatsByTheClassesEffect(t *testing.T) {
+	for name, c := range map[string]struct {
+		effect logic.Effect
+		scope  logic.Scope
+		key    string
+		want   string
+		tries  int
+	}{
+		"repeatable":               {logic.Repeatable, logic.ScopeAll, "", "value", 2},
+		"once":                     {logic.Once, logic.ScopeAll, "", "-ERR", 1},
+		"once, with a key":         {logic.Once, logic.ScopeAll, ",k=1", "-ERR", 1},
+		"keyed":                    {logic.ByKey, logic.ScopeAll, ",k=1", "value", 2},
+		"keyed, without its key":   {logic.ByKey, logic.ScopeAll, "", "-ERR", 1},
+		"keyed, with an empty key": {logic.ByKey, logic.ScopeAll, ",k=", "-ERR", 1},
+		"keyed, in a cell":         {logic.ByKey, logic.ScopeCell, ",k=1", "value", 2},
+		"keyed, in a zone":         {logic.ByKey, logic.ScopeZone, ",k=1", "value", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := newRoll()
+			node := listen(t, func(conn net.Conn) { // the first that comes is taken whole, and its connection breaks
+				in := resp.NewReader(conn, 4096)
+				for {
+					words, err := readCommand(in)
+					if err != nil {
+						return
+					}
+					if l.note(words[2]); len(l.all()) == 1 {
+						return
+					}
+					conn.Write([]byte(hit("value")))
+				}
+			})
+			cfg := testConfig()
+			cfg.Settings.Classes[0] = logic.Class{Name: "odd", Aim: 5 * time.Second, Deadline: 8 * time.Second, Worth: 1, Effect: c.effect,
+				Scope: c.scope, Window: time.Hour}
+			p := start(t, cfg, entry("s-1", node, "large"))
+			client := p.dial()
+			client.send(words("OBJ.GET", "a1", "id", "c=odd,d=8000"+c.key))
+			if got := client.answer(); !strings.HasPrefix(got, c.want) {
+				t.Errorf("answered %q, want %s", got, c.want)
+			}
+			if n := len(l.all()); n != c.tries {
+				t.Errorf("%d attempts, want %d", n, c.tries)
+			}
+		})
+	}
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -255,6 +255,9 @@
 	}
 	class := &p.cfg.Settings.Classes[lr.Class]
 	r.class, r.tenant, r.effect = lr.Class, lr.Tenant, class.Effect
+	if r.effect == logic.ByKey && lr.Unkeyed {
+		r.effect = logic.Once // whoever gets a repeat could not tell that it is one
+	}
 	r.again = r.effect == logic.Repeatable || r.effect == logic.ByKey && class.Scope == logic.ScopeAll
 	lr.Deadline += p.now
 	r.deadline = lr.Deadline
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -168,7 +168,7 @@
 // not passed on, so that it can neither be served nor count against the member that turns it away. It would
 // harm clients that leave out a name of the protocol.
 func (c *Command) describe(s *logic.Settings) (logic.Request, error) {
-	r := logic.Request{Key: keyOf(c.Key), Class: -1, Write: c.Write}
+	r := logic.Request{Key: keyOf(c.Key), Class: -1, Write: c.Write, Unkeyed: true}
 	if !plain(c.Key) || !plain(c.ReqID) || len(c.Attrs) > 0 && !plain(c.Attrs) {
 		return r, errors.New("key, id and list must be given, without spaces")
 	}
@@ -198,6 +198,8 @@
 			r.Known = r.Cost > 0
 		case "r":
 			r.Retry = string(value) == "1"
+		case "k":
+			r.Unkeyed = len(value) == 0
 		case "size":
 			r.Size = number(value)
 		}
--- a/logic/api.go
+++ b/logic/api.go
@@ -203,6 +203,7 @@
 	Known    bool          // Cost is known
 	Retry    bool          // the client marked it as a repeat
 	Write    bool
+	Unkeyed  bool // it has no key by which repeats of it could be dropped
 	Size     float64
 	Deadline time.Duration // when the client gives up
 	// Only, if not nil, names the members that the request may go to; Narrow changes it.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -464,7 +464,7 @@
 	if b.flights[r.ID] != nil {
 		return
 	}
-	f := &flight{Request: r, class: b.classOf(r.Class), tries: b.s.TryLimit}
+	f := &flight{Request: r, class: b.classOf(&r), tries: b.s.TryLimit}
 	aim := f.class.Aim
 	if r.Known && r.Cost > 0 {
 		aim = min(f.class.Deadline, aim+time.Duration(f.class.AimStretch*float64(r.Cost)))
@@ -502,12 +502,13 @@
 	b.do.SetTimer(at, uint64(f.ID)<<3|purpose)
 }
 
-// classOf takes an unknown class for the strictest kind, so that it is never lost or run twice.
-func (b *Balancer) classOf(i int) *Class {
-	if i >= 0 && i < len(b.s.Classes) {
-		return &b.s.Classes[i]
+// classOf takes an unknown class, and a keyed request that lacks its key, for the strictest kind, so that it is never lost or run twice.
+func (b *Balancer) classOf(r *Request) *Class {
+	i := max(0, min(r.Class, len(b.s.Classes)-1))
+	if c := &b.s.Classes[i]; i == r.Class && !(c.Effect == ByKey && r.Unkeyed) {
+		return c
 	}
-	c := b.s.Classes[0]
+	c := b.s.Classes[i]
 	c.Effect = Once
 	return &c
 }
@@ -803,8 +804,7 @@
 		f.fetch |= bit
 	} else {
 		f.tried = append(f.tried, n)
-		b.out++
-		n.zone.nextAt = b.now + darkGap
+		b.out, n.zone.nextAt = b.out+1, b.now+darkGap
 	}
 	b.do.Send(f.ID, n.m.ID, timeout)
 }
