--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -42,6 +42,9 @@
 	// next one's answer. It should catch whatever a member sends unasked, and costs a connection its use for
 	// so long; unasked bytes that come later than this, with the next request already sent, get through.
 	RestTime = time.Millisecond
+	// WaryTime is the same for a member that has lately sent what nobody asked for, or what can't be read: second copies of its answers may
+	// come some milliseconds late. It costs such a member's connections their use for so long, until it has been clean for a while.
+	WaryTime = 20 * time.Millisecond
 	// WarmShare is the part of a connection's idle time after which the last one to a cache is used for a
 	// ping, so that the cache does not close it; warmTime is how long one may take to answer it.
 	WarmShare = 60
@@ -431,6 +434,14 @@
 	return best
 }
 
+// restTime is how long a connection rests after an answer.
+func (m *Member[X]) restTime() time.Duration {
+	if m.clean < m.cleanNeed {
+		return WaryTime
+	}
+	return RestTime
+}
+
 // Spoilt notes that a member's answer could not be read, or more came than was asked for.
 func (m *Member[X]) Spoilt() {
 	m.clean, m.cleanNeed = 0, min(max(CleanFirst, 2*m.cleanNeed), cleanMost)
@@ -694,7 +705,7 @@
 			return
 		}
 	}
-	c.restEnd = p.now + RestTime
+	c.restEnd = p.now + c.M.restTime()
 	p.awaitRest(c.M)
 }
 
@@ -704,7 +715,7 @@
 	if len(m.Waiting) == 0 || m.rests {
 		return
 	}
-	wake := p.now + RestTime
+	wake := p.now + m.restTime()
 	for _, c := range m.Conns {
 		if p.now < c.restEnd {
 			wake = min(wake, c.restEnd)
