--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"slices"
@@ -27,6 +28,7 @@
 type room struct {
 	used    int
 	waiting []*place
+	longest time.Duration // as longestWait; tests have it longer
 }
 
 // place waits for room.
@@ -77,8 +79,12 @@
 
 // LongRoom asks, outside the lock, for room for a long value that a front holds, for so long at the most.
 func (p *Proxy) LongRoom(n int, within time.Duration) (place upstream.Place) {
-	p.Do(func() { place = host{p}.LongRoom(n, p.now+within) })
-	return place
+	return p.longRoom(n, within, nil)
+}
+
+func (p *Proxy) longRoom(n int, within time.Duration, gone <-chan struct{}) (w *heldPlace) {
+	p.Do(func() { w = &heldPlace{place: p.long.enter(n, p.longMax()), p: p, left: within, gone: gone} })
+	return w
 }
 
 // InRoom says, before the request is taken, that its value is in the room for long values, with so many bytes. From then on they are given
@@ -90,6 +96,7 @@
 	*place
 	p    *Proxy
 	left time.Duration
+	gone <-chan struct{} // closed once nobody wants it any more; nil: that is not told
 }
 
 // Wait waits for the room.
@@ -99,6 +106,7 @@
 	select {
 	case <-w.let:
 	case <-late.C:
+	case <-w.gone:
 	}
 	w.p.Do(func() {
 		if let = w.done; !let {
@@ -134,10 +142,11 @@
 // longValue reads a long value of a client, once there is room for it.
 func (c *client) longValue(cmd *input, n int) error {
 	p := c.p
-	p.Do(func() { c.waits = true })
-	w := p.LongRoom(n, longestWait)
+	gone := make(chan struct{})
+	p.Do(func() { c.waits = gone })
+	w := p.longRoom(n, cmp.Or(p.long.longest, longestWait), gone)
 	let := w.Wait()
-	p.Do(func() { c.waits = false })
+	p.Do(func() { c.waits = nil })
 	if !let { // it is read over, and refused
 		*cmd = input{refused: true}
 		c.limit()
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -77,6 +77,7 @@
 	// that sends garbage for ever costs, and how late the end of one that has sent megabytes is seen.
 	lingerPiece = 64 << 10
 	lingerPace  = 20 * time.Millisecond
+	lingerLook  = 100 * time.Millisecond // where nothing comes, whether the answers are out is looked at this often
 )
 
 // input is a command as it was read.
@@ -130,7 +131,7 @@
 	faults  int           // commands that could not be carried out
 	ended   bool          // nothing further is read or answered
 	hung    bool          // the sending side is ended
-	waits   bool          // for room for a long value
+	waits   chan struct{} // while it waits for room for a long value; closed when it leaves
 	closed  bool
 	limited bool // a deadline is set for the rest of a command
 
@@ -389,7 +390,7 @@
 	since := time.Since(f.p.started)
 	for c := range f.clients {
 		age := f.p.now - c.active
-		stalled := c.mid && !c.waits && len(c.pending) == 0 &&
+		stalled := c.mid && c.waits == nil && len(c.pending) == 0 &&
 			f.p.now-c.midAt >= stalledFor && since-time.Duration(c.heard.Load()) >= stalledFor
 		if !c.free() && !stalled {
 			continue
@@ -430,7 +431,7 @@
 // and the end stands behind what it has not read. What was asked on them is withdrawn then, and the rest is not looked at.
 func (f *redisFront) closeLeft() {
 	for c := range f.clients {
-		if len(c.pending) > 0 && (c.resume != nil || c.waits) && c.w.Left() {
+		if (c.waits != nil || len(c.pending) > 0 && c.resume != nil) && c.w.Left() {
 			c.close()
 		}
 	}
@@ -620,7 +621,7 @@
 		if over {
 			return
 		}
-		c.conn.SetReadDeadline(time.Now().Add(lingerPace))
+		c.conn.SetReadDeadline(time.Now().Add(lingerLook))
 		n, err := io.CopyN(io.Discard, c.stream, lingerPiece)
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return
@@ -730,6 +731,10 @@
 	if !c.closed {
 		c.ended, c.closed = true, true
 		c.shut()
+		if c.waits != nil {
+			close(c.waits)
+			c.waits = nil
+		}
 		delete(c.f.clients, c)
 		if c.asked {
 			c.f.asked--
--- a/internal/proxy/unread_test.go
+++ b/internal/proxy/unread_test.go
@@ -4,9 +4,13 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
+
+	"linenloom/internal/resp"
 )
 
 // The client's end is seen behind commands that were not read yet, as those before them wait: nothing of either is sent on.
@@ -64,6 +68,28 @@
 	}
 }
 
+// A client that leaves while its long value waits for room gives its place in that line back at once, as do those with a part of theirs in.
+func TestClientLeavesTheLineForRoom(t *testing.T) {
+	cfg := leaving(false)
+	cfg.MemoryMB = 32 // room for two
+	p := start(t, cfg, entry("o", origin(t, func(*http.Request) string { return page("receipt") }), "origin"))
+	p.Do(func() { p.long.longest = time.Hour })
+	var writers []*testClient
+	for i := range 4 {
+		c := p.dial()
+		text := putLong(fmt.Sprint("k", i), fmt.Sprint("left", i), long(resp.MaxLong))
+		c.send(text[:len(text)-resp.MaxLong+1000])
+		writers = append(writers, c)
+		p.eventually("it has room, or waits for it", func() bool { return p.long.used/resp.MaxLong+len(p.long.waiting) == i+1 })
+	}
+	writers[2].conn.Close()
+	writers[3].conn.Close()
+	p.eventually("their places are free", func() bool { return len(p.long.waiting) == 0 && p.long.used == 2*resp.MaxLong })
+	writers[0].conn.Close()
+	writers[1].conn.Close()
+	p.gone()
+}
+
 // A client that is gone before its connection is accepted has asked for nothing, though a connection to a member is free.
 func TestClientLeavesBeforeItIsAccepted(t *testing.T) {
 	l := newRoll()
