--- a/internal/proxy/unread_test.go
+++ b/internal/proxy/unread_test.go
@@ -68,26 +68,37 @@
 	}
 }
 
-// A client that leaves while its long value waits for room gives its place in that line back at once, as do those with a part of theirs in.
+// A client that leaves while its long value waits for room gives its place in that line back at once.
 func TestClientLeavesTheLineForRoom(t *testing.T) {
 	cfg := leaving(false)
 	cfg.MemoryMB = 32 // room for two
-	p := start(t, cfg, entry("o", origin(t, func(*http.Request) string { return page("receipt") }), "origin"))
+	came, release := make(chan struct{}, 10), make(chan struct{})
+	o := origin(t, func(*http.Request) string {
+		came <- struct{}{}
+		<-release
+		return page("receipt")
+	})
+	p := start(t, cfg, entry("o", o, "origin"))
 	p.Do(func() { p.long.longest = time.Hour })
+	value := long(resp.MaxLong)
+	for i := range 2 { // both have the room, until the origin answers
+		p.dial().send(putLong(fmt.Sprint("k", i), fmt.Sprint("first", i), value))
+		<-came
+	}
 	var writers []*testClient
-	for i := range 4 {
+	for i := range 2 {
 		c := p.dial()
-		text := putLong(fmt.Sprint("k", i), fmt.Sprint("left", i), long(resp.MaxLong))
-		c.send(text[:len(text)-resp.MaxLong+1000])
+		text := putLong(fmt.Sprint("l", i), fmt.Sprint("left", i), value)
+		c.send(text[:len(text)-resp.MaxLong])
 		writers = append(writers, c)
-		p.eventually("it has room, or waits for it", func() bool { return p.long.used/resp.MaxLong+len(p.long.waiting) == i+1 })
+		p.eventually("it waits for room", func() bool { return len(p.long.waiting) == i+1 })
+	}
+	for _, c := range writers {
+		c.conn.Close()
 	}
-	writers[2].conn.Close()
-	writers[3].conn.Close()
 	p.eventually("their places are free", func() bool { return len(p.long.waiting) == 0 && p.long.used == 2*resp.MaxLong })
-	writers[0].conn.Close()
-	writers[1].conn.Close()
-	p.gone()
+	close(release)
+	p.eventually("nothing is held", func() bool { return p.long.used == 0 && p.held == 0 })
 }
 
 // A client that is gone before its connection is accepted has asked for nothing, though a connection to a member is free.
