--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -107,6 +107,7 @@
 	l := newRoll()
 	door, open := shut(t, l, "large")
 	p := start(t, leaving(false), entry("s-1", door, "large"))
+	p.Do(func() { p.killMost = time.Hour }) // the stop waits for what is in hand
 	clients := []*testClient{p.dial(), p.dial()}
 	clients[0].send(getLong("a1", "left"))
 	clients[1].send(pipelined(3 * maxPipeline))
