--- a/cmd/linenloom/leave_test.go
+++ b/cmd/linenloom/leave_test.go
@@ -25,8 +25,9 @@
 // leftFor is the time that the rule itself gives: a request whose client has left is not sent on so much later.
 const leftFor = 300 * time.Millisecond
 
-// Orders wait at a process for a connection to the origin; another process takes its place, and it is told to end. One client leaves: its
-// order is not sent once the connection is up, by neither process, and the other's is.
+// An order waits at a process for a connection to the origin; another process takes its place, and it is told to end, which a read at a box
+// that hangs keeps it from for a while. The order's client leaves: it is not sent once the connection is up. The next order goes to the new
+// process.
 func TestClientLeavesThroughAnUpgrade(t *testing.T) {
 	const patience = 20 * time.Second
 	fleet, err := standin.NewFleet(1, 100)
@@ -39,6 +40,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { door.Close() })
+	fleet.Boxes[0].SetFault(standin.Stall)
 	fleet.Registry.Tell(discovery.Member{ID: "o-1", HostPort: door.Addr().String(), Locality: standin.Zone, Flavor: "origin",
 		Phase: discovery.PhaseInService, Size: 1})
 	settings := standin.Settings()
@@ -77,27 +79,29 @@
 			}
 		}
 	}
-	order := func(id string) net.Conn {
+	ask := func(text string) net.Conn {
 		conn := dial(t, listen)
 		conn.SetDeadline(time.Now().Add(patience))
-		// A PING in front, whose answer tells that what came with it has been read.
-		fmt.Fprintf(conn, "*1\r\n$4\r\nPING\r\n*5\r\n$7\r\nOBJ.SET\r\n$2\r\na1\r\n$%d\r\n%s\r\n$20\r\nc=pass-order,d=60000\r\n$5\r\norder\r\n", len(id), id)
-		if line, err := bufio.NewReaderSize(conn, 16).ReadString('\n'); line != "+PONG\r\n" {
-			t.Fatalf("PING was answered %q, %v", line, err)
-		}
+		io.WriteString(conn, text)
 		return conn
 	}
+	order := func(id string) string {
+		return fmt.Sprintf("*5\r\n$7\r\nOBJ.SET\r\n$2\r\na1\r\n$%d\r\n%s\r\n$20\r\nc=pass-order,d=60000\r\n$5\r\norder\r\n", len(id), id)
+	}
 	old := start()
-	left, stays := order("left"), order("stays")
+	left := ask(order("left"))
+	hangs := ask("*4\r\n$7\r\nOBJ.GET\r\n$2\r\na2\r\n$3\r\nid2\r\n$19\r\nc=tile-read,d=60000\r\n")
+	for end := time.Now().Add(patience); fleet.Boxes[0].Began() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the read never came to the box")
+		}
+	}
 	start()
 	old.Process.Signal(syscall.SIGTERM)
 	left.Close()
 	time.Sleep(leftFor)
 	var mu sync.Mutex
 	var asked []string
-	if err := door.Open(); err != nil {
-		t.Fatal(err)
-	}
 	go func() {
 		for {
 			conn, err := door.Accept()
@@ -121,16 +125,18 @@
 			}()
 		}
 	}()
-	answer, err := bufio.NewReader(stays).ReadString('\n')
-	if !strings.HasPrefix(answer, "$7") {
-		t.Errorf("the order whose client stayed was answered %q, %v", answer, err)
+	if answer, err := bufio.NewReader(hangs).ReadString('\n'); !strings.HasPrefix(answer, "-BUSY") {
+		t.Errorf("the read that hangs was answered %q, %v", answer, err)
 	}
 	if err := old.Wait(); err != nil {
 		t.Errorf("the old process ended with %v", err)
 	}
+	if answer, err := bufio.NewReader(ask(order("next"))).ReadString('\n'); !strings.HasPrefix(answer, "$7") {
+		t.Errorf("the next order was answered %q, %v", answer, err)
+	}
 	mu.Lock()
 	defer mu.Unlock()
-	if !slices.Equal(asked, []string{"stays"}) {
+	if !slices.Equal(asked, []string{"next"}) {
 		t.Errorf("the origin was asked for %v", asked)
 	}
 }
--- a/internal/extproc/server/leave_test.go
+++ b/internal/extproc/server/leave_test.go
@@ -30,9 +30,6 @@
 	leave()
 	await(t, left, "the call ends")
 	r.eventually("nothing is in hand", func() bool { l := r.p.Load(); return l.Requests == 0 && l.Attempts == 0 })
-	if err := door.Open(); err != nil {
-		t.Fatal(err)
-	}
 	asked := make(chan string, 10)
 	go func() {
 		for {
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -73,9 +73,6 @@
 	}
 	t.Cleanup(func() { d.Close() })
 	return d.Addr().String(), func() {
-		if err := d.Open(); err != nil {
-			t.Error(err)
-		}
 		go func() {
 			for {
 				conn, err := d.Accept()
--- a/internal/standin/door.go
+++ b/internal/standin/door.go
@@ -8,8 +8,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Door is an address at which connections don't come up until it is opened: what dials it waits, as before a machine whose line is
-// full. From then on they come up when their kernel tries again, which is up to a second later.
+// Door is an address at which connections don't come up until somebody accepts them: what dials it waits, as before a machine whose line
+// is full. From then on they come up when their kernel tries again, which is a second later, or more, the longer they have waited.
 type Door struct {
 	net.Listener
 	held net.Conn // takes the only place
@@ -40,12 +40,17 @@
 	return d, nil
 }
 
-// Open lets connections come up; Accept has them from then on.
-func (d *Door) Open() error {
-	first, err := d.Accept()
-	if err != nil {
-		return err
+// Accept opens the door, and has the connections that come up.
+func (d *Door) Accept() (net.Conn, error) {
+	for {
+		c, err := d.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c.RemoteAddr().String() != d.held.LocalAddr().String() {
+			return c, nil
+		}
+		c.Close()
+		d.held.Close()
 	}
-	first.Close()
-	return d.held.Close()
 }
