--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -303,9 +303,9 @@
 	gone.conn.Close()
 	p.eventually("the client is gone", func() bool { return len(p.redis.clients) == 0 })
 	close(release)
-	p.eventually("its request is over", func() bool {
+	p.eventually("its request is over, and its connection free", func() bool {
 		for _, m := range p.members {
-			return len(p.requests) == 0 && len(m.Conns) == 1 && m.Conns[0].Current == nil
+			return len(p.requests) == 0 && len(m.Conns) == 1 && m.Conns[0].Rested(p.now)
 		}
 		return false
 	})
