--- a/cmd/linenloom/leave_test.go
+++ b/cmd/linenloom/leave_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -18,7 +16,6 @@
 
 	"linenloom/internal/app/apptest"
 	"linenloom/internal/discovery"
-	"linenloom/internal/lab"
 	"linenloom/internal/standin"
 )
 
@@ -43,13 +40,7 @@
 	fleet.Boxes[0].SetFault(standin.Stall)
 	fleet.Registry.Tell(discovery.Member{ID: "o-1", HostPort: door.Addr().String(), Locality: standin.Zone, Flavor: "origin",
 		Phase: discovery.PhaseInService, Size: 1})
-	settings := standin.Settings()
-	for _, c := range settings["classes"].([]any) {
-		c.(map[string]any)["aim_ms"], c.(map[string]any)["deadline_ms"] = 60e3, 60e3
-	}
-	limits := settings["limits"].(map[string]any)
-	limits["cancel"], limits["connect_timeout_ms"] = false, 20e3
-	fleet.Set = map[string]any{"classes": settings["classes"], "limits": limits}
+	patient(fleet, map[string]any{"cancel": false, "connect_timeout_ms": 20e3})
 	listen, tmp := freeAddr(t), t.TempDir()
 	text, err := fleet.Config("n0", listen, "7", 64, 256)
 	if err != nil {
@@ -57,28 +48,8 @@
 	}
 	path := filepath.Join(tmp, "config.json")
 	apptest.Replace(t, path, text)
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	start := func() *exec.Cmd {
-		mgmt := freeAddr(t)
-		cmd := exec.Command(self)
-		cmd.Env = append(os.Environ(), asProxy+"=1", "LB_CONFIG="+path, "LB_MGMT="+mgmt, "TMPDIR="+tmp)
-		cmd.Stderr = t.Output()
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
-		for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
-			if status, _ := lab.Call("GET", mgmt, "/status", ""); status == 200 {
-				return cmd
-			}
-			if time.Now().After(end) {
-				t.Fatal("the process never says that it serves")
-			}
-		}
-	}
+	log := &lines{to: t.Output()}
+	start := func() *exec.Cmd { return launch(t, log, nil, "LB_CONFIG="+path, "TMPDIR="+tmp) }
 	ask := func(text string) net.Conn {
 		conn := dial(t, listen)
 		conn.SetDeadline(time.Now().Add(patience))
@@ -102,29 +73,14 @@
 	time.Sleep(leftFor)
 	var mu sync.Mutex
 	var asked []string
-	go func() {
-		for {
-			conn, err := door.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				in := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, r.Body)
-					mu.Lock()
-					asked = append(asked, r.Header.Get("X-Request-ID"))
-					mu.Unlock()
-					io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt")
-				}
-			}()
-		}
-	}()
+	door.Serve(func(conn net.Conn) {
+		standin.AnswerAsOrigin(bufio.NewReader(conn), conn, func(_, id string) string {
+			mu.Lock()
+			defer mu.Unlock()
+			asked = append(asked, id)
+			return "receipt"
+		})
+	})
 	if answer, err := bufio.NewReader(hangs).ReadString('\n'); !strings.HasPrefix(answer, "-BUSY") {
 		t.Errorf("the read that hangs was answered %q, %v", answer, err)
 	}
--- a/cmd/linenloom/orders_test.go
+++ b/cmd/linenloom/orders_test.go
@@ -42,20 +42,7 @@
 	}
 	start := func() *exec.Cmd {
 		t.Helper()
-		log := &lines{to: t.Output()}
-		cmd := exec.Command(self, "-operator", operator)
-		cmd.Env = append(os.Environ(), asProxy+"=1", "LB_CONFIG="+config, "TMPDIR="+tmp)
-		cmd.Stderr = log
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
-		for end := time.Now().Add(patience); log.count("msg=ready") == 0; time.Sleep(time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatal("the process never says that it is ready")
-			}
-		}
-		return cmd
+		return launch(t, &lines{to: t.Output()}, []string{"-operator", operator}, "LB_CONFIG="+config, "TMPDIR="+tmp)
 	}
 	process := start()
 	at := &lab.Orderer{Addr: listen, Name: "o", Wait: 4 * time.Second}
--- a/cmd/linenloom/stop_test.go
+++ b/cmd/linenloom/stop_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -39,11 +38,7 @@
 			t.Cleanup(fleet.Close)
 			fleet.Boxes[0].SetFault(standin.Stall)
 			fleet.Origin.SetFault(standin.Stall)
-			settings := standin.Settings()
-			for _, c := range settings["classes"].([]any) {
-				c.(map[string]any)["aim_ms"], c.(map[string]any)["deadline_ms"] = 60e3, 60e3
-			}
-			fleet.Set = map[string]any{"classes": settings["classes"]}
+			patient(fleet, nil)
 			listen := freeAddr(t)
 			text, err := fleet.Config("n0", listen, "7", 64, 256)
 			if err != nil {
@@ -51,29 +46,9 @@
 			}
 			path := filepath.Join(t.TempDir(), "config.json")
 			apptest.Replace(t, path, text)
-			self, err := os.Executable()
-			if err != nil {
-				t.Fatal(err)
-			}
-			cmd := exec.Command(self)
-			cmd.Env = append(os.Environ(), asProxy+"=1", "LB_CONFIG="+path, "TMPDIR="+t.TempDir())
-			log := &lines{to: t.Output()}
-			cmd.Stderr = log
-			if err := cmd.Start(); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { cmd.Process.Kill() })
-			var conn net.Conn
-			for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
-				if conn, err = net.Dial("tcp", listen); err == nil {
-					break
-				}
-				if time.Now().After(end) {
-					t.Fatal(err)
-				}
-			}
+			cmd := launch(t, &lines{to: t.Output()}, nil, "LB_CONFIG="+path, "TMPDIR="+t.TempDir())
+			conn := dial(t, listen)
 			conn.SetDeadline(time.Now().Add(patience))
-			defer conn.Close()
 			half := dial(t, listen)
 			io.WriteString(conn, "*5\r\n$7\r\nOBJ.SET\r\n$2\r\na1\r\n$3\r\nid1\r\n$20\r\nc=pass-order,d=60000\r\n$5\r\norder\r\n"+
 				"*4\r\n$7\r\nOBJ.GET\r\n$2\r\na2\r\n$3\r\nid2\r\n$19\r\nc=tile-read,d=60000\r\n")
--- a/cmd/linenloom/upgrade_test.go
+++ b/cmd/linenloom/upgrade_test.go
@@ -45,23 +45,13 @@
 	tmp := t.TempDir()
 	path := filepath.Join(tmp, "config.json")
 	apptest.Replace(t, path, text)
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
 	call := func(method, addr, path, body string) int {
 		status, _ := lab.Call(method, addr, path, body)
 		return status
 	}
 	log := &lines{to: t.Output()}
 	start := func(mgmt string) *exec.Cmd {
-		cmd := exec.Command(self)
-		cmd.Env = append(os.Environ(), asProxy+"=1", "LB_CONFIG="+path, "LB_MGMT="+mgmt, "TMPDIR="+tmp)
-		cmd.Stderr = log
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { cmd.Process.Kill() })
+		cmd := launch(t, log, nil, "LB_CONFIG="+path, "LB_MGMT="+mgmt, "TMPDIR="+tmp)
 		for end := time.Now().Add(patience); call("GET", mgmt, "/status", "") != 200; time.Sleep(10 * time.Millisecond) {
 			if time.Now().After(end) {
 				t.Fatal("the process never says that it serves")
--- a/internal/extproc/server/leave_test.go
+++ b/internal/extproc/server/leave_test.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"testing"
 
 	"linenloom/internal/discovery"
@@ -31,15 +29,12 @@
 	await(t, left, "the call ends")
 	r.eventually("nothing is in hand", func() bool { l := r.p.Load(); return l.Requests == 0 && l.Attempts == 0 })
 	asked := make(chan string, 10)
-	go func() {
-		for {
-			conn, err := door.Accept()
-			if err != nil {
-				return
-			}
-			go serveOrders(conn, asked)
-		}
-	}()
+	door.Serve(func(conn net.Conn) {
+		standin.AnswerAsOrigin(bufio.NewReader(conn), conn, func(_, id string) string {
+			asked <- id
+			return "receipt"
+		})
+	})
 	q := order("o1", "left")
 	q.Headers["x-envoy-attempt-count"] = "2"
 	r.want(r.do(q), 200, "receipt")
@@ -48,19 +43,3 @@
 		t.Errorf("%d orders too many came to the origin", n)
 	}
 }
-
-func serveOrders(conn net.Conn, asked chan<- string) {
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
-		asked <- r.Header.Get("X-Request-ID")
-		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt")
-	}
-}
--- a/internal/proxy/join_test.go
+++ b/internal/proxy/join_test.go
@@ -550,7 +550,7 @@
 		l := newRoll()
 		door, open := shut(t, l, "large")
 		cfg := leaving(cancel)
-		cfg.Joining = &joining.Limits{Followers: 10, PerTenant: 10, Flights: 10, AcrossTenants: true}
+		cfg.Joining = &joinAll
 		p := start(t, cfg, entry("s-1", door, "large"))
 		var clients []*testClient
 		for i := range 3 {
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"linenloom/internal/discovery"
-	"linenloom/internal/joining"
 	"linenloom/internal/pool"
 	"linenloom/internal/resp"
 	"linenloom/internal/standin"
@@ -73,39 +72,22 @@
 	}
 	t.Cleanup(func() { d.Close() })
 	return d.Addr().String(), func() {
-		go func() {
-			for {
-				conn, err := d.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer conn.Close()
-					if kind == "origin" {
-						noteOrigin(conn, l)
-					} else {
-						noteCache(conn, l, nil)
-					}
-				}()
+		d.Serve(func(conn net.Conn) {
+			if kind == "origin" {
+				noteOrigin(bufio.NewReader(conn), conn, l)
+			} else {
+				noteCache(conn, l, nil)
 			}
-		}()
+		})
 	}
 }
 
 // noteOrigin is an origin that notes what it is asked and answers at once.
-func noteOrigin(conn net.Conn, l *roll) {
-	in := bufio.NewReader(conn)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
-		l.note(r.Header.Get("X-Request-ID"))
-		io.WriteString(conn, page("value of "+r.URL.Path[1:]))
-	}
+func noteOrigin(in *bufio.Reader, out io.Writer, l *roll) {
+	standin.AnswerAsOrigin(in, out, func(key, id string) string {
+		l.note(id)
+		return "value of " + key
+	})
 }
 
 // noteCache is a cache that notes what it is asked, waits for hold, if there is one, and answers.
@@ -160,6 +142,21 @@
 	})
 }
 
+// onlyNext asks for one read more, and wants the members to have had nothing but that: what waited would have come in front of it.
+func (p *testProxy) onlyNext(l *roll) {
+	p.t.Helper()
+	c := p.dial()
+	c.send(get("a9", "next"))
+	if got := c.answer(); got != "value of a9" {
+		p.t.Errorf("the next read was answered %q", got)
+	}
+	for _, id := range l.asked(p.t, 1) {
+		if id != "next" {
+			p.t.Errorf("a member was asked under %q", id)
+		}
+	}
+}
+
 // A request whose client has left while a connection for it was coming up is not sent on, to a cache or to the origin, whatever may be
 // done to an attempt that is out, and whatever its class's effect.
 func TestClientLeavesBeforeTheConnectionIsUp(t *testing.T) {
@@ -191,7 +188,7 @@
 					cfg.ManyKeys = &manyUsual
 				}
 				if strings.Contains(name, "join") {
-					cfg.Joining = &joining.Limits{Followers: 10, PerTenant: 10, Flights: 10, AcrossTenants: true}
+					cfg.Joining = &joinAll
 				}
 				p := start(t, cfg, members...)
 				client := p.dial()
@@ -224,17 +221,7 @@
 			if _, err := in.Peek(1); err == nil {
 				begun <- struct{}{}
 			}
-			for {
-				r, err := http.ReadRequest(in)
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, r.Body); err != nil {
-					return
-				}
-				l.note(r.Header.Get("X-Request-ID"))
-				io.WriteString(conn, page("receipt"))
-			}
+			noteOrigin(in, conn, l)
 		})
 		p := start(t, leaving(cancel), entry("o-1", o, "origin"))
 		p.Do(func() { p.ups.SetHold(time.Hour) })
@@ -246,7 +233,7 @@
 		p.Do(func() { p.ups.SetHold(time.Millisecond) })
 		next := p.dial()
 		next.send(put("a2", "next", "order"))
-		if got := next.answer(); got != "receipt" {
+		if got := next.answer(); got != "value of a2" {
 			t.Errorf("the next order was answered %q", got)
 		}
 		if got := l.asked(t, 1); l.has("left") {
@@ -261,7 +248,7 @@
 	var first atomic.Bool
 	o := listen(t, func(conn net.Conn) {
 		if !first.CompareAndSwap(false, true) {
-			noteOrigin(conn, newRoll())
+			noteOrigin(bufio.NewReader(conn), conn, newRoll())
 			return
 		}
 		conn.(*net.TCPConn).SetReadBuffer(64 << 10)
@@ -311,12 +298,7 @@
 	client.conn.Close()
 	p.gone()
 	open()
-	next := p.dial()
-	next.send(get("a9", "next"))
-	next.answer()
-	if got := l.asked(t, 1); got[0] != "next" {
-		t.Errorf("the member was asked under %v", got)
-	}
+	p.onlyNext(l)
 }
 
 // A place at a full member that is let go of by those who leave is there for the next, and what they asked never comes.
--- a/internal/proxy/unread_test.go
+++ b/internal/proxy/unread_test.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -33,12 +35,7 @@
 	client.conn.Close()
 	p.gone()
 	open()
-	next := p.dial()
-	next.send(get("a9", "next"))
-	next.answer()
-	if got := l.asked(t, 1); len(got) != 1 || got[0] != "next" {
-		t.Errorf("the member was asked under %v", got)
-	}
+	p.onlyNext(l)
 }
 
 // What a client asked in front of something that can't be read is withdrawn with its end, though it is cut off for the rest.
@@ -58,12 +55,7 @@
 			client.conn.Close()
 			p.gone()
 			open()
-			next := p.dial()
-			next.send(get("a9", "next"))
-			next.answer()
-			if got := l.asked(t, 1); got[0] != "next" {
-				t.Errorf("the member was asked under %v", got)
-			}
+			p.onlyNext(l)
 		})
 	}
 }
@@ -163,15 +155,10 @@
 	p.eventually("all have been accepted", func() bool { return p.redis.count == crowd })
 	p.gone()
 	p.eventually("no descriptor is held for clients", func() bool { return p.frontFDs == 0 && p.inLine() == 0 })
+	p.eventually("no goroutine is left of a client", func() bool {
+		stacks := make([]byte, 4<<20)
+		return !bytes.Contains(stacks[:runtime.Stack(stacks, true)], []byte("(*client).serve"))
+	})
 	open()
-	next := p.dial()
-	next.send(get("a9", "next"))
-	if got := next.answer(); got != "value of a9" {
-		t.Errorf("answered %q", got)
-	}
-	for _, id := range l.asked(t, 1) {
-		if id != "next" {
-			t.Errorf("a member was asked under %v", id)
-		}
-	}
+	p.onlyNext(l)
 }
--- a/internal/standin/door.go
+++ b/internal/standin/door.go
@@ -54,3 +54,19 @@
 		d.held.Close()
 	}
 }
+
+// Serve opens the door and has each connection that comes up served, until the door is closed. It returns at once.
+func (d *Door) Serve(serve func(net.Conn)) {
+	go func() {
+		for {
+			c, err := d.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+}
--- a/internal/standin/origin.go
+++ b/internal/standin/origin.go
@@ -112,5 +112,22 @@
 	return writeHTTP(conn, 200, "", value)
 }
 
+// AnswerAsOrigin answers what comes whole on a connection to an origin, until that ends: with what answer makes of the request's key and id.
+func AnswerAsOrigin(in *bufio.Reader, out io.Writer, answer func(key, id string) string) {
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		text := answer(strings.TrimPrefix(r.URL.Path, "/"), r.Header.Get("X-Request-ID"))
+		if writeHTTP(out, 200, "", []byte(text)) != nil {
+			return
+		}
+	}
+}
+
 // beat is how often a watch hears something while nothing changes.
 const beat = 2 * time.Second
