Stand-ins check that no server is told a longer deadline than its client has left

Need: the operators saw retries pass on a longer deadline than the client had left; nothing in our suite compares the two. Change: standin.Deadlines, reported to by clients and by boxes and the origin, forms its verdict at the end: first attempts, further ones and a client's own retries apart, 0.15 s of slack. Result: its own tests pass; no test of the proxy uses it yet.

--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -35,19 +35,20 @@
 
 // member is what boxes and the origin share: a listener, its connections and the fault.
 type member struct {
-	ID       string
-	listener net.Listener
-	mu       sync.Mutex
-	conns    map[net.Conn]struct{}
-	closed   bool
-	fault    Fault
-	service  time.Duration // an answer takes this
-	capacity int           // requests at once; 0: no bound
-	inHand   int
-	began    int        // requests begun, of whatever end
-	cold     *coldStart // nil: warm
-	last     time.Time  // when the latest one ended
-	quit     chan struct{}
+	ID        string
+	listener  net.Listener
+	mu        sync.Mutex
+	conns     map[net.Conn]struct{}
+	closed    bool
+	fault     Fault
+	service   time.Duration // an answer takes this
+	capacity  int           // requests at once; 0: no bound
+	inHand    int
+	began     int        // requests begun, of whatever end
+	cold      *coldStart // nil: warm
+	last      time.Time  // when the latest one ended
+	deadlines *Deadlines // told of the deadline of each request that has come whole; nil: nobody is
+	quit      chan struct{}
 }
 
 func (m *member) listen(serve func(net.Conn)) error {
@@ -136,6 +137,23 @@
 	return m.inHand
 }
 
+// SetDeadlines has the deadlines that the member is told from now on checked.
+func (m *member) SetDeadlines(d *Deadlines) {
+	m.mu.Lock()
+	m.deadlines = d
+	m.mu.Unlock()
+}
+
+// tell reports the deadline of a request that has come whole.
+func (m *member) tell(id, attrs string) {
+	m.mu.Lock()
+	d := m.deadlines
+	m.mu.Unlock()
+	if d != nil {
+		d.Told(m.ID, id, attrs)
+	}
+}
+
 // begin takes a request in; it tells the fault to play, Busy if there is no room.
 func (m *member) begin() (f Fault, service time.Duration) {
 	m.mu.Lock()
@@ -288,6 +306,7 @@
 	case len(words) >= 1 && (string(words[0]) == "CLIENT" || string(words[0]) == "SELECT"):
 		out = []byte("+OK\r\n")
 	case len(words) == 4 && string(words[0]) == "OBJ.GET":
+		b.tell(string(words[2]), string(words[3]))
 		out, err = b.read(in, string(words[1]), string(words[2]))
 	default:
 		out = []byte("-ERR unknown command\r\n")
--- /dev/null
+++ b/internal/standin/deadlines.go
@@ -0,0 +1,134 @@
+package standin
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// DeadlineSlack is by how much the deadline that a server is told may exceed what the client has left.
+const DeadlineSlack = 150 * time.Millisecond
+
+// Deadlines checks that no server is told a longer deadline than its client has left. Clients report what they send, servers what they are
+// told, and both may do so from any goroutine. The verdict is formed at the end, by Violations, so that the order of the reports does not matter.
+type Deadlines struct {
+	// Now is the time on the clock by which clients wait; nil: the system's, since the first report.
+	Now func() time.Duration
+	// Slack is allowed instead of DeadlineSlack, where the servers' own clocks are late as well; 0: DeadlineSlack.
+	Slack time.Duration
+
+	mu       sync.Mutex
+	started  time.Time
+	requests map[string]clientWait
+	counts   map[string]int // attempts, by request
+	attempts []attemptTold
+}
+
+// clientWait is until when a client waits.
+type clientWait struct {
+	until time.Duration
+	again bool // the client marked it as a retry of its own
+}
+
+// attemptTold is what a server was told of an attempt, once its last byte had come.
+type attemptTold struct {
+	server, id string
+	told, at   time.Duration
+	number     int // of the attempts of its request, from 1
+}
+
+// now is the time of a report.
+func (d *Deadlines) now() time.Duration {
+	if d.Now != nil {
+		return d.Now()
+	}
+	if d.started.IsZero() {
+		d.started = time.Now()
+	}
+	return time.Since(d.started)
+}
+
+// Sent reports that a client has written the last byte of a request, with its list of names and values as it stands in the command. It may be
+// called again for the same request, if the bytes went out later than was thought.
+func (d *Deadlines) Sent(id, attrs string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	wait, _ := waitIn(attrs)
+	if d.requests == nil {
+		d.requests = map[string]clientWait{}
+	}
+	d.requests[id] = clientWait{until: d.now() + wait, again: strings.Contains(","+attrs+",", ",r=1,")}
+}
+
+// Told reports that the last byte of an attempt has come at a server, with its list of names and values.
+func (d *Deadlines) Told(server, id, attrs string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	told, ok := waitIn(attrs)
+	if !ok {
+		return // it was told of no deadline
+	}
+	if d.counts == nil {
+		d.counts = map[string]int{}
+	}
+	d.counts[id]++
+	d.attempts = append(d.attempts, attemptTold{server, id, told, d.now(), d.counts[id]})
+}
+
+// Attempts counts the first attempts and the further ones that servers were told of.
+func (d *Deadlines) Attempts() (first, further int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range d.attempts {
+		if a.number == 1 {
+			first++
+		} else {
+			further++
+		}
+	}
+	return first, further
+}
+
+// Violations describes the attempts whose server was told of more than the client had left. A read of several keys at once is known to its
+// servers by the client's id, a slash and a number.
+func (d *Deadlines) Violations() (all []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slack := d.Slack
+	if slack == 0 {
+		slack = DeadlineSlack
+	}
+	for _, a := range d.attempts {
+		r, ok := d.requests[a.id]
+		if whole, _, many := strings.Cut(a.id, "/"); !ok && many {
+			r, ok = d.requests[whole]
+		}
+		if !ok {
+			all = append(all, fmt.Sprintf("%s: request %s: no client has sent it", a.server, a.id))
+			continue
+		}
+		left := r.until - a.at
+		if a.told <= max(0, left)+slack {
+			continue
+		}
+		of := "request"
+		if r.again {
+			of = "client's retry"
+		}
+		all = append(all, fmt.Sprintf("%s: attempt %d of %s %s: told %v, and its client has %v left", a.server, a.number, of, a.id, a.told, left))
+	}
+	return all
+}
+
+// waitIn is the deadline in a list of names and values.
+func waitIn(attrs string) (wait time.Duration, ok bool) {
+	for item := range strings.SplitSeq(attrs, ",") {
+		if text, is := strings.CutPrefix(item, "d="); is {
+			ms, err := strconv.ParseFloat(text, 64)
+			return time.Duration(ms * float64(time.Millisecond)), err == nil
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/standin/deadlines_test.go
@@ -0,0 +1,67 @@
+package standin
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// The checker finds a deadline that is over what the client has left by more than the slack, whichever attempt was told it and in whichever
+// order client and servers report, and nothing else.
+func TestDeadlinesFindsWhatIsTooLong(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		sent      string // the client's list
+		told      []string
+		after     time.Duration
+		want      string // in the violation; "": there is none
+		unordered bool   // the servers report first
+	}{
+		"as much as is left":         {sent: "c=read,d=1000", told: []string{"c=read,d=600"}, after: 400 * ms},
+		"within the slack":           {sent: "d=1000", told: []string{"d=750"}, after: 400 * ms},
+		"over the slack":             {sent: "d=1000", told: []string{"d=751"}, after: 400 * ms, want: "attempt 1 of request id: told 751ms, and its client has 600ms left"},
+		"a further attempt":          {sent: "d=1000", told: []string{"d=100", "d=1000"}, after: 400 * ms, want: "attempt 2 of request id"},
+		"a client's retry":           {sent: "r=1,d=1000", told: []string{"d=1000,r=1"}, after: 400 * ms, want: "attempt 1 of client's retry id"},
+		"nothing left, and no more":  {sent: "d=1000", told: []string{"d=150"}, after: 2000 * ms},
+		"nothing left, but promised": {sent: "d=1000", told: []string{"d=151"}, after: 2000 * ms, want: "-1s left"},
+		"a fraction":                 {sent: "d=1000.5", told: []string{"d=750.6"}, after: 400 * ms, want: "told 750.6ms"},
+		"no deadline told":           {sent: "d=1000", told: []string{"c=read"}, after: 5000 * ms},
+		"the servers report first":   {sent: "d=1000", told: []string{"d=1200"}, unordered: true, want: "told 1.2s"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Duration(0)
+			d := Deadlines{Now: func() time.Duration { return now }}
+			if !c.unordered {
+				d.Sent("id", c.sent)
+				now = c.after
+			}
+			for _, told := range c.told {
+				d.Told("s-1", "id", told)
+			}
+			if c.unordered {
+				d.Sent("id", c.sent)
+			}
+			got := strings.Join(d.Violations(), "; ")
+			if c.want == "" && got != "" || !strings.Contains(got, c.want) {
+				t.Errorf("violations %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// Reads of several keys are their client's one request, and what no client has sent is told.
+func TestDeadlinesKnowsWhoAsked(t *testing.T) {
+	now := time.Duration(0)
+	d := Deadlines{Now: func() time.Duration { return now }}
+	d.Sent("many", "d=1000")
+	now = time.Second
+	d.Told("s-1", "many/3", "d=1000")
+	d.Told("s-1", "stranger", "d=10")
+	got := strings.Join(d.Violations(), "; ")
+	if !strings.Contains(got, "many/3: told 1s, and its client has 0s left") || !strings.Contains(got, "stranger: no client has sent it") {
+		t.Errorf("violations %q", got)
+	}
+	if first, further := d.Attempts(); first != 2 || further != 0 {
+		t.Errorf("%d first attempts and %d further ones", first, further)
+	}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -282,6 +282,14 @@
 	return Zone
 }
 
+// SetDeadlines has the deadlines that the members are told from now on checked.
+func (f *Fleet) SetDeadlines(d *Deadlines) {
+	f.Origin.SetDeadlines(d)
+	for _, b := range f.Boxes {
+		b.SetDeadlines(d)
+	}
+}
+
 // Last is when a member last ended a request, whatever its end.
 func (f *Fleet) Last() time.Time {
 	last := f.Origin.Last()
--- a/internal/standin/origin.go
+++ b/internal/standin/origin.go
@@ -71,6 +71,7 @@
 		return writeHTTP(conn, 200, "", nil)
 	}
 	key := strings.TrimPrefix(r.URL.Path, "/")
+	o.tell(r.Header.Get("X-Request-ID"), r.Header.Get("X-Attrs"))
 	f, service := o.begin()
 	defer o.end()
 	switch f {
