The origin is told what the client has left, not what it gave at first

Root cause: http1.Append (internal/upstream/codec.go) sent the client's list of names and values to the origin as it came, d included, and ignored the time that Conn.Send (conn.go) had worked out for it. d counts from when the client wrote. At a first attempt (an order) it is still right; a fetch after a miss, a timed-out or failed try, and an order sent again told the whole of it anew. Caches were told right: resp2.Append put the rest in place of d, and first tries there have part of the aim anyway, which is why only further attempts were seen. Change: appendAttrs replaces d, in its place, for caches and origin alike, and Conn.deadlineFor says until when: for a cache as long as the attempt is waited for, for the origin as long as its client waits, as what it fetches is stored whoever waits. The rest of the list is as it came.

--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -163,4 +163,3 @@
 	}()
 	return has
 }
-
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -20,9 +20,9 @@
 // Codec is a protocol that members speak. It has no state: what it must remember between answers stands in the Conn and
 // in the function that Reader gives.
 type Codec interface {
-	// Append appends an exchange to b: all of it for a read, and for a write what comes before its value. The receiver
-	// is told to wait for so long at the most.
-	Append(b []byte, x *Exchange, addr string, wait time.Duration) []byte
+	// Append appends an exchange to b: all of it for a read, and for a write what comes before its value. deadline is how long from now
+	// on the receiver is told that it has.
+	Append(b []byte, x *Exchange, addr string, deadline time.Duration) []byte
 	// End is what follows the value of a write.
 	End() []byte
 	// Ping is what a member answers at once; nil, where there is no such thing.
@@ -101,19 +101,31 @@
 	}
 }
 
-// Append appends the command for a cache: as it came, but for how long the sender waits.
-func (resp2) Append(b []byte, x *Exchange, _ string, wait time.Duration) []byte {
-	attrs := make([]byte, 0, len(x.Msg.Attrs)+16)
-	for name, value := range Names(x.Msg.Attrs) {
-		if name != "d" {
-			attrs = append(attrs, name...)
-			attrs = append(attrs, '=')
-			attrs = append(attrs, value...)
-			attrs = append(attrs, ',')
+// deadlineName is the name of the deadline in a list of names and values, in milliseconds from when the list is sent.
+const deadlineName = "d"
+
+// appendAttrs appends a list of names and values as it came, but for its deadline: time has passed since the client gave it.
+func appendAttrs(b, attrs []byte, deadline time.Duration) []byte {
+	for first := true; len(attrs) > 0; first = false {
+		var item []byte
+		item, attrs, _ = bytes.Cut(attrs, []byte{','})
+		if !first {
+			b = append(b, ',')
+		}
+		if name, _, _ := bytes.Cut(item, []byte{'='}); string(name) != deadlineName {
+			b = append(b, item...)
+			continue
 		}
+		b = append(b, deadlineName...)
+		b = append(b, '=')
+		b = strconv.AppendInt(b, max(1, deadline.Milliseconds()), 10) // what has less left is not sent
 	}
-	attrs = append(attrs, "d="...)
-	attrs = strconv.AppendInt(attrs, max(1, wait.Milliseconds()), 10)
+	return b
+}
+
+// Append appends the command for a cache.
+func (resp2) Append(b []byte, x *Exchange, _ string, deadline time.Duration) []byte {
+	attrs := appendAttrs(make([]byte, 0, len(x.Msg.Attrs)+16), x.Msg.Attrs, deadline)
 	name, n := "OBJ.GET", 4
 	if x.Write {
 		name, n = "OBJ.SET", 5
@@ -229,7 +241,7 @@
 
 // Append appends the request for an origin, without a write's value; http.Request.Write would copy that
 // too. The texts are a client's: none may end its line and begin another.
-func (http1) Append(b []byte, x *Exchange, addr string, _ time.Duration) []byte {
+func (http1) Append(b []byte, x *Exchange, addr string, deadline time.Duration) []byte {
 	method := http.MethodGet
 	if x.Write {
 		method = http.MethodPut
@@ -237,7 +249,7 @@
 	path := url.URL{Path: "/" + string(x.Msg.Key)}
 	b = fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path.EscapedPath(), addr)
 	b = appendHeader(b, "X-Request-ID", x.Msg.ReqID)
-	b = appendHeader(b, "X-Attrs", x.Msg.Attrs)
+	b = appendHeader(b, "X-Attrs", appendAttrs(make([]byte, 0, len(x.Msg.Attrs)+16), x.Msg.Attrs, deadline))
 	if x.Write {
 		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(x.Msg.Value))
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -96,7 +96,7 @@
 		u.w.Cork()
 		s.corked = append(s.corked, u)
 	}
-	b := u.codec.Append(s.scratch[:0], x, u.M.Addr, x.Until-s.host.Now())
+	b := u.codec.Append(s.scratch[:0], x, u.M.Addr, u.deadlineFor(x)-s.host.Now())
 	s.scratch = b[:0]
 	u.w.Send(b, false)
 	if x.Write {
@@ -116,6 +116,15 @@
 	x.end = u.w.Taken()
 }
 
+// deadlineFor is until when a member is told that it has for an exchange. A cache is told how long it is waited for. What an origin finds is
+// stored whether anybody still waits for the attempt or not: it is told how long the client waits.
+func (u *Conn) deadlineFor(x *Exchange) time.Duration {
+	if u.M.Origin {
+		return x.By.Deadline()
+	}
+	return x.Until
+}
+
 // release writes the byte that Send has held back, if the connection still stands; else its reader tells that
 // the attempt never ran.
 func (s *Set) release(x *Exchange) {
