--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -43,6 +43,8 @@
 	Dir      string         // scratch
 	Set      map[string]any // further settings
 	Regions  map[string][]string
+	// Deadlines checks what members are told of deadlines; nil: nobody does. Links that delay or hold what is sent make it find fault with them.
+	Deadlines *standin.Deadlines
 }
 
 // Cluster is all of it.
@@ -103,6 +105,9 @@
 	}
 	c.Fleet.Origin.SetService(o.Origin, o.OriginPlaces)
 	c.Fleet.Set = o.Set
+	if o.Deadlines != nil {
+		c.Fleet.SetDeadlines(o.Deadlines)
+	}
 	if err := os.WriteFile(filepath.Join(o.Dir, "key"), []byte(keyText+"\n"), 0o600); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/cluster/deadlines_test.go
@@ -0,0 +1,49 @@
+package cluster
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"linenloom/internal/standin"
+)
+
+// pauseMost is for how long a process may be held up at the most.
+const pauseMost = 150 * time.Millisecond
+
+// A handful of processes that are held up now and then, before caches that stay silent, turn requests away or miss: no member is told of a longer
+// deadline than its client has left, at the first attempt or a further one.
+func TestNoMemberIsToldOfMoreThanIsLeft(t *testing.T) {
+	t.Parallel()
+	deadlines := &standin.Deadlines{}
+	s := stage(t, Options{Deadlines: deadlines})
+	late := standin.MeasureLateness()
+	s.faults(standin.Stall, "a")
+	s.faults(standin.Busy, "b")
+	for _, b := range s.Fleet.In("c") {
+		b.Drop()
+	}
+	rng := rand.New(rand.NewPCG(54, 0))
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); {
+		p := s.Proxies[rng.IntN(len(s.Proxies))]
+		p.Pause()
+		s.run(time.Duration(1 + rng.Int64N(int64(pauseMost))))
+		p.Continue()
+		s.run(time.Duration(rng.Int64N(int64(pauseMost))))
+	}
+	s.faults(standin.Healthy, abc...)
+	s.Stop()
+	deadlines.Slack = standin.DeadlineSlack + 2*late.Stop()
+	first, further := deadlines.Attempts()
+	if first == 0 || further == 0 {
+		t.Errorf("%d first attempts and %d further ones", first, further)
+	}
+	violations := deadlines.Violations()
+	for i, v := range violations {
+		if i == 20 {
+			break
+		}
+		t.Error(v)
+	}
+	t.Logf("%d first attempts, %d further ones, %d told of too much; slack %v", first, further, len(violations), deadlines.Slack)
+}
--- a/internal/standin/deadlines.go
+++ b/internal/standin/deadlines.go
@@ -77,6 +77,13 @@
 	d.attempts = append(d.attempts, attemptTold{server, id, told, d.now(), d.counts[id]})
 }
 
+// Came is how many attempts of a request servers were told of.
+func (d *Deadlines) Came(id string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.counts[id]
+}
+
 // Attempts counts the first attempts and the further ones that servers were told of.
 func (d *Deadlines) Attempts() (first, further int) {
 	d.mu.Lock()
