A request's time runs from its client's last byte, and is told as its bytes go out

A request was dated when its command was parsed, and the deadline told was worked out by the time at which the event began; each further attempt carries both errors on. Change: package arrival, free of I/O, dates what a connection reads by when it may have come at the earliest, and remembers when the process was held up; Command.Arrived carries that to Submit, for the RESP2 front, OBJ.MGET and the external processor. Proxy.Clock is the time right now; an attempt takes it as it begins, Conn.Send as it writes, the pool before it serves who has waited. Request.deadlineNow is the one place that says until when somebody waits. maySend begins nothing that Timer would end in the same tick. What is corked goes out after 5 ms.

--- /dev/null
+++ b/internal/arrival/arrival.go
@@ -0,0 +1,94 @@
+// Package arrival tells how early the bytes that a process has just read may have come. A client's time runs from the last byte that it wrote,
+// and bytes can wait unread: behind a full pipeline, in the line of a listener, or while the process itself was held up. A request that is dated
+// by when it was read would tell its servers of more time than its client has left.
+//
+// It is free of I/O, clock and goroutines. Times are on the clock of whoever calls. Where it can't be known when bytes came, they are taken to have
+// come as early as they may have: a request then ends too early, and never too late.
+package arrival
+
+import "time"
+
+// Connection dates what is read on one connection. It belongs to the connection's reader.
+type Connection struct {
+	empty  time.Duration // nothing stood unread then
+	latest time.Duration // what was read last has come since then
+	behind bool          // something may have come since empty and not been read
+}
+
+// Accepted is a connection that was taken in now and came up no earlier than since.
+func Accepted(since, now time.Duration) Connection {
+	return Connection{empty: since, latest: since, behind: since < now}
+}
+
+// Missed notes that nothing was read for a while, though something may have come.
+func (c *Connection) Missed() { c.behind = true }
+
+// Behind tells whether something may stand unread. Whoever can look should, before the next read, and call CaughtUp if nothing does: what comes
+// later is then dated by its own reading.
+func (c *Connection) Behind() bool { return c.behind }
+
+// CaughtUp notes that nothing stands unread.
+func (c *Connection) CaughtUp() { c.behind = false }
+
+// Read notes that bytes were read; more tells that others may stand behind them.
+func (c *Connection) Read(now time.Duration, more bool) {
+	if !c.behind {
+		c.empty = now
+	}
+	c.latest = c.empty
+	c.behind = more
+	if !more {
+		c.empty = now
+	}
+}
+
+// Latest is since when what was read last has come, at the earliest.
+func (c *Connection) Latest() time.Duration { return c.latest }
+
+const (
+	// longEvent is how long the handling of one event may take before the process counts as held up in it. Ordinary events take far less;
+	// a shorter limit would date requests too early on a slow core.
+	longEvent = 5 * time.Millisecond
+	// readAfter is how long after it was held up a process may still be reading what has come meanwhile.
+	readAfter = 20 * time.Millisecond
+	// longestStall bounds how far back stalls that follow one another are taken for one. On a core that is short for good each of them is
+	// near the next, and requests would be dated ever earlier.
+	longestStall = 250 * time.Millisecond
+)
+
+// Stalls remembers when the process was last held up and read nothing. The zero value knows of none.
+type Stalls struct {
+	// Gap is how long the process may be without any event before it counts as held up. It has to exceed the interval of its own timer.
+	Gap time.Duration
+
+	from, until time.Duration
+}
+
+// Between notes that no event has come from one time to another.
+func (s *Stalls) Between(last, next time.Duration) {
+	if next-last > s.Gap {
+		s.note(last, next)
+	}
+}
+
+// Event notes how long an event took.
+func (s *Stalls) Event(began, ended time.Duration) {
+	if ended-began > longEvent {
+		s.note(began, ended)
+	}
+}
+
+func (s *Stalls) note(from, until time.Duration) {
+	if s.until > 0 && from <= s.until+readAfter {
+		from = max(min(from, until-longestStall), s.from)
+	}
+	s.from, s.until = from, until
+}
+
+// Earliest is when bytes that were read at a time may have come.
+func (s *Stalls) Earliest(read time.Duration) time.Duration {
+	if s.until > 0 && s.from <= read && read <= s.until+readAfter {
+		return s.from
+	}
+	return read
+}
--- a/internal/extproc/server/stream.go
+++ b/internal/extproc/server/stream.go
@@ -599,6 +599,7 @@
 // submit hands a new request to the host, under its lock.
 func (s *stream) submit(c *call, id string) error {
 	h := &s.head
+	c.req.Arrived = s.f.p.Clock()
 	left := time.Until(s.deadline)
 	if !s.route() {
 		left = min(left, s.mostWait())
@@ -635,7 +636,7 @@
 	if h.attempt > 1 {
 		attrs = append(attrs, ",r=1"...)
 	}
-	c.req.Command = proxy.Command{Only: h.only, Again: h.attempt > 1, Message: upstream.Message{
+	c.req.Command = proxy.Command{Only: h.only, Again: h.attempt > 1, Arrived: c.req.Arrived, Message: upstream.Message{
 		Write: s.target.Write, Key: []byte(s.target.Key), ReqID: []byte(id), Attrs: attrs, Value: s.body}}
 	c.req.Taker = whole{c}
 	if s.route() {
--- a/internal/joining/joining.go
+++ b/internal/joining/joining.go
@@ -243,6 +243,14 @@
 	return 0
 }
 
+// Until is the latest time at which one of those who wait for what a lead gets still waits; 0: nobody does.
+func (t *Table) Until(lead ID) time.Duration {
+	if f := t.leads[lead]; f != nil && len(f.followers) > 0 {
+		return f.followers[0].until
+	}
+	return 0
+}
+
 // Fence closes what is out for a key to reads that come from now on: a write of it has been answered, or may have run, and what was
 // asked for before may not show it.
 func (t *Table) Fence(key string) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -111,6 +111,7 @@
 type Actions[X Exchange] interface {
 	Dial(m *Member[X], warm bool)              // connect, then tell Dialled
 	End(x X, v Verdict)                        // x gets no connection
+	Expired(x X) bool                          // x's time is over by now: the event may have begun a while ago
 	Room(make bool) bool                       // there is a descriptor to spare; make: one may be made free for it
 	ConnectBy(x X, at time.Duration)           // call Late then, unless it has been sent
 	DialAt(m *Member[X], at time.Duration)     // call Redial then
@@ -597,6 +598,11 @@
 func (p *Pool[X]) serveWaiting(m *Member[X]) {
 	for len(m.Waiting) > 0 && m.Ready {
 		x := m.Waiting[0]
+		if !x.Pooled().Ended && p.do.Expired(x) {
+			m.Waiting = m.Waiting[1:]
+			p.do.End(x, Unconnected(m))
+			continue
+		}
 		if !x.Pooled().Ended {
 			c := p.pick(m, x)
 			if c == nil {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -99,6 +99,7 @@
 	x.verdict = append(x.verdict, v)
 }
 
+func (w *world) Expired(x *fake) bool                      { return x.Until > 0 && w.now >= x.Until }
 func (w *world) Room(bool) bool                            { return !w.full }
 func (w *world) ConnectBy(x *fake, at time.Duration)       { w.late[x] = at }
 func (w *world) DialAt(m *Member[*fake], at time.Duration) { w.redials[m] = at }
--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -20,8 +20,9 @@
 	if r == nil {
 		return // it would be a fault of the module; there is no one to send for
 	}
+	p.catchUp()
 	a := &attempt{req: r, n: int32(len(r.attempts)), to: to, sentAt: p.now}
-	a.Until = r.deadline
+	a.Until = r.deadlineNow()
 	if timeout > 0 {
 		a.Until = min(a.Until, p.now+timeout)
 	}
@@ -30,7 +31,7 @@
 		p.cfg.OnSend(id, to)
 	}
 	r.out++
-	if r.done || a.Until <= p.now {
+	if r.done || a.Until-p.now < upstream.LeastDeadline {
 		p.end(a, logic.StatusMoot, 0)
 		return
 	}
--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -2,12 +2,21 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"slices"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"linenloom/internal/joining"
+	"linenloom/internal/manykeys"
+	"linenloom/internal/resp"
 	"linenloom/internal/standin"
+	"linenloom/logic"
 )
 
 // deadlineWatch checks the deadlines that the members of a proxy are told, on a clock that the test moves.
@@ -37,6 +46,21 @@
 	})
 }
 
+// serve is a cache's side of one connection, whose deadlines are checked: it has everything.
+func (w *deadlineWatch) serve(name string, conn net.Conn) {
+	in := resp.NewReader(conn, 4096)
+	for {
+		command, err := readCommand(in)
+		if err != nil {
+			return
+		}
+		w.Told(name, command[2], command[3])
+		if _, err := io.WriteString(conn, hit("value of "+command[1])); err != nil {
+			return
+		}
+	}
+}
+
 // origin is an origin whose deadlines are checked.
 func (w *deadlineWatch) origin(answer func(*http.Request) string) string {
 	return origin(w.t, func(r *http.Request) string {
@@ -66,10 +90,11 @@
 	}
 }
 
-// passing moves the clock until something has come: attempts time out meanwhile, and others follow.
+// passing moves the clock until something has come: attempts time out meanwhile, and others follow. It stands still while bytes are under way.
 func (w *deadlineWatch) passing(p *testProxy, most time.Duration, what string, came <-chan struct{}) {
 	w.t.Helper()
 	for range most / time.Millisecond {
+		p.eventually("what was sent has come", func() bool { return w.allCame(p) })
 		select {
 		case <-came:
 			return
@@ -80,6 +105,22 @@
 	w.t.Fatalf("never came about: %s", what)
 }
 
+// allCame tells whether all reads that were written to members have come there. The last byte of a write may be held back until time passes.
+func (w *deadlineWatch) allCame(p *testProxy) bool {
+	for _, r := range p.requests {
+		sent := 0
+		for _, a := range r.attempts {
+			if a.Sent() {
+				sent++
+			}
+		}
+		if !r.Write && w.Came(string(r.ReqID)) < sent {
+			return false
+		}
+	}
+	return true
+}
+
 // A further attempt tells its server what the client has left by then, however the attempt before it has ended and whichever server is next.
 func TestFurtherAttemptTellsWhatIsLeft(t *testing.T) {
 	const busyOrigin = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -163,3 +204,285 @@
 	}()
 	return has
 }
+
+// A client's time runs from its last byte, also for commands that stood unread while others before them were waited for.
+func TestUnreadCommandsKeepTheirTime(t *testing.T) {
+	const commands = 3 * maxPipeline
+	cfg := leaving(false)
+	cfg.Settings.TryLimit = 1 // so that an attempt may take all that its client has left
+	w := watchDeadlines(t, &cfg)
+	d, err := standin.NewDoor()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { d.Close() })
+	p := start(t, cfg, entry("s-1", d.Addr().String(), "large"))
+	var text strings.Builder
+	for i := range commands {
+		text.WriteString(w.get(fmt.Sprint("k", i), fmt.Sprint("id", i), 15_000))
+	}
+	client := p.dial()
+	client.send(text.String())
+	p.eventually("its reader waits", func() bool {
+		for c := range p.redis.clients {
+			return c.resume != nil
+		}
+		return false
+	})
+	w.advance(p, 5*time.Second)
+	d.Serve(func(conn net.Conn) { w.serve("s-1", conn) })
+	all := make(chan struct{})
+	go func() {
+		defer close(all)
+		for i := range commands {
+			if got, want := client.answer(), fmt.Sprint("value of k", i); got != want && !strings.HasPrefix(got, "-BUSY") {
+				t.Errorf("command %d was answered %q", i, got)
+				return
+			}
+		}
+	}()
+	w.passing(p, 9*time.Second, "the answers", all)
+	if first, _ := w.Attempts(); first <= maxPipeline {
+		t.Errorf("only %d commands were sent on: none that stood unread", first)
+	}
+}
+
+// A connection may have stood in the listener's line, with a command on it, before the proxy took its first client.
+func TestConnectionsInLineAtTheStartKeepTheirTime(t *testing.T) {
+	cfg := leaving(false)
+	cfg.Settings.TryLimit = 1
+	w := watchDeadlines(t, &cfg)
+	var p *testProxy
+	ready, begin := make(chan struct{}), make(chan struct{})
+	cfg.Before = func() {
+		close(ready)
+		<-begin
+	}
+	p = start(t, cfg, entry("s-1", w.cache("s-1", func(a asked) string { return hit("value of " + a.key) }), "large"))
+	<-ready
+	client := p.dial()
+	client.send(w.get("k", "id", 15_000))
+	w.advance(p, 2*time.Second)
+	close(begin)
+	if got := client.answer(); got != "value of k" {
+		t.Errorf("answered %q", got)
+	}
+	w.wantAttempts(1, false)
+}
+
+// Attempts that begin in one event, each held up before its bytes go out, tell their servers what is left when they do go out.
+func TestHeldUpAttemptsTellWhatIsLeft(t *testing.T) {
+	const reads, pause = 5, 120 * time.Millisecond
+	cfg := testConfig()
+	cfg.Settings.TryLimit = 2 // so that the second attempt goes to the origin
+	var holding atomic.Bool
+	var sent atomic.Int32
+	arrived := make(chan struct{}, 100)
+	w := &deadlineWatch{t: t}
+	var moved atomic.Int64 // by the pauses, beside what the test moves the clock by
+	w.advance = handClock(&cfg)
+	base := cfg.Clock
+	cfg.Clock = func() time.Duration { return base() + time.Duration(moved.Load()) }
+	w.Now = cfg.Clock
+	cfg.OnSend = func(logic.RequestID, logic.MemberID) {
+		if !holding.Load() {
+			return
+		}
+		if sent.Add(1) > 1 { // what went out before has arrived: no time passes while bytes are under way
+			<-arrived
+		}
+		moved.Add(int64(pause))
+	}
+	together := make(chan struct{})
+	var warm atomic.Int32
+	o := w.origin(func(r *http.Request) string {
+		if r.Method != http.MethodPut {
+			arrived <- struct{}{}
+			return page("value")
+		}
+		if warm.Add(1) == reads {
+			close(together)
+		}
+		<-together
+		return page("receipt")
+	})
+	stuck, asks := make(chan struct{}), make(chan struct{}, 100)
+	silent := w.cache("s-1", func(asked) string {
+		asks <- struct{}{}
+		<-stuck
+		return miss
+	})
+	t.Cleanup(func() { close(stuck) })
+	p := start(t, cfg, entry("s-1", silent, "large"), entry("o-1", o, "origin"))
+	for i := range reads { // as many connections to the origin
+		p.dial().send(w.put(fmt.Sprint("o", i), fmt.Sprint("order", i), 8000))
+	}
+	w.passing(p, time.Second, "the orders are at the origin", together)
+	for range 20 {
+		w.advance(p, time.Millisecond)
+	}
+	p.eventually("the connections are free", func() bool {
+		free := 0
+		for _, c := range p.at(o).Conns {
+			if c.Rested(p.now) {
+				free++
+			}
+		}
+		moved.Add(int64(time.Millisecond))
+		return len(p.requests) == 0 && free == reads
+	})
+	for i := range reads {
+		p.dial().send(w.get(fmt.Sprint("k", i), fmt.Sprint("id", i), 8000))
+		<-asks
+	}
+	holding.Store(true)
+	moved.Add(int64(3500 * time.Millisecond)) // the first attempts of all have timed out
+	p.Tick()
+	if n := sent.Load(); n != reads {
+		t.Fatalf("%d attempts in one event, want %d", n, reads)
+	}
+	p.eventually("all are answered", func() bool { return len(p.requests) == 0 })
+	w.wantAttempts(2*reads, true)
+	for _, v := range w.Violations() {
+		t.Error(v)
+	}
+}
+
+// Reads of one request for many keys have its time, also those that are asked for once others have been answered.
+func TestManyKeysShareOneDeadline(t *testing.T) {
+	cfg := testConfig()
+	cfg.Settings.TryLimit = 1
+	cfg.ManyKeys = &manykeys.Limits{Keys: 10, Bytes: 100_000, Out: 1, Part: 1}
+	w := watchDeadlines(t, &cfg)
+	came, release := make(chan struct{}, 10), make(chan struct{}, 10)
+	p := start(t, cfg, entry("s-1", w.cache("s-1", func(a asked) string {
+		came <- struct{}{}
+		<-release
+		return hit("value of " + a.key)
+	}), "large"))
+	client := p.dial()
+	w.Sent("many", "c=tile-read,d=8000")
+	client.send(mget("many", "c=tile-read,d=8000", "a", "b", "c"))
+	for range 3 {
+		<-came
+		w.advance(p, 2*time.Second)
+		release <- struct{}{}
+	}
+	if got, line := client.reply(); !slices.Equal(got, []string{"value of a", "value of b", "value of c"}) {
+		t.Errorf("%s %q", line, got)
+	}
+}
+
+// A read that goes on for those who share its answer, after its own client has left, tells what the last of them has left.
+func TestJoinedReadTellsWhatItsFollowersHaveLeft(t *testing.T) {
+	cfg := testConfig()
+	cfg.Settings.TryLimit = 2 // so that the second attempt may take all that is left
+	cfg.Joining = &joining.Limits{Followers: 10, PerTenant: 10, Flights: 10}
+	w := watchDeadlines(t, &cfg)
+	came, release := make(chan struct{}, 10), make(chan struct{})
+	var asks atomic.Int32
+	told := make(chan string, 10)
+	answer := func(a asked) string {
+		told <- a.attrs
+		if asks.Add(1) == 1 {
+			came <- struct{}{}
+			<-release
+			return "-ERR failed\r\n"
+		}
+		return hit("value")
+	}
+	o := w.origin(func(r *http.Request) string { told <- r.Header.Get("X-Attrs"); return page("value") })
+	p := start(t, cfg, entry("s-1", w.cache("s-1", answer), "large"), entry("o-1", o, "origin"))
+	lead, follower := p.dial(), p.dial()
+	lead.send(w.get("a", "lead", 8000))
+	<-came
+	<-told
+	follower.send(w.get("a", "follower", 4000))
+	p.followed(1)
+	lead.conn.Close()
+	p.eventually("the lead's client has left", func() bool { return len(p.redis.clients) == 1 })
+	w.Sent("lead", "d=4000") // nobody waits for it any longer than the follower does
+	w.advance(p, 2500*time.Millisecond)
+	close(release)
+	w.passing(p, 2*time.Second, "the answer", answered(follower, "value"))
+	w.wantAttempts(1, true)
+}
+
+// What a client says of its deadline, and what its server is told.
+func TestDeadlineThatClientsGive(t *testing.T) {
+	for text, want := range map[string]struct {
+		told   int
+		answer string
+	}{
+		"d=4000":               {told: 4000},
+		"d=4000.75":            {told: 4000},
+		"d=0.25":               {answer: "-BUSY"}, // less than an answer takes: nothing is sent
+		"d=1":                  {answer: "-BUSY"},
+		"d=60000":              {told: 8000}, // the class allows no more
+		"d=86400001":           {answer: "-ERR"},
+		"d=1" + manyZeros:      {answer: "-ERR"},
+		"d=0":                  {answer: "-ERR"},
+		"d=-5":                 {answer: "-ERR"},
+		"d=":                   {answer: "-ERR"},
+		"d=soon":               {answer: "-ERR"},
+		"d=NaN":                {answer: "-ERR"},
+		"d=1e3":                {answer: "-ERR"},
+		"d=0x10":               {answer: "-ERR"},
+		"d=1.2.3":              {answer: "-ERR"},
+		"d=4000,d=5000":        {answer: "-ERR"},
+		"t=acme":               {answer: "-ERR"},
+		"d=4000,size=7,t=acme": {told: 4000},
+	} {
+		for _, c := range []struct{ name, class string }{{"OBJ.GET", "tile-read"}, {"OBJ.SET", "pass-order"}} {
+			t.Run(c.name+" "+text[:min(len(text), 20)], func(t *testing.T) {
+				t.Parallel()
+				cfg := testConfig()
+				cfg.Settings.TryLimit = 1
+				w := watchDeadlines(t, &cfg)
+				told := make(chan string, 10)
+				node := w.cache("s-1", func(a asked) string { told <- a.attrs; return hit("value") })
+				o := w.origin(func(r *http.Request) string { told <- r.Header.Get("X-Attrs"); return page("value") })
+				p := start(t, cfg, entry("s-1", node, "large"), entry("o-1", o, "origin"))
+				attrs := "c=" + c.class + "," + text
+				w.Sent("id", attrs)
+				client := p.dial()
+				command := []string{c.name, "a1", "id", attrs}
+				if c.name == "OBJ.SET" {
+					command = append(command, "order")
+				}
+				client.send(words(command...))
+				wantAnswer := want.answer
+				if wantAnswer == "" {
+					wantAnswer = "value"
+				}
+				answer := make(chan struct{})
+				go func() {
+					if got := client.answer(); !strings.HasPrefix(got, wantAnswer) {
+						t.Errorf("answered %q, want %s", got, wantAnswer)
+					}
+					close(answer)
+				}()
+				w.passing(p, time.Second, "the answer", answer)
+				if n := len(told); n > 1 || (n == 1) != (want.told > 0) {
+					t.Fatalf("its server was asked %d times", n)
+				}
+				if want.told == 0 {
+					return
+				}
+				list := <-told
+				_, after, _ := strings.Cut(list, ",d=")
+				after, rest, _ := strings.Cut(after, ",")
+				got, err := strconv.Atoi(after)
+				if err != nil || got > want.told || got < want.told-200 { // the test lets some time pass
+					t.Errorf("its server was told %q, want a deadline of %d", list, want.told)
+				}
+				if _, others, _ := strings.Cut(text, ","); rest != others {
+					t.Errorf("its server was told %q behind the deadline, want %q", rest, others)
+				}
+			})
+		}
+	}
+}
+
+// manyZeros make a number that no clock holds.
+var manyZeros = strings.Repeat("0", 400)
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -48,6 +48,8 @@
 	Only []string
 	// Again tells that the client has asked for it before under the same name.
 	Again bool
+	// Arrived is when its last byte came, by Proxy.Clock; its deadline counts from then. 0: when it is submitted.
+	Arrived time.Duration
 }
 
 // Request is a client's command from its last byte to its answer, and on to the end of its last attempt. The
@@ -259,7 +261,7 @@
 		r.effect = logic.Once // whoever gets a repeat could not tell that it is one
 	}
 	r.again = r.effect == logic.Repeatable || r.effect == logic.ByKey && class.Scope == logic.ScopeAll
-	lr.Deadline += p.now
+	lr.Deadline += p.arrivedAt(r.Arrived)
 	r.deadline = lr.Deadline
 	p.requests[r.id] = r
 	if p.cfg.Record != nil && r.effect == logic.Once {
@@ -272,6 +274,14 @@
 	return nil
 }
 
+// arrivedAt is when the last byte of a request may have come at the earliest, given when it was read; 0: now.
+func (p *Proxy) arrivedAt(read time.Duration) time.Duration {
+	if read == 0 {
+		return p.now
+	}
+	return p.stalls.Earliest(min(read, p.now))
+}
+
 // named finds the members at these addresses; an address without a port is all of its host's. Never nil.
 func (p *Proxy) named(addrs []string) []logic.MemberID {
 	only := []logic.MemberID{}
--- a/internal/proxy/listen.go
+++ b/internal/proxy/listen.go
@@ -53,6 +53,21 @@
 	return listener, nil
 }
 
+// waitingIn tells whether a connection stands in a listener's line, or that can't be known.
+func waitingIn(l *net.TCPListener) (waiting bool) {
+	waiting = true
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return waiting
+	}
+	raw.Control(func(fd uintptr) { // fails only where the listener is closed
+		look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(look[:], 0)
+		waiting = err != nil || n > 0
+	})
+	return waiting
+}
+
 // listenedAt tells whether somebody listens at an address already. It binds the address without sharing it, and lets it go.
 func listenedAt(addr string) bool {
 	at, err := netip.ParseAddrPort(addr)
--- a/internal/proxy/many.go
+++ b/internal/proxy/many.go
@@ -81,6 +81,7 @@
 		return nil, err
 	}
 	p.ids.add(c.ReqID, p.now)
+	c.Arrived = p.arrivedAt(c.Arrived) // of each of its reads, whenever that is asked for
 	p.groups = max(1, p.groups+1)
 	m := &Many{p: p, Gather: g, to: to, command: c, by: by, front: front, group: p.groups, reads: make([]manyRead, g.Len()),
 		ids: make([]byte, 0, g.Len()*(len(c.ReqID)+5))}
@@ -117,7 +118,7 @@
 	s.m, s.k = m, k
 	from := len(m.ids)
 	m.ids = strconv.AppendInt(append(append(m.ids, m.command.ReqID...), '/'), int64(k), 10)
-	s.Command = Command{Only: m.command.Only, Message: upstream.Message{Key: []byte(m.Gather.Key(k)), Attrs: m.command.Attrs,
+	s.Command = Command{Only: m.command.Only, Arrived: m.command.Arrived, Message: upstream.Message{Key: []byte(m.Gather.Key(k)), Attrs: m.command.Attrs,
 		ReqID: m.ids[from:len(m.ids):len(m.ids)]}}
 	s.By, s.Front, s.Taker, s.group = m.by, m.front, s, m.group
 	err := m.p.Submit(&s.Request)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"linenloom/internal/arrival"
 	"linenloom/internal/discovery"
 	"linenloom/internal/inherit"
 	"linenloom/internal/joining"
@@ -88,7 +89,9 @@
 	redis *redisFront
 
 	mu       sync.Mutex
-	now      time.Duration // when the lock was taken, on the module's clock
+	now      time.Duration // when the lock was taken, or an attempt begun since, on the module's clock
+	began    time.Duration // when the lock was taken
+	stalls   arrival.Stalls
 	started  time.Time
 	offset   time.Duration
 	bal      *logic.Balancer
@@ -150,6 +153,7 @@
 		p.offset = time.Hour
 	}
 	p.now = p.offset
+	p.stalls.Gap = stallGap
 	p.timers = newTimers(tickOf(&p.cfg.Settings), p.now)
 	p.reasons = countReasons(&p.cfg.Settings)
 	p.ups = upstream.New(pool.Config{
@@ -250,13 +254,27 @@
 	}
 }
 
+// stallGap is how long the process may be without any event, of which the sweep is one, before it counts as held up.
+const stallGap = crowdEvery + 10*time.Millisecond
+
 // enter takes the lock and the time.
 func (p *Proxy) enter() {
 	p.mu.Lock()
-	p.now = p.offset + p.elapsed()
+	last := p.now
+	p.now = p.Clock()
+	p.began = p.now
+	if p.cfg.Clock == nil { // a clock that is set moves in leaps
+		p.stalls.Between(last, p.now)
+	}
 	p.ups.Advance(p.now)
 }
 
+// Clock is the time right now, on the module's clock. It needs no lock.
+func (p *Proxy) Clock() time.Duration { return p.offset + p.elapsed() }
+
+// catchUp takes the time anew in the midst of an event, which may have been held up since it began.
+func (p *Proxy) catchUp() { p.now = max(p.now, p.Clock()) }
+
 func (p *Proxy) elapsed() time.Duration {
 	if p.cfg.Clock != nil {
 		return p.cfg.Clock()
@@ -270,6 +288,9 @@
 	p.Tell()
 	p.arm()
 	p.long.grant(p.longMax())
+	if p.cfg.Clock == nil {
+		p.stalls.Event(p.began, p.Clock())
+	}
 	p.mu.Unlock()
 }
 
@@ -499,6 +520,11 @@
 func (h host) Lock()   { h.mu.Lock() }
 func (h host) Unlock() { h.mu.Unlock() }
 
+func (h host) Clock() time.Duration {
+	h.catchUp()
+	return h.now
+}
+
 func (h host) At(d upstream.Due)       { h.schedule(due{Due: d}) }
 func (h host) WakeAt(at time.Duration) { h.restTimer.Reset(at - h.now) }
 
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -220,7 +220,7 @@
 			p.conclude(r.id, Answer{Kind: Refused, RetryAfter: p.recordAgain(), Why: whyOf(err)})
 			p.bal.Expired(p.now, r.id)
 		}
-	case r.done || a.Until <= p.now:
+	case r.done || a.Until-p.now < upstream.LeastDeadline:
 		p.end(a, logic.StatusMoot, 0)
 	case m == nil || m.state != logic.Ready:
 		p.end(a, logic.StatusConnectFailed, 0)
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"linenloom/internal/arrival"
 	"linenloom/internal/identity"
 	"linenloom/internal/reasons"
 	"linenloom/internal/resp"
@@ -118,11 +119,12 @@
 	from    netip.Addr
 	in      *resp.Reader
 	w       *sender.Sender
-	pending []*owed       // in the order of their commands
-	mid     bool          // a command has been read in part
-	stale   bool          // what comes next may have stood unread for long; the reader's own
-	heard   atomic.Int64  // when bytes of it came last, since the start of the proxy
-	midAt   time.Duration // when it began
+	pending []*owed            // in the order of their commands
+	mid     bool               // a command has been read in part
+	stale   bool               // what comes next may have stood unread for long; the reader's own
+	arrived arrival.Connection // when what was read came; the reader's own
+	heard   atomic.Int64       // when bytes of it came last, since the start of the proxy
+	midAt   time.Duration      // when it began
 	resume  chan struct{}
 	active  time.Duration // when it connected, or last had something pending
 	asked   bool          // a command has been read whole
@@ -157,7 +159,11 @@
 		c.uncork()
 	}
 	c.turn = 0
+	if c.arrived.Behind() && c.quiet() {
+		c.arrived.CaughtUp()
+	}
 	n, err := c.stream.Read(b)
+	c.arrived.Read(c.p.Clock(), n == len(b))
 	if n >= shed.LineLeast || c.line.Active() {
 		c.measure(n, n == len(b))
 	}
@@ -185,6 +191,7 @@
 	p        *Proxy
 	address  string
 	listen   *net.TCPListener // nil until the process that is followed can do without the address
+	waited   time.Duration    // connections may have stood in the listener's line since then; 0: they are taken as they come
 	clients  map[*client]struct{}
 	taken    chan error // the end of accept
 	asked    int        // clients that have asked
@@ -226,10 +233,25 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	f.listen = l
+	f.listen, f.waited = l, f.p.Clock()
 	return nil
 }
 
+// inLineSince is since when a connection that is taken now may have stood in line, under the lock.
+func (f *redisFront) inLineSince() time.Duration {
+	if f.waited > 0 {
+		return f.waited
+	}
+	return f.p.now
+}
+
+// lookAtLine notes, under the lock, that nothing stands in line any more, if that is so.
+func (f *redisFront) lookAtLine() {
+	if f.waited > 0 && !waitingIn(f.listen) {
+		f.waited = 0
+	}
+}
+
 // addr is the address that clients connect to; nil, as long as another process has it.
 func (f *redisFront) addr() net.Addr {
 	if f.listen == nil {
@@ -305,6 +327,7 @@
 // accept takes connections until the listener is closed.
 func (f *redisFront) accept() error {
 	p := f.p
+	p.Do(f.lookAtLine)
 	for {
 		conn, err := f.listen.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
@@ -313,6 +336,9 @@
 		if err != nil && (errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)) {
 			// What the kernel has taken must be answered: make room and take it.
 			p.enter()
+			if f.waited == 0 {
+				f.waited = p.now
+			}
 			p.makeRoom()
 			p.leave()
 			time.Sleep(time.Millisecond)
@@ -330,6 +356,7 @@
 		}
 		p.enter()
 		c, err := f.newClient(conn)
+		f.lookAtLine()
 		p.leave()
 		if err != nil || c == nil {
 			conn.Close()
@@ -354,7 +381,8 @@
 	if !p.Room() {
 		return nil, nil
 	}
-	c := &client{p: p, f: f, conn: conn, stream: conn, w: w, active: p.now, limited: true, stale: true}
+	c := &client{p: p, f: f, conn: conn, stream: conn, w: w, active: p.now, limited: true, stale: true,
+		arrived: arrival.Accepted(f.inLineSince(), p.now)}
 	size := clientBuffer
 	if p.cfg.Callers != nil {
 		c.from = AddrOf(conn)
@@ -551,6 +579,7 @@
 		if err != nil {
 			return err
 		}
+		cmd.Arrived = c.arrived.Latest()
 		if c.line.Active() && c.shed(&cmd) {
 			continue
 		}
@@ -602,6 +631,7 @@
 		if wait != nil {
 			<-wait
 			c.stale = true
+			c.arrived.Missed()
 		}
 	}
 }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -77,7 +77,16 @@
 func (a *attempt) Done(s logic.Status, note int) { a.req.p.end(a, s, note) }
 
 // Deadline is the client's.
-func (a *attempt) Deadline() time.Duration { return a.req.deadline }
+func (a *attempt) Deadline() time.Duration { return a.req.deadlineNow() }
+
+// deadlineNow is until when somebody waits for the request. It is its client's deadline, and where that has left and others share the
+// answer, the latest of theirs. Whatever a member or caller is told of a deadline comes from here.
+func (r *Request) deadlineNow() time.Duration {
+	if r.Taker == (nobody{}) {
+		return min(r.deadline, r.p.joins.Until(r.id))
+	}
+	return r.deadline
+}
 
 // abandon stops waiting for an attempt.
 func (p *Proxy) abandon(a *attempt, s logic.Status) {
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -118,7 +118,7 @@
 		}
 		b = append(b, deadlineName...)
 		b = append(b, '=')
-		b = strconv.AppendInt(b, max(1, deadline.Milliseconds()), 10) // what has less left is not sent
+		b = strconv.AppendInt(b, max(LeastDeadline, deadline).Milliseconds(), 10)
 	}
 	return b
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -92,11 +92,11 @@
 func (u *Conn) Send(x *Exchange) {
 	s := u.s
 	x.conn = u
+	now := s.host.Clock()
 	if s.corking && !x.Write && !u.M.Origin {
-		u.w.Cork()
-		s.corked = append(s.corked, u)
+		s.cork(u, now)
 	}
-	b := u.codec.Append(s.scratch[:0], x, u.M.Addr, u.deadlineFor(x)-s.host.Now())
+	b := u.codec.Append(s.scratch[:0], x, u.M.Addr, u.deadlineFor(x)-now)
 	s.scratch = b[:0]
 	u.w.Send(b, false)
 	if x.Write {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -74,7 +74,8 @@
 type Host interface {
 	sender.Host
 	sync.Locker
-	Now() time.Duration
+	Now() time.Duration      // of the event
+	Clock() time.Duration    // right now: the event may have begun a while ago
 	Do(f func())             // under the lock, as one event
 	At(d Due)                // call Ring with it then
 	WakeAt(at time.Duration) // call Wake then; the latest call counts
@@ -115,15 +116,16 @@
 // Set is the exchanges and connections of a proxy.
 type Set struct {
 	*pool.Pool[*Exchange]
-	host    Host
-	connect time.Duration // time-out
-	once    time.Duration // see holdTime
-	scratch []byte
-	buffers sync.Pool
-	readers sync.Pool // of connections to caches
-	seed    maphash.Seed
-	corking bool    // reads that are sent wait for Uncork
-	corked  []*Conn // on these
+	host     Host
+	connect  time.Duration // time-out
+	once     time.Duration // see holdTime
+	scratch  []byte
+	buffers  sync.Pool
+	readers  sync.Pool // of connections to caches
+	seed     maphash.Seed
+	corking  bool          // reads that are sent wait for Uncork
+	corked   []*Conn       // on these
+	corkedAt time.Duration // when the first of them was
 }
 
 // New makes a Set.
@@ -138,6 +140,9 @@
 // SetHold changes how long the last byte of a write is held back, for tests.
 func (s *Set) SetHold(d time.Duration) { s.once = d }
 
+// LeastDeadline is the least that a member is told to have. What has less left is not sent.
+const LeastDeadline = time.Millisecond
+
 // Exchange sends a message to a member that is ready. Its outcome comes by its Client, for its time's end too.
 func (s *Set) Exchange(m *Member, x *Exchange) {
 	x.m, x.end = m, -1
@@ -198,6 +203,9 @@
 	}
 }
 
+// corkTime is how long what is corked may be held back. Its deadline was told when it was written.
+const corkTime = 5 * time.Millisecond
+
 // Cork holds back reads that are sent to caches until Uncork, in the same event under the lock, so that those on one connection go out
 // together.
 func (s *Set) Cork() { s.corking = true }
@@ -205,6 +213,22 @@
 // Uncork sends what was held back.
 func (s *Set) Uncork() {
 	s.corking = false
+	s.flushCorked()
+}
+
+// cork has a read on a connection held back, and sends what was held back too long before it.
+func (s *Set) cork(u *Conn, now time.Duration) {
+	if len(s.corked) > 0 && now-s.corkedAt > corkTime {
+		s.flushCorked()
+	}
+	if len(s.corked) == 0 {
+		s.corkedAt = now
+	}
+	u.w.Cork()
+	s.corked = append(s.corked, u)
+}
+
+func (s *Set) flushCorked() {
 	for i, u := range s.corked {
 		u.w.Uncork()
 		s.corked[i] = nil
@@ -229,6 +253,8 @@
 
 func (a actions) End(x *Exchange, v pool.Verdict) { x.ended(statusFor(v), 0) }
 
+func (a actions) Expired(x *Exchange) bool { return x.Until-a.s.host.Clock() < LeastDeadline }
+
 func (a actions) Room(make bool) bool { return a.s.host.Spare(make) }
 
 func (a actions) ConnectBy(x *Exchange, at time.Duration) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -730,7 +730,7 @@
 
 // maySend is the one guard of every send: drains, the attempts allowed, and effects that must not double.
 func (b *Balancer) maySend(f *flight, n *node) bool {
-	if f.done || f.stream || n.m.State != Ready || f.sent() >= f.tries || b.now >= f.Deadline {
+	if f.done || f.stream || n.m.State != Ready || f.sent() >= f.tries || b.now+b.slack() >= f.Deadline {
 		return false
 	}
 	if f.out != 0 && !b.s.SecondCopies || f.Only != nil && !slices.Contains(f.Only, n.m.ID) ||
