Accept goes on after every error but its listener's own; tests of dating requests

Any but EMFILE, ENFILE, ECONNABORTED and EINTR ended the whole proxy. Change: acceptFaultOf names what an error asks for, in a module without I/O; short resources wait with a bounded backoff, a connection lost on the way does not, and a run of those does. What stands in line meanwhile is dated by that.

--- a/internal/arrival/arrival.go
+++ b/internal/arrival/arrival.go
@@ -51,9 +51,9 @@
 	longEvent = 5 * time.Millisecond
 	// readAfter is how long after it was held up a process may still be reading what has come meanwhile.
 	readAfter = 20 * time.Millisecond
-	// longestStall bounds how far back stalls that follow one another are taken for one. On a core that is short for good each of them is
-	// near the next, and requests would be dated ever earlier.
-	longestStall = 250 * time.Millisecond
+	// mergedMost bounds by how much stalls that follow one another, taken for one, are longer than the longest of them. On a core that is short
+	// for good each is near the next, and requests would be dated ever earlier.
+	mergedMost = 250 * time.Millisecond
 )
 
 // Stalls remembers when the process was last held up and read nothing. The zero value knows of none.
@@ -62,6 +62,7 @@
 	Gap time.Duration
 
 	from, until time.Duration
+	longest     time.Duration // of the stalls that are taken for this one
 }
 
 // Between notes that no event has come from one time to another.
@@ -79,10 +80,12 @@
 }
 
 func (s *Stalls) note(from, until time.Duration) {
+	longest := until - from
 	if s.until > 0 && from <= s.until+readAfter {
-		from = max(min(from, until-longestStall), s.from)
+		longest = max(longest, s.longest)
+		from = max(s.from, until-longest-mergedMost)
 	}
-	s.from, s.until = from, until
+	s.from, s.until, s.longest = from, until, longest
 }
 
 // Earliest is when bytes that were read at a time may have come.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -218,6 +218,22 @@
 	}
 }
 
+// A request whose time is over by the time a connection is there for it is not sent, however late the event that brings the connection began:
+// the next one has it.
+func TestExpiredInLineIsNotSent(t *testing.T) {
+	w := newWorld(t, usual)
+	m := &Member[*fake]{Ready: true}
+	late := &fake{Request: Request{Until: w.now + time.Millisecond}, n: 1}
+	next := &fake{Request: Request{Until: w.now + time.Hour}, n: 2}
+	w.p.Place(m, late)
+	w.p.Place(m, next)
+	w.now += time.Second // the pool has not been told
+	l := w.connect(0, true)
+	if len(late.verdict) != 1 || len(l.sent) != 1 || l.sent[0] != next || len(m.Waiting) != 0 {
+		t.Errorf("verdict %v, sent %v, %d in line", late.verdict, l.sent, len(m.Waiting))
+	}
+}
+
 // A member that drains with a line before it gets nothing of the line.
 func TestDrainEndsTheLine(t *testing.T) {
 	w := newWorld(t, usual)
--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -12,10 +13,14 @@
 	"testing"
 	"time"
 
+	"linenloom/internal/arrival"
+	"linenloom/internal/discovery"
 	"linenloom/internal/joining"
 	"linenloom/internal/manykeys"
+	"linenloom/internal/pool"
 	"linenloom/internal/resp"
 	"linenloom/internal/standin"
+	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
 
@@ -46,8 +51,8 @@
 	})
 }
 
-// serve is a cache's side of one connection, whose deadlines are checked: it has everything.
-func (w *deadlineWatch) serve(name string, conn net.Conn) {
+// serve is a cache's side of one connection, whose deadlines are checked: it has everything. Their texts are told, if somebody wants them.
+func (w *deadlineWatch) serve(name string, conn net.Conn, told chan<- string) {
 	in := resp.NewReader(conn, 4096)
 	for {
 		command, err := readCommand(in)
@@ -55,6 +60,10 @@
 			return
 		}
 		w.Told(name, command[2], command[3])
+		if told != nil {
+			_, deadline, _ := strings.Cut(command[3], ",d=")
+			told <- deadline
+		}
 		if _, err := io.WriteString(conn, hit("value of "+command[1])); err != nil {
 			return
 		}
@@ -230,7 +239,7 @@
 		return false
 	})
 	w.advance(p, 5*time.Second)
-	d.Serve(func(conn net.Conn) { w.serve("s-1", conn) })
+	d.Serve(func(conn net.Conn) { w.serve("s-1", conn, nil) })
 	all := make(chan struct{})
 	go func() {
 		defer close(all)
@@ -247,6 +256,70 @@
 	}
 }
 
+// Commands that came while their connection's reader waited are dated by the wait, and those that came after it by themselves.
+func TestCommandsSentDuringAWaitKeepTheirTime(t *testing.T) {
+	cfg := leaving(false)
+	cfg.Settings.TryLimit = 1
+	w := watchDeadlines(t, &cfg)
+	d, err := standin.NewDoor()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { d.Close() })
+	told := make(chan string, 10*maxPipeline)
+	p := start(t, cfg, entry("s-1", d.Addr().String(), "large"))
+	client := p.dial()
+	send := func(from, to int) {
+		var text strings.Builder
+		for i := from; i < to; i++ {
+			text.WriteString(w.get(fmt.Sprint("k", i), fmt.Sprint("id", i), 15_000))
+		}
+		client.send(text.String())
+	}
+	const during = 10
+	send(0, maxPipeline)
+	p.eventually("its reader waits", func() bool {
+		for c := range p.redis.clients {
+			return c.resume != nil
+		}
+		return false
+	})
+	send(maxPipeline, maxPipeline+during)
+	p.eventually("the rest has come", func() bool {
+		for c := range p.redis.clients {
+			return !c.quiet()
+		}
+		return false
+	})
+	w.advance(p, 5*time.Second)
+	d.Serve(func(conn net.Conn) { w.serve("s-1", conn, told) })
+	all := make(chan struct{})
+	go func() {
+		defer close(all)
+		for range maxPipeline + during {
+			client.answer()
+		}
+	}()
+	w.passing(p, 9*time.Second, "the answers", all)
+	for len(told) > 0 {
+		<-told
+	}
+	p.eventually("its reader reads", func() bool {
+		for c := range p.redis.clients {
+			return c.resume == nil && len(c.pending) == 0
+		}
+		return false
+	})
+	w.advance(p, 3*time.Second)
+	send(maxPipeline+during, maxPipeline+during+1)
+	last := make(chan struct{})
+	go func() { defer close(last); client.answer() }()
+	w.passing(p, 9*time.Second, "the last answer", last)
+	if n, err := strconv.Atoi(<-told); err != nil || n < 14_000 {
+		t.Errorf("a command that came by itself was told %d ms of 15,000, %v", n, err)
+	}
+}
+
 // A connection may have stood in the listener's line, with a command on it, before the proxy took its first client.
 func TestConnectionsInLineAtTheStartKeepTheirTime(t *testing.T) {
 	cfg := leaving(false)
@@ -408,6 +481,96 @@
 	w.wantAttempts(1, true)
 }
 
+// A process that was held up dates what it reads right afterwards by when it may have come: in the midst of an event, and between two.
+func TestStallsDateRequests(t *testing.T) {
+	p := &Proxy{cfg: Config{}, started: time.Now().Add(-time.Minute), ups: upstream.New(pool.Config{}, nil)}
+	p.stalls.Gap = stallGap
+	p.timers = newTimers(time.Millisecond, p.Clock())
+	p.timer = time.AfterFunc(time.Hour, func() {})
+	p.now = p.Clock()
+	p.wakeAt = p.now
+	p.enter()
+	began := p.began
+	for p.Clock()-began < 20*time.Millisecond { // the event takes its time
+		time.Sleep(time.Millisecond)
+	}
+	p.leave()
+	p.enter()
+	if got := p.arrivedAt(p.now); got != began {
+		t.Errorf("read right after an event that took long, dated %v after it began", got-began)
+	}
+	last := p.now - time.Second
+	p.now, p.stalls = last, arrival.Stalls{Gap: stallGap} // nothing has happened for a second
+	p.mu.Unlock()
+	p.enter()
+	if got := p.arrivedAt(p.now); got != last {
+		t.Errorf("read right after a long pause, dated %v after it began", got-last)
+	}
+	if got := p.arrivedAt(p.now + time.Hour); got != last {
+		t.Errorf("what is dated ahead counts as %v after the pause began", got-last)
+	}
+	if got := p.arrivedAt(0); got != p.now {
+		t.Errorf("what has no date counts as %v ago", p.now-got)
+	}
+	p.mu.Unlock()
+}
+
+// Many proxies before members they share, each held up by a seed between choosing a member and writing to it, with reads that miss, fail, are
+// turned away and time out: no member is told of more than is left.
+func TestManyHeldUpProxiesTellWhatIsLeft(t *testing.T) {
+	const proxies, rounds, pauseMost = 24, 12, 150 * time.Millisecond
+	var now atomic.Int64
+	clock := func() time.Duration { return time.Duration(now.Load()) }
+	w := &deadlineWatch{t: t, Deadlines: standin.Deadlines{Now: clock}}
+	var seed atomic.Uint64
+	answers := []string{miss, "-ERR failed\r\n", "-BUSY\r\n", hit("value"), miss}
+	answer := func(asked) string {
+		return answers[rand.New(rand.NewPCG(54, seed.Add(1))).IntN(len(answers))]
+	}
+	members := []discovery.Member{entry("s-1", w.cache("s-1", answer), "large"), entry("s-2", w.cache("s-2", answer), "large"),
+		entry("o-1", w.origin(func(*http.Request) string { return page("value") }), "origin")}
+	var all []*testProxy
+	w.advance = func(_ *testProxy, d time.Duration) {
+		now.Add(int64(d))
+		for _, p := range all {
+			p.Tick()
+		}
+	}
+	var pauses atomic.Bool
+	for i := range proxies {
+		cfg := testConfig()
+		cfg.Seed, cfg.Clock = uint64(i), clock
+		rng := rand.New(rand.NewPCG(54, uint64(i)<<32))
+		cfg.OnSend = func(logic.RequestID, logic.MemberID) {
+			if pauses.Load() { // only this proxy has anything under way
+				now.Add(1 + rng.Int64N(int64(pauseMost)))
+			}
+		}
+		all = append(all, start(t, cfg, members...))
+	}
+	pauses.Store(true)
+	asked := 0
+	for round := range rounds {
+		for i, p := range all {
+			client := p.dial()
+			id := fmt.Sprintf("id-%d-%d", round, i)
+			client.send(w.get(fmt.Sprint("k", round*proxies+i), id, 8000))
+			asked++
+			has := make(chan struct{})
+			go func() { defer close(has); client.answer() }()
+			w.passing(p, 8*time.Second, "the answer", has)
+			client.conn.Close()
+		}
+	}
+	first, further := w.Attempts()
+	if first > asked || first < asked/2 || further == 0 {
+		t.Errorf("%d first attempts and %d further ones of %d reads", first, further, asked)
+	}
+	for _, v := range w.Violations() {
+		t.Error(v)
+	}
+}
+
 // What a client says of its deadline, and what its server is told.
 func TestDeadlineThatClientsGive(t *testing.T) {
 	for text, want := range map[string]struct {
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -10,7 +10,6 @@
 	"os"
 	"runtime"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"linenloom/internal/arrival"
@@ -328,32 +327,22 @@
 func (f *redisFront) accept() error {
 	p := f.p
 	p.Do(f.lookAtLine)
+	failures := 0
 	for {
 		conn, err := f.listen.AcceptTCP()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil && (errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)) {
-			// What the kernel has taken must be answered: make room and take it.
-			p.enter()
-			if f.waited == 0 {
-				f.waited = p.now
-			}
-			p.makeRoom()
-			p.leave()
-			time.Sleep(time.Millisecond)
-			continue
-		}
-		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() {
-			return nil // drain's way to say that the backlog is empty
-		}
 		if err != nil {
-			if errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EINTR) {
-				continue
+			failures++
+			switch fault := acceptFaultOf(err); fault {
+			case acceptOver:
+				return nil
+			case acceptBroken:
+				return fmt.Errorf("accept: %w", err)
+			default:
+				f.awaitAccept(fault, failures)
 			}
-			return fmt.Errorf("accept: %w", err)
+			continue
 		}
+		failures = 0
 		p.enter()
 		c, err := f.newClient(conn)
 		f.lookAtLine()
@@ -366,6 +355,23 @@
 	}
 }
 
+// awaitAccept waits until accept may do better, after so many failures in a row. What stands in line meanwhile is dated by when it may have come.
+func (f *redisFront) awaitAccept(fault acceptFault, failures int) {
+	if fault == acceptAgain && failures < acceptTries {
+		return
+	}
+	p := f.p
+	p.enter()
+	if f.waited == 0 {
+		f.waited = p.now
+	}
+	if fault == acceptShort {
+		p.makeRoom() // what the kernel has taken must be answered
+	}
+	p.leave()
+	time.Sleep(acceptBackoff(failures))
+}
+
 // newClient takes a connection in; nil, if there is no room for it.
 func (f *redisFront) newClient(conn *net.TCPConn) (*client, error) {
 	p := f.p
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -67,6 +67,25 @@
 	h.check()
 }
 
+// A request that is to be answered before any member could answer it is not begun.
+func TestTooLittleTimeIsNotBegun(t *testing.T) {
+	for name, ask := range map[string]Request{
+		"a read":   {Key: 5},
+		"an order": {Key: 5, Class: 1, Write: true},
+	} {
+		h := newHost(t, testSettings(), 1)
+		h.members(ListCached, withOrigin(3)...)
+		ask.ID, ask.Deadline = 1, h.now+h.b.slack()
+		if a := h.ask(ask); len(a.sent) != 0 || a.answered != 1 {
+			t.Errorf("%s: sent %+v, answered %d times", name, a.sent, a.answered)
+		}
+		ask.ID, ask.Deadline = 2, h.now+h.b.slack()+ms
+		if a := h.ask(ask); len(a.sent) != 1 {
+			t.Errorf("%s with a little more time: sent %+v", name, a.sent)
+		}
+	}
+}
+
 func TestOnceIsNotRepeatedAfterATimeout(t *testing.T) {
 	h := newHost(t, testSettings(), 1)
 	h.members(ListCached, withOrigin(3)...)
