--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -202,6 +202,45 @@
 	})
 }
 
+// A request in hand keeps the deadline that it came with when the classes change between two of its attempts.
+func TestDeadlineOutlivesItsClass(t *testing.T) {
+	for _, deadline := range []time.Duration{5 * time.Second, 60 * time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			cfg := testConfig()
+			w := watchDeadlines(t, &cfg)
+			came, release := make(chan struct{}, 10), make(chan struct{})
+			node := w.cache("s-1", func(asked) string {
+				came <- struct{}{}
+				<-release
+				return miss
+			})
+			told := make(chan string, 1)
+			o := w.origin(func(r *http.Request) string {
+				told <- r.Header.Get("X-Attrs")
+				return page("value")
+			})
+			p := start(t, cfg, entry("s-1", node, "large"), entry("o-1", o, "origin"))
+			client := p.dial()
+			client.send(w.get("a1", "id", 8000))
+			<-came
+			w.advance(p, 2*time.Second)
+			classes := slices.Clone(cfg.Settings.Classes)
+			for i := range classes {
+				classes[i].Deadline = deadline
+			}
+			if err := p.Retune(classes, cfg.Settings.TryLimit); err != nil {
+				t.Fatal(err)
+			}
+			close(release)
+			w.passing(p, 5*time.Second, "the answer", answered(client, "value"))
+			_, text, _ := strings.Cut(<-told, ",d=")
+			if ms, err := strconv.Atoi(text); err != nil || ms < 5500 || ms > 6000 {
+				t.Errorf("the origin was told %q, want what is left of 8000 after 2 s", text)
+			}
+		})
+	}
+}
+
 // answered tells once a client has had the answer that it is to have.
 func answered(c *testClient, want string) <-chan struct{} {
 	has := make(chan struct{})
@@ -609,6 +648,7 @@
 		"d=4000,d=5000":        {answer: "-ERR"},
 		"t=acme":               {answer: "-ERR"},
 		"d=4000,size=7,t=acme": {told: 4000},
+		"d=4000,r=1":           {told: 4000}, // a client's own retry has a deadline of its own
 	} {
 		for _, c := range []struct{ name, class string }{{"OBJ.GET", "tile-read"}, {"OBJ.SET", "pass-order"}} {
 			t.Run(c.name+" "+text[:min(len(text), 20)], func(t *testing.T) {
