--- a/internal/standin/deadlines_test.go
+++ b/internal/standin/deadlines_test.go
@@ -17,16 +17,16 @@
 		want      string // in the violation; "": there is none
 		unordered bool   // the servers report first
 	}{
-		"as much as is left":         {sent: "c=read,d=1000", told: []string{"c=read,d=600"}, after: 400 * ms},
-		"within the slack":           {sent: "d=1000", told: []string{"d=750"}, after: 400 * ms},
-		"over the slack":             {sent: "d=1000", told: []string{"d=751"}, after: 400 * ms, want: "attempt 1 of request id: told 751ms, and its client has 600ms left"},
-		"a further attempt":          {sent: "d=1000", told: []string{"d=100", "d=1000"}, after: 400 * ms, want: "attempt 2 of request id"},
-		"a client's retry":           {sent: "r=1,d=1000", told: []string{"d=1000,r=1"}, after: 400 * ms, want: "attempt 1 of client's retry id"},
-		"just over":                  {sent: "d=1000", told: []string{"d=1"}, after: 1149 * ms},
-		"over for longer":            {sent: "d=1000", told: []string{"d=1"}, after: 1150 * ms, want: "-150ms left"},
-		"a fraction":                 {sent: "d=1000.5", told: []string{"d=750.6"}, after: 400 * ms, want: "told 750.6ms"},
-		"no deadline told":           {sent: "d=1000", told: []string{"c=read"}, after: 5000 * ms},
-		"the servers report first":   {sent: "d=1000", told: []string{"d=1200"}, unordered: true, want: "told 1.2s"},
+		"as much as is left":       {sent: "c=read,d=1000", told: []string{"c=read,d=600"}, after: 400 * ms},
+		"within the slack":         {sent: "d=1000", told: []string{"d=750"}, after: 400 * ms},
+		"over the slack":           {sent: "d=1000", told: []string{"d=751"}, after: 400 * ms, want: "attempt 1 of request id: told 751ms, and its client has 600ms left"},
+		"a further attempt":        {sent: "d=1000", told: []string{"d=100", "d=1000"}, after: 400 * ms, want: "attempt 2 of request id"},
+		"a client's retry":         {sent: "r=1,d=1000", told: []string{"d=1000,r=1"}, after: 400 * ms, want: "attempt 1 of client's retry id"},
+		"just over":                {sent: "d=1000", told: []string{"d=1"}, after: 1149 * ms},
+		"over for longer":          {sent: "d=1000", told: []string{"d=1"}, after: 1150 * ms, want: "-150ms left"},
+		"a fraction":               {sent: "d=1000.5", told: []string{"d=750.6"}, after: 400 * ms, want: "told 750.6ms"},
+		"no deadline told":         {sent: "d=1000", told: []string{"c=read"}, after: 5000 * ms},
+		"the servers report first": {sent: "d=1000", told: []string{"d=1200"}, unordered: true, want: "told 1.2s"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Duration(0)
