--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -256,11 +256,8 @@
 		lr.Only = p.named(r.Only)
 	}
 	class := &p.cfg.Settings.Classes[lr.Class]
-	r.class, r.tenant, r.effect = lr.Class, lr.Tenant, class.Effect
-	if r.effect == logic.ByKey && lr.Unkeyed {
-		r.effect = logic.Once // whoever gets a repeat could not tell that it is one
-	}
-	r.again = r.effect == logic.Repeatable || r.effect == logic.ByKey && class.Scope == logic.ScopeAll
+	r.class, r.tenant, r.effect = lr.Class, lr.Tenant, class.EffectOf(lr.Unkeyed)
+	r.again = class.RepeatIsHarmless(r.effect)
 	lr.Deadline += p.arrivedAt(r.Arrived)
 	r.deadline = lr.Deadline
 	p.requests[r.id] = r
--- a/logic/api.go
+++ b/logic/api.go
@@ -97,6 +97,20 @@
 	Stream     bool
 }
 
+// EffectOf is the effect of a request of the class. A keyed one that lacks its key must not run twice: whoever gets a repeat could not tell that
+// it is one.
+func (c *Class) EffectOf(unkeyed bool) Effect {
+	if c.Effect == ByKey && unkeyed {
+		return Once
+	}
+	return c.Effect
+}
+
+// RepeatIsHarmless tells whether a request of the class with this effect may be asked for again by its client, whatever has become of it.
+func (c *Class) RepeatIsHarmless(effect Effect) bool {
+	return effect == Repeatable || effect == ByKey && c.Scope == ScopeAll
+}
+
 // ClassNames are the names of classes, in their order.
 func ClassNames(classes []Class) []string {
 	names := make([]string, len(classes))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -505,7 +505,7 @@
 // classOf takes an unknown class, and a keyed request that lacks its key, for the strictest kind, so that it is never lost or run twice.
 func (b *Balancer) classOf(r *Request) *Class {
 	i := max(0, min(r.Class, len(b.s.Classes)-1))
-	if c := &b.s.Classes[i]; i == r.Class && !(c.Effect == ByKey && r.Unkeyed) {
+	if c := &b.s.Classes[i]; i == r.Class && c.EffectOf(r.Unkeyed) == c.Effect {
 		return c
 	}
 	c := b.s.Classes[i]
@@ -749,7 +749,7 @@
 
 // mayRefuse tells whether the client may be told that a retry is harmless.
 func (b *Balancer) mayRefuse(f *flight) bool {
-	return f.ran == 0 || f.class.Effect == Repeatable || f.class.Effect == ByKey && f.class.Scope == ScopeAll
+	return f.ran == 0 || f.class.RepeatIsHarmless(f.class.Effect)
 }
 
 // coldRoom keeps this proxy's part of the cold budget: its share of the fleet's requests for the member's size and warmth, times a part of
