--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -382,6 +382,44 @@
 	w.wantAttempts(1, false)
 }
 
+// What stood in line while the proxy had no descriptor for it is dated by that, and what comes later by itself.
+func TestConnectionsInLineForADescriptorKeepTheirTime(t *testing.T) {
+	cfg := leaving(false)
+	cfg.Settings.TryLimit = 1
+	w := watchDeadlines(t, &cfg)
+	told := make(chan string, 10)
+	p := start(t, cfg, entry("s-1", w.cache("s-1", func(a asked) string {
+		_, deadline, _ := strings.Cut(a.attrs, ",d=")
+		told <- deadline
+		return hit("value of " + a.key)
+	}), "large"))
+	ask := func(id string) int {
+		p.enter() // so that nobody is taken before the command has come
+		client := p.dial()
+		client.send(w.get("k", id, 15_000))
+		p.leave()
+		if got := client.answer(); got != "value of k" {
+			t.Fatalf("answered %q", got)
+		}
+		ms, err := strconv.Atoi(<-told)
+		if err != nil {
+			t.Error(err)
+		}
+		return ms
+	}
+	ask("first") // from here on connections are taken as they come
+	p.redis.awaitAccept(acceptShort, 1)
+	w.advance(p, 2*time.Second)
+	if ms := ask("in-line"); ms > 13_000 {
+		t.Errorf("what may have stood in line for 2 s was told %d ms of 15,000", ms)
+	}
+	p.eventually("the line is empty", func() bool { return p.redis.waited == 0 })
+	w.advance(p, 2*time.Second)
+	if ms := ask("later"); ms < 14_500 {
+		t.Errorf("what came by itself was told %d ms of 15,000", ms)
+	}
+}
+
 // Attempts that begin in one event, each held up before its bytes go out, tell their servers what is left when they do go out.
 func TestHeldUpAttemptsTellWhatIsLeft(t *testing.T) {
 	for name, wait := range map[string]time.Duration{
--- /dev/null
+++ b/internal/upstream/cork_test.go
@@ -0,0 +1,96 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"linenloom/internal/pool"
+	"linenloom/logic"
+)
+
+// testHost is a host whose clock the test sets. Nothing in it runs by itself.
+type testHost struct{ now time.Duration }
+
+func (h *testHost) Enter()                            {}
+func (h *testHost) Leave()                            {}
+func (h *testHost) Lock()                             {}
+func (h *testHost) Unlock()                           {}
+func (h *testHost) Hold(int) bool                     { return false }
+func (h *testHost) Now() time.Duration                { return 0 } // of the event
+func (h *testHost) Clock() time.Duration              { return h.now }
+func (h *testHost) Do(f func())                       { f() }
+func (h *testHost) At(Due)                            {}
+func (h *testHost) WakeAt(time.Duration)              {}
+func (h *testHost) Spare(bool) bool                   { return true }
+func (h *testHost) LongRoom(int, time.Duration) Place { return nil }
+func (h *testHost) Served([]byte)                     {}
+func (h *testHost) Pass(int) Passer                   { return nil }
+func (h *testHost) Deadline() time.Duration           { return time.Minute }
+func (h *testHost) Done(logic.Status, int)            {}
+
+// tcpPair is both ends of a connection.
+func tcpPair(t *testing.T) (near *net.TCPConn, far net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if far, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close(); far.Close() })
+	far.SetDeadline(time.Now().Add(20 * time.Second))
+	return conn.(*net.TCPConn), far
+}
+
+// What is corked was told its deadline as it was written: when the next read comes some time later in the same event, it goes out first.
+func TestCorkedReadsAreNotHeldForLong(t *testing.T) {
+	for name, c := range map[string]struct {
+		later time.Duration
+		want  bool // the first read is out before Uncork
+	}{
+		"at once":    {corkTime, false},
+		"held up":    {corkTime + time.Millisecond, true},
+		"for longer": {time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &testHost{}
+			s := New(pool.Config{}, h)
+			near, far := tcpPair(t)
+			conn, err := s.newConn(&Member{}, near)
+			if err != nil {
+				t.Fatal(err)
+			}
+			send := func(id string) {
+				x := &Exchange{Request: pool.Request{Until: 3 * time.Second}, By: h,
+					Msg: &Message{Key: []byte("k"), ReqID: []byte(id), Attrs: []byte("c=read,d=8000")}}
+				conn.Send(x)
+			}
+			s.Cork()
+			send("first")
+			h.now = c.later
+			send("second")
+			if out := conn.w.Taken() > 0 && !conn.unsent(&Exchange{end: 1}); out != c.want {
+				t.Errorf("the first read is out: %v, want %v", out, c.want)
+			}
+			s.Uncork()
+			near.CloseWrite()
+			text, err := io.ReadAll(far)
+			if err != nil {
+				t.Fatal(err)
+			}
+			first, second, _ := strings.Cut(string(text), "second")
+			if !strings.Contains(first, "d=3000") || !strings.Contains(second, "d="+strings.TrimSuffix((3*time.Second - c.later).String(), "s")[:1]) {
+				t.Errorf("sent %q", text)
+			}
+		})
+	}
+}
