Servers are told until when an answer is of use, which is before the client's deadline

Beside a hold-up of the full 0.15 s nothing was left for the way to the server. Change: Conn.deadlineFor takes Client.AnswerBy; joinSlack is answerSlack, for all requests. Result: the tests of deadlines, joining and upstream pass.

--- a/internal/proxy/join.go
+++ b/internal/proxy/join.go
@@ -79,7 +79,7 @@
 		r.join = &joined{lr: lr}
 		p.joined.Followed++
 		p.reasons.Add(reasons.Waited, r.class, r.tenant, logic.SharedFetch)
-		p.timers.pushToken(p.now, max(p.now, lr.Deadline-p.joinSlack()), uint64(r.id)<<3|tickJoin)
+		p.timers.pushToken(p.now, max(p.now, lr.Deadline-p.answerSlack()), uint64(r.id)<<3|tickJoin)
 		return true
 	case joining.Lead:
 		r.join = &joined{lr: lr, lead: true}
@@ -90,8 +90,8 @@
 	return false
 }
 
-// joinSlack is how early a follower is answered, so that it is in time.
-func (p *Proxy) joinSlack() time.Duration { return 2*p.cfg.Settings.Tick + time.Millisecond }
+// answerSlack is how early a request is answered whose time runs out, so that it is in time though events are late. The module takes as long.
+func (p *Proxy) answerSlack() time.Duration { return 2*p.cfg.Settings.Tick + time.Millisecond }
 
 // namesOf is what a list says beside what may differ between reads that get the same answer: how long they wait, who asks, what it
 // is thought to cost, whether it is asked again.
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -101,7 +101,7 @@
 	}
 	r.rec = &recorded{name: o.Name, lr: lr}
 	p.recorded++
-	p.timers.pushToken(p.now, max(p.now, r.deadline-p.joinSlack()), uint64(r.id)<<3|tickJoin)
+	p.timers.pushToken(p.now, max(p.now, r.deadline-p.answerSlack()), uint64(r.id)<<3|tickJoin)
 	p.cfg.Record.Take(o, func(v orders.Verdict, receipt []byte, err error) {
 		p.Do(func() { p.taken(r, v, receipt, err) })
 	})
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -79,6 +79,9 @@
 // Deadline is the client's.
 func (a *attempt) Deadline() time.Duration { return a.req.deadlineNow() }
 
+// AnswerBy is when the client is answered at the latest.
+func (a *attempt) AnswerBy() time.Duration { return a.req.deadlineNow() - a.req.p.answerSlack() }
+
 // deadlineNow is until when somebody waits for the request. It is its client's deadline, and where that has left and others share the
 // answer, the latest of theirs. Whatever a member or caller is told of a deadline comes from here.
 func (r *Request) deadlineNow() time.Duration {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -117,12 +117,12 @@
 }
 
 // deadlineFor is until when a member is told that it has for an exchange. A cache is told how long it is waited for. What an origin finds is
-// stored whether anybody still waits for the attempt or not: it is told how long the client waits.
+// stored whether anybody still waits for the attempt or not: it is told how long the client can be answered.
 func (u *Conn) deadlineFor(x *Exchange) time.Duration {
 	if u.M.Origin {
-		return x.By.Deadline()
+		return x.By.AnswerBy()
 	}
-	return x.Until
+	return min(x.Until, x.By.AnswerBy())
 }
 
 // release writes the byte that Send has held back, if the connection still stands; else its reader tells that
--- a/internal/upstream/cork_test.go
+++ b/internal/upstream/cork_test.go
@@ -29,6 +29,7 @@
 func (h *testHost) Served([]byte)                     {}
 func (h *testHost) Pass(int) Passer                   { return nil }
 func (h *testHost) Deadline() time.Duration           { return time.Minute }
+func (h *testHost) AnswerBy() time.Duration           { return time.Minute }
 func (h *testHost) Done(logic.Status, int)            {}
 
 // tcpPair is both ends of a connection.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -52,6 +52,8 @@
 	Pass(n int) Passer
 	// Deadline is its client's, which a value that is passed on may take until.
 	Deadline() time.Duration
+	// AnswerBy is when its client is answered at the latest: what a member has to say later is of no use to it.
+	AnswerBy() time.Duration
 	// Done is the exchange's one outcome. It has to set Ended.
 	Done(s logic.Status, note int)
 }
