A request that nobody follows has its own deadline, whoever takes its answer

Need: deadlineNow asked the table of joined reads where there is none; only tests give such a request nobody for a taker (a panic under the race detector, in the tests of long values).

--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -85,7 +85,7 @@
 // deadlineNow is until when somebody waits for the request. It is its client's deadline, and where that has left and others share the
 // answer, the latest of theirs. Whatever a member or caller is told of a deadline comes from here.
 func (r *Request) deadlineNow() time.Duration {
-	if r.Taker == (nobody{}) {
+	if r.join != nil && r.Taker == (nobody{}) {
 		return min(r.deadline, r.p.joins.Until(r.id))
 	}
 	return r.deadline
