--- /dev/null
+++ b/internal/knownred/cmd/main_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// project writes a project of two packages, in each of which TestSame passes or fails, and goes there.
+func project(t *testing.T, list string, fails map[string]bool) {
+	t.Helper()
+	dir := t.TempDir()
+	write := func(name, text string) {
+		t.Helper()
+		path := filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("go.mod", "module example\n\ngo 1.26\n")
+	write(listPath, list)
+	for _, name := range []string{"a", "b"} {
+		body := ""
+		if fails[name] {
+			body = "t.Fatal(\"a fault\")"
+		}
+		write(name+"/x_test.go", "package "+name+"\n\nimport \"testing\"\n\nfunc TestSame(t *testing.T) { "+body+" }\n\nfunc TestOther(t *testing.T) {}\n")
+	}
+	t.Chdir(dir)
+}
+
+// The run passes only if the listed test fails, and no other does.
+func TestRun(t *testing.T) {
+	const listed = "./a TestSame | a cause | issue 1\n"
+	for name, c := range map[string]struct {
+		list  string
+		fails map[string]bool
+		want  string // in the error; "": there is none
+	}{
+		"it fails as known":            {listed, map[string]bool{"a": true}, ""},
+		"it passes":                    {listed, nil, "TestSame passes: take it off the list"},
+		"it is not there":              {"./a TestGone | a cause | issue 1\n", nil, "TestGone is no test"},
+		"its namesake elsewhere fails": {listed, map[string]bool{"a": true, "b": true}, "go test"},
+		"a line that can't be read":    {"./a TestSame\n", nil, "line 1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			project(t, c.list, c.fails)
+			err := run()
+			if (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+				t.Errorf("%v, want %q", err, c.want)
+			}
+		})
+	}
+}
