Test: processes hand over to others while deadlines are watched

Need: a process that takes over dates what it takes by its own listener; no process test showed it. Change: every tenth pause of the test with six proxies upgrades one.

--- a/internal/cluster/deadlines_test.go
+++ b/internal/cluster/deadlines_test.go
@@ -11,8 +11,8 @@
 // pauseMost is for how long a process may be held up at the most.
 const pauseMost = 150 * time.Millisecond
 
-// A handful of processes that are held up now and then, before caches that stay silent, turn requests away or miss: no member is told of a longer
-// deadline than its client has left, at the first attempt or a further one.
+// A handful of processes that are held up now and then, some of which hand over to others meanwhile, before caches that stay silent, turn requests
+// away or miss: no member is told of a longer deadline than its client has left, at the first attempt or a further one.
 func TestNoMemberIsToldOfMoreThanIsLeft(t *testing.T) {
 	t.Parallel()
 	deadlines := &standin.Deadlines{}
@@ -24,8 +24,13 @@
 		b.Drop()
 	}
 	rng := rand.New(rand.NewPCG(54, 0))
-	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); {
+	for turn, end := 0, time.Now().Add(6*time.Second); time.Now().Before(end); turn++ {
 		p := s.Proxies[rng.IntN(len(s.Proxies))]
+		if turn%10 == 5 {
+			if err := p.Upgrade(); err != nil {
+				t.Fatal(err)
+			}
+		}
 		p.Pause()
 		s.run(time.Duration(1 + rng.Int64N(int64(pauseMost))))
 		p.Continue()
