--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -234,6 +234,20 @@
 	}
 }
 
+// A request that gets its connection a few milliseconds before its own time is up is not sent: it would be given up at once and sent elsewhere,
+// and the members may hear of the second attempt first, which is two at a time.
+func TestLittleTimeInLineIsNotSent(t *testing.T) {
+	w := newWorld(t, usual)
+	m := &Member[*fake]{Ready: true}
+	x := &fake{Request: Request{Until: w.now + 120*time.Millisecond}, n: 1}
+	w.p.Place(m, x)
+	w.now += 115 * time.Millisecond
+	w.p.Advance(w.now)
+	if l := w.connect(0, true); len(l.sent) != 0 || len(x.verdict) != 1 {
+		t.Errorf("sent %v with 5 ms left, verdict %v", l.sent, x.verdict)
+	}
+}
+
 // A member that drains with a line before it gets nothing of the line.
 func TestDrainEndsTheLine(t *testing.T) {
 	w := newWorld(t, usual)
