Rig: a cluster's requests carry its own name, and the checker leaves others alone

Need: the process test of deadlines failed once in twenty beside another test run: boxes were asked under ids of another cluster, which no client of this one had sent. Ports are used again, and the ids were alike in all clusters. Change: ids begin with the cluster's network, and Deadlines looks at its own prefix.

--- a/internal/cluster/clients.go
+++ b/internal/cluster/clients.go
@@ -110,7 +110,7 @@
 		if order {
 			key = fmt.Sprintf("order-%s-%d-%d", p.Name, stream, n)
 		}
-		id := fmt.Sprintf("%s-%d-%d", p.Name, stream, n)
+		id := fmt.Sprintf("%s%s-%d-%d", cl.c.idPrefix(), p.Name, stream, n)
 		g.Go(func() {
 			a := Ask{Proxy: p.Name, Order: order, Key: key, ID: id, At: time.Now()}
 			cl.ask(p, idle, "", &a)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -106,6 +106,7 @@
 	c.Fleet.Origin.SetService(o.Origin, o.OriginPlaces)
 	c.Fleet.Set = o.Set
 	if o.Deadlines != nil {
+		o.Deadlines.Prefix = c.idPrefix()
 		c.Fleet.SetDeadlines(o.Deadlines)
 	}
 	if err := os.WriteFile(filepath.Join(o.Dir, "key"), []byte(keyText+"\n"), 0o600); err != nil {
@@ -132,6 +133,10 @@
 	return fmt.Errorf("cluster: no addresses are free: %w", err)
 }
 
+// idPrefix begins the ids of this cluster's requests. Ports are used again, and a proxy of another cluster on this machine may ask for a moment
+// where one of this one's boxes listens now.
+func (c *Cluster) idPrefix() string { return strings.ReplaceAll(c.net, ".", "-") }
+
 // proxyName is a proxy's name, as it stands at both ends of its links.
 func proxyName(i int) string { return fmt.Sprintf("n%d", i) }
 
--- a/internal/standin/deadlines.go
+++ b/internal/standin/deadlines.go
@@ -19,6 +19,9 @@
 	// Slack is allowed instead of DeadlineSlack, where the servers' own clocks are late as well; 0: DeadlineSlack.
 	Slack time.Duration
 
+	// Prefix begins the ids of the clients' requests. Others are somebody else's, and not looked at.
+	Prefix string
+
 	mu       sync.Mutex
 	started  time.Time
 	requests map[string]clientWait
@@ -67,8 +70,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	told, ok := waitIn(attrs)
-	if !ok {
-		return // it was told of no deadline
+	if !ok || !strings.HasPrefix(id, d.Prefix) {
+		return
 	}
 	if d.counts == nil {
 		d.counts = map[string]int{}
--- a/internal/standin/deadlines_test.go
+++ b/internal/standin/deadlines_test.go
@@ -57,6 +57,11 @@
 	now = time.Second
 	d.Told("s-1", "many/3", "d=1000")
 	d.Told("s-1", "stranger", "d=10")
+	of := Deadlines{Prefix: "own-"}
+	of.Told("s-1", "another's", "d=10")
+	if first, further := of.Attempts(); first+further > 0 {
+		t.Error("requests of others are looked at")
+	}
 	got := strings.Join(d.Violations(), "; ")
 	if !strings.Contains(got, "many/3: told 1s, and its client has 0s left") || !strings.Contains(got, "stranger: no client has sent it") {
 		t.Errorf("violations %q", got)
