-debug logs how each attempt ended, a line each

Need: two attempts of one request that were out at once could not be told from the log, which has no line of attempts. Change: with -debug each attempt's end is one line: when it was begun, how long it waited for its connection, when it was written and with how much of its time left, when and how it ended, and whether it was the first on its connection. Off, it costs one look at a flag.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -78,6 +78,7 @@
 	}
 	flags := flag.NewFlagSet(g.Name, flag.ContinueOnError)
 	path := flags.String("operator", "", "the operator's `FILE`: what is switched on beside the platform's proxy")
+	debugLog := flags.Bool("debug", false, "log how each attempt at a member ended, a line each")
 	flags.Usage = func() { g.usage(flags.Output(), flags) }
 	rest := args
 	if command != "" {
@@ -109,7 +110,11 @@
 		fmt.Fprintf(os.Stderr, "%s: %v\n", g.Name, g.Elsewhere(args))
 		return exitFailed
 	}
-	if err := g.run(file); err != nil {
+	level := slog.LevelInfo
+	if *debugLog {
+		level = slog.LevelDebug
+	}
+	if err := g.run(file, level); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", g.Name, err)
 		var faults operator.Faults
 		if errors.As(err, &faults) {
@@ -176,7 +181,7 @@
 	}
 }
 
-func (g *Program) run(file *operator.File) error {
+func (g *Program) run(file *operator.File, level slog.Level) error {
 	// From the start, so that none of these ends the process by its default. A log that nobody reads any more
 	// must not do so either.
 	signal.Ignore(syscall.SIGPIPE)
@@ -190,7 +195,7 @@
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(heapLimit(cfg.Limits.MemoryMB))
 
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("proxy", cfg.Name)
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("proxy", cfg.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	settings, err := cfg.proxy()
--- /dev/null
+++ b/internal/proxy/attempt_log.go
@@ -0,0 +1,34 @@
+package proxy
+
+import (
+	"time"
+
+	"linenloom/logic"
+)
+
+// logAttempt logs how an attempt ended, where lines of debugging are wanted. One line holds the whole attempt, so that what two attempts of a
+// request were at the same time can be read from their lines alone: when it was begun, how long it waited for its connection, when it was written
+// and with how much of its time left, and when it ended. Times are milliseconds since the start of the process.
+func (p *Proxy) logAttempt(a *attempt, s logic.Status) {
+	if !p.debug {
+		return
+	}
+	r := a.req
+	line := []any{
+		"request", string(r.ReqID), "attempt", a.n, "status", s.String(), "ended_ms", p.sinceStart(p.now),
+		"begun_ms", p.sinceStart(a.sentAt), "client_left_ms", milliseconds(r.deadlineNow() - p.now),
+	}
+	if m := p.members[a.to]; m != nil {
+		line = append(line, "member", m.listed.ID, "zone", m.listed.Locality, "origin", m.Origin)
+	}
+	if a.Began > 0 {
+		line = append(line, "waited_ms", milliseconds(a.Began-a.sentAt), "out_ms", milliseconds(p.now-a.Began),
+			"left_at_write_ms", milliseconds(a.Until-a.Began), "first_on_connection", a.Fresh())
+	}
+	p.log.Debug("attempt", line...)
+}
+
+func (p *Proxy) sinceStart(at time.Duration) float64 { return milliseconds(at - p.offset) }
+
+// milliseconds makes a duration a number that is easily read.
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -86,6 +86,7 @@
 type Proxy struct {
 	cfg   Config
 	log   *slog.Logger
+	debug bool // the log takes lines of debugging
 	redis *redisFront
 
 	mu       sync.Mutex
@@ -141,7 +142,7 @@
 // this proxy listens there already, clients go on going to that one until this one is ready.
 func New(cfg Config, log *slog.Logger) (*Proxy, error) {
 	p := &Proxy{
-		cfg: cfg, log: log, started: time.Now(),
+		cfg: cfg, log: log, debug: log.Enabled(context.Background(), slog.LevelDebug), started: time.Now(),
 		members: map[logic.MemberID]*member{}, requests: map[logic.RequestID]*Request{},
 		ids:     newIDs(),
 		heldMax: heldMax(cfg.MemoryMB), out: cfg.Out, killMost: killMost,
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -131,6 +131,7 @@
 	if a.metered != 0 {
 		p.cfg.Meter.Ended(p.now, a.metered, metered(s), until-since)
 	}
+	p.logAttempt(a, s)
 	p.outcomes = append(p.outcomes, logic.Outcome{
 		Request: r.id, Attempt: int(a.n), Member: a.to, Status: s, Elapsed: until - since, Note: note,
 		Final: r.done, Fresh: a.Fresh(),
