--- /dev/null
+++ b/internal/standin/copies_test.go
@@ -0,0 +1,88 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A read that is given up right after it was written, and repeated at a nearer member, comes there first: the members have two copies of it in
+// hand, though the proxy ended the first before it wrote the second. One that was given up long after it came is no copy any more.
+func TestCopiesCountsAsMembersSeeIt(t *testing.T) {
+	const far = 60 * time.Millisecond
+	for name, c := range map[string]struct {
+		first func(conn net.Conn, c *Copies) // what becomes of the first attempt before the second is written
+		want  int
+	}{
+		"given up at once":          {func(conn net.Conn, _ *Copies) { conn.Close() }, 1},
+		"written, and nothing else": {func(net.Conn, *Copies) {}, 1},
+		"out":                       {func(_ net.Conn, c *Copies) { eventually(func() bool { return c.Came("id") == 1 }) }, 1},
+		"given up once it has come": {func(conn net.Conn, c *Copies) {
+			eventually(func() bool { return c.Came("id") == 1 })
+			conn.Close()
+			eventually(func() bool { return c.Ended("id") == 1 })
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			copies := NewCopies()
+			write := func(delay time.Duration) net.Conn {
+				r, err := NewRelay("member", silent(t), false, delay, delay, copies)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(r.Close)
+				conn, err := net.Dial("tcp", r.Addr())
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { conn.Close() })
+				conn.Write([]byte("*4\r\n$7\r\nOBJ.GET\r\n$1\r\nk\r\n$2\r\nid\r\n$5\r\nd=100\r\n"))
+				return conn
+			}
+			c.first(write(far), copies)
+			write(0)
+			if !eventually(func() bool { return copies.Came("id") == 2 }) {
+				t.Fatal("the attempts never came")
+			}
+			if got := copies.Violations(); len(got) != c.want {
+				t.Errorf("%d second copies, want %d: %s", len(got), c.want, strings.Join(got, "\n"))
+			}
+		})
+	}
+}
+
+// silent is a member that reads everything and answers nothing.
+func silent(t *testing.T) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				io.Copy(io.Discard, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// eventually waits until ok holds; false: it never did.
+func eventually(ok func() bool) bool {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return true
+		}
+	}
+	return false
+}
