A further attempt waits until none before it can still come at a member

Cause: an attempt that is given up may be under way still; the end of its connection does not call back what has gone out. Change: the pool learns the least time that answers take of each member, and says how long a message may be under way (Transit; a part of the connect time-out where nothing is known, and all of it for the first one on a connection). An exchange is not given up before that, however short its time-out was; what waits in line with less left is not sent; and the module makes the next attempt of what was cut off only after that (InTransit), or answers at once where its aim comes sooner. A time-out shorter than the member's quickest answers says nothing of the member. Ruled out: warm attempts in the trace came in time; the client's retries and other processes sent nothing for the request.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -72,11 +72,13 @@
 type Request struct {
 	Until time.Duration // it is given up then
 	Began time.Duration // when it was written, or its turn came on its connection; 0: not yet
-	Write bool
-	Once  bool   // it must never run twice
-	Ended bool   // set by the host: it needs no connection any more
-	Group uint32 // it is one of several that come at once, and may share a connection from the start; 0: of none
-	again bool   // a dial for it was refused at once, and one more is made
+	// Written is when its last byte went out, as the host sets it; 0: not yet, or it went out together with others.
+	Written time.Duration
+	Write   bool
+	Once    bool   // it must never run twice
+	Ended   bool   // set by the host: it needs no connection any more
+	Group   uint32 // it is one of several that come at once, and may share a connection from the start; 0: of none
+	again   bool   // a dial for it was refused at once, and one more is made
 }
 
 // Exchange is the host's own record of a request; it embeds a Request.
@@ -131,8 +133,10 @@
 	dials   int
 	warming bool          // a dial is out that nobody asked for
 	turn    time.Duration // how long a connection is taken for a request lately; 0: not known
-	queued  bool          // in dialQueue
-	rests   bool          // it is in rested
+	// roundTrip is about the least time that an answer has taken lately; 0: there was none.
+	roundTrip time.Duration
+	queued    bool // in dialQueue
+	rests     bool // it is in rested
 	// clean answers since the last that was spoilt, and how many are asked for before requests travel together
 	clean, cleanNeed int
 	backoff          time.Duration // the last one, doubled with each dial in a row that failed
@@ -230,7 +234,7 @@
 	m.Ready = ready
 	if moved {
 		m.Epoch++
-		m.backoff, m.full = 0, 0 // it is another process
+		m.backoff, m.full, m.roundTrip = 0, 0, 0 // it is another process
 	}
 	if moved || !ready {
 		p.retireAll(m)
@@ -598,7 +602,7 @@
 func (p *Pool[X]) serveWaiting(m *Member[X]) {
 	for len(m.Waiting) > 0 && m.Ready {
 		x := m.Waiting[0]
-		if !x.Pooled().Ended && p.do.Expired(x) {
+		if !x.Pooled().Ended && (p.do.Expired(x) || p.tooLate(m, x)) {
 			m.Waiting = m.Waiting[1:]
 			p.do.End(x, Unconnected(m))
 			continue
@@ -681,9 +685,13 @@
 // Answered takes in that the answer to the request in front has come whole; timed tells whether how long it took says
 // something of the member. Where requests are behind it, the next one's turn has come, and what comes is its answer.
 func (p *Pool[X]) Answered(c *Conn[X], timed bool) (more bool) {
+	var none X
 	if timed {
 		c.M.turn += (p.now - c.headAt - c.M.turn) / turnOf
 		c.M.clean = min(c.M.clean+1, cleanMost)
+		if x := c.Current; x != none && x.Pooled().Written > 0 {
+			c.M.heard(p.now - x.Pooled().Written)
+		}
 	}
 	if len(c.Behind) == 0 {
 		return false
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -134,11 +134,24 @@
 	p.logAttempt(a, s)
 	p.outcomes = append(p.outcomes, logic.Outcome{
 		Request: r.id, Attempt: int(a.n), Member: a.to, Status: s, Elapsed: until - since, Note: note,
-		Final: r.done, Fresh: a.Fresh(),
+		Final: r.done, Fresh: a.Fresh(), InTransit: max(0, p.inTransit(a, s)-p.now),
 	})
 	p.settle(r)
 }
 
+// inTransit is until when an attempt that has ended with a status may come at its member as one that is new; 0: it does not. Of one that a
+// Carrier's client was told to make, it is not known when that was written.
+func (p *Proxy) inTransit(a *attempt, s logic.Status) time.Duration {
+	if !a.carried {
+		return a.InTransit()
+	}
+	m := p.members[a.to]
+	if !a.given || m == nil || s != logic.StatusTimeout && s != logic.StatusCancelled {
+		return 0
+	}
+	return a.Began + p.ups.Transit(&m.Member)
+}
+
 // recall takes back the attempts of a request that is over which surely have not run yet: those that wait for a connection, for the
 // record or for their last byte to go out. Whether the module may cancel what a member has in hand, and whether a fetch is worth its
 // end, is another matter: nothing is sent for nobody.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -41,12 +41,13 @@
 	conn    *net.TCPConn
 	w       *sender.Sender
 	codec   Codec
-	last    uint64       // a hash of the value answered last, while others were behind; 0: none
-	limited bool         // a deadline is set for the rest of an answer; the reader's own
-	slow    bool         // a long value is read, at its client's pace; the reader's own
-	first   bool         // the first read of an answer, which finds something at once; the reader's own
-	toEnd   bool         // the answer goes on to the end of the connection; the reader's own
-	in      *resp.Reader // the reader's own, from the Set's; nil: none is
+	wroteAt time.Duration // when what was sent went out last
+	last    uint64        // a hash of the value answered last, while others were behind; 0: none
+	limited bool          // a deadline is set for the rest of an answer; the reader's own
+	slow    bool          // a long value is read, at its client's pace; the reader's own
+	first   bool          // the first read of an answer, which finds something at once; the reader's own
+	toEnd   bool          // the answer goes on to the end of the connection; the reader's own
+	in      *resp.Reader  // the reader's own, from the Set's; nil: none is
 
 	// peek is the reader's, and saw what it found. A closure made anew for each look would be garbage.
 	peek func(fd uintptr) bool
@@ -65,7 +66,10 @@
 		u.codec = http1{}
 	}
 	u.M, u.Link = m, u
-	w.Idle = func() { s.Freed(&u.Conn) }
+	w.Idle = func() {
+		u.wroteAt = s.host.Clock()
+		s.Freed(&u.Conn)
+	}
 	u.peek = func(fd uintptr) bool {
 		u.saw = sender.Peek(fd)
 		return u.saw != sender.Nothing
@@ -93,27 +97,44 @@
 	s := u.s
 	x.conn = u
 	now := s.host.Clock()
-	if s.corking && !x.Write && !u.M.Origin {
+	u.allowTransit(x, now)
+	corked := s.corking && !x.Write && !u.M.Origin
+	if corked {
 		s.cork(u, now)
 	}
 	b := u.codec.Append(s.scratch[:0], x, u.M.Addr, u.deadlineFor(x)-now)
 	s.scratch = b[:0]
 	u.w.Send(b, false)
 	if x.Write {
-		hold := 0
-		if u.codec.Holds() && x.Once && len(x.Msg.Value) > 0 {
-			hold = 1
-			s.host.At(Due{At: s.host.Now() + s.once, what: dueHeld, x: x})
-		}
-		u.w.SendCounted(x.Msg.Value[:len(x.Msg.Value)-hold])
-		x.end = u.w.Taken() + int64(hold)
-		if end := u.codec.End(); len(end) > 0 {
-			u.w.Send(end, true)
-			x.end = u.w.Taken()
-		}
-		return
+		u.sendValue(x)
+	}
+	x.end = u.w.Taken() + x.held
+	if !corked && !u.w.Busy() && x.held == 0 {
+		x.Written = s.host.Clock()
+	}
+}
+
+// allowTransit has an exchange waited for until it has surely come at its member, however little of its time is left. Given up sooner, it could
+// come after the next attempt of its request, and be a second copy. After AnswerBy there is none.
+func (u *Conn) allowTransit(x *Exchange, now time.Duration) {
+	transit := u.s.Transit(u.M)
+	if u.Current == x && u.Fresh() {
+		transit = u.s.FirstTransit()
+	}
+	x.Until = max(x.Until, min(now+transit, x.By.AnswerBy()))
+}
+
+// sendValue writes the value of an exchange, but for a last byte that is held back.
+func (u *Conn) sendValue(x *Exchange) {
+	s := u.s
+	if u.codec.Holds() && x.Once && len(x.Msg.Value) > 0 {
+		x.held = 1
+		s.host.At(Due{At: s.host.Now() + s.once, what: dueHeld, x: x})
+	}
+	u.w.SendCounted(x.Msg.Value[:len(x.Msg.Value)-int(x.held)])
+	if end := u.codec.End(); len(end) > 0 {
+		u.w.Send(end, true)
 	}
-	x.end = u.w.Taken()
 }
 
 // deadlineFor is until when a member is told that it has for an exchange. A cache is told how long it is waited for. What an origin finds is
@@ -130,6 +151,7 @@
 func (s *Set) release(x *Exchange) {
 	if u := x.conn; !x.Ended && !u.Closed && !u.w.Failed() && u.Silent() {
 		u.w.Send(x.Msg.Value[len(x.Msg.Value)-1:], true)
+		u.wroteAt = s.host.Clock()
 	}
 }
 
@@ -160,7 +182,7 @@
 	case x != u.Current: // its turn had not come: that tells of those in front
 		st = logic.StatusCancelled
 	}
-	x.ended(st, 0)
+	x.cutShort(st)
 	if u.Current != x && u.Current != nil && u.Current.firstAt > 0 {
 		return // it is skipped when its answer comes
 	}
@@ -182,7 +204,7 @@
 	if u.unsent(x) {
 		x.ended(logic.StatusNoConn, 0)
 	} else {
-		x.ended(logic.StatusCancelled, 0)
+		x.cutShort(logic.StatusCancelled)
 	}
 }
 
@@ -239,8 +261,9 @@
 		switch {
 		case u.unsent(x):
 			st = logic.StatusConnectFailed
-		case spoilt:
+		case spoilt: // what has come may have been meant for another
 			st = logic.StatusError
+			x.leaveTransit()
 		}
 		x.ended(st, 0)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -33,6 +33,8 @@
 	m       *Member
 	conn    *Conn         // nil while it waits for one
 	end     int64         // place of its last byte in what the connection sends
+	held    int64         // bytes of it that are held back at first
+	transit time.Duration // until then it may be under way though it was given up; 0: it is not
 	firstAt time.Duration // when its value began to be passed on; 0: it is not
 }
 
@@ -164,6 +166,9 @@
 // Passing tells since when its value has been passed on; 0: it is not.
 func (x *Exchange) Passing() (since time.Duration) { return x.firstAt }
 
+// InTransit is until when an exchange that has ended may still be under way to its member, and come there as one that is new; 0: it is not.
+func (x *Exchange) InTransit() time.Duration { return x.transit }
+
 // Recall takes back an exchange that nobody waits for any more, if its last byte is still here: it never runs then, and ends as one that
 // nobody was asked for. What may be out is left to end by itself.
 func (s *Set) Recall(x *Exchange) {
@@ -199,7 +204,11 @@
 			s.Late(d.x.m, d.x)
 		}
 	case dueEnd:
-		if !d.x.Ended && d.x.firstAt == 0 {
+		switch {
+		case d.x.Ended || d.x.firstAt != 0:
+		case s.host.Now() < d.x.Until: // it was given longer
+			s.host.At(Due{At: d.x.Until, what: dueEnd, x: d.x})
+		default:
 			s.GiveUp(d.x, logic.StatusTimeout)
 		}
 	}
@@ -233,6 +242,7 @@
 func (s *Set) flushCorked() {
 	for i, u := range s.corked {
 		u.w.Uncork()
+		u.wroteAt = s.host.Clock()
 		s.corked[i] = nil
 	}
 	s.corked = s.corked[:0]
@@ -280,6 +290,28 @@
 	}
 }
 
+// cutShort ends an exchange whose connection is given up.
+func (x *Exchange) cutShort(st logic.Status) {
+	if !x.Ended && !x.conn.unsent(x) {
+		x.leaveTransit()
+	}
+	x.ended(st, 0)
+}
+
+// leaveTransit works out until when an exchange that is given up may be under way. The end of its connection doesn't call back what has gone out.
+func (x *Exchange) leaveTransit() {
+	u := x.conn
+	written := x.Written
+	switch {
+	case written > 0:
+	case u.w.Busy(): // it may be going out right now
+		written = u.s.host.Clock()
+	default: // it went out with others, or in parts
+		written = u.wroteAt
+	}
+	x.transit = written + u.s.Transit(u.M)
+}
+
 // dial opens a connection and reads its answers until it ends.
 func (s *Set) dial(m *Member, addr string, epoch int, warm bool) {
 	d := net.Dialer{Timeout: s.connect, KeepAlive: -1}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,7 +62,7 @@
 	tickPump          // look at the origin's queue again
 	tickAim           // a request's aim passes
 	tickEnd           // a request must be answered
-	tickResume        // a request stops waiting for another's fetch
+	tickResume        // a request that waits with nothing out goes on
 	tickWindow        // repeats of a request are dropped no longer
 )
 
@@ -894,7 +894,7 @@
 	case tickResume:
 		if idle && f.waiting && !f.queued {
 			f.waiting = false
-			b.route(f)
+			b.further(f)
 		}
 	case tickWindow:
 		if idle {
@@ -921,6 +921,8 @@
 	}
 	if o.Status.NeverRan() {
 		f.ran &^= bit
+	} else {
+		f.nextAt = max(f.nextAt, b.now+o.InTransit)
 	}
 	// Nobody was asked, or it was turned away unseen, which is no load that a jam is made of, or the connection ended for
 	// something else, or the request is at fault: the throttle would take this for a jam.
@@ -1052,17 +1054,31 @@
 		return
 	}
 	b.retries -= cost
-	if fetched || b.s.Mode == Aside && f.sent()+1 >= f.tries && !b.hot[f.Key].split() { // one try left: other caches lack the key
-		b.enqueue(f)
-		return
-	}
-	if (s == StatusReset || s == StatusCancelled) && len(f.tried) == 1 && !f.broke && b.now < f.askedAt+(f.aim-f.askedAt)/4 {
+	f.toOrigin = fetched || b.s.Mode == Aside && f.sent()+1 >= f.tries && !b.hot[f.Key].split() // one try left: other caches lack the key
+	if !f.toOrigin && (s == StatusReset || s == StatusCancelled) && len(f.tried) == 1 && !f.broke && b.now < f.askedAt+(f.aim-f.askedAt)/4 {
 		// The connection broke early; the member, which has the key, may well be up. Once: one that holds few connections breaks
 		// all that are new, and would use up the read's tries. Late, the read has waited behind what its member doesn't answer.
 		f.tried, f.broke = f.tried[:0], s == StatusReset
 	}
 	f.missAt = nil
-	b.route(f)
+	b.further(f)
+}
+
+// further makes the next attempt of a request, once no earlier one can come at a member after it.
+func (b *Balancer) further(f *flight) {
+	switch {
+	case f.nextAt > b.now && f.nextAt+b.slack() >= f.aim:
+		b.conclude(f, OutOfTime)
+	case f.nextAt > b.now:
+		if b.hold(f, InTransit) {
+			b.timer(f, f.nextAt, tickResume)
+		}
+	case f.toOrigin:
+		f.toOrigin = false
+		b.enqueue(f)
+	default:
+		b.route(f)
+	}
 }
 
 // learn takes in how an attempt ended.
@@ -1089,6 +1105,7 @@
 			n.pace += (min(n.latency, (b.now-n.heardAt).Seconds()) - n.pace) * max(0.05, 1/float64(n.seen))
 		}
 		n.heardAt = b.now
+		n.timed(o)
 		b.adapt(n, o.Elapsed.Seconds(), o.Fresh)
 		if n.misses++; o.Status == StatusOK {
 			n.hits, n.misses = min(n.hits+1, emptyAfter), 0
@@ -1104,6 +1121,9 @@
 			}
 		}
 	case StatusTimeout:
+		if o.Elapsed < seconds(n.quickest) {
+			return // it had too little time for that to say anything; a member may drop such an attempt without a word
+		}
 		// A member that has answered what was sent in the second half of the wait is neither jammed nor gone: this attempt's
 		// connection fell silent, or its work was long. As latency, the wait would cut the limit of a member that is well. A
 		// jam that takes attempts in turn is still seen; one that serves the newest first would be missed.
@@ -1136,6 +1156,13 @@
 	}
 }
 
+// timed takes in how long an answer took.
+func (n *node) timed(o Outcome) {
+	if took := o.Elapsed.Seconds(); !o.Fresh {
+		n.quickest = min(took, cmp.Or(n.quickest*floorRise, took))
+	}
+}
+
 // adapt moves a member's limit so that answers come within the target: members with deep queues else hold
 // work that nobody waits for any more, and stay jammed long after a burst has passed.
 //
--- a/logic/types.go
+++ b/logic/types.go
@@ -12,6 +12,7 @@
 	pace           float64 // seconds between answers lately, at the most latency
 	high           float64 // the most that was out lately
 	floor          float64 // the least that latency has been; it rises slowly
+	quickest       float64 // seconds the quickest answers take lately, without a handshake; 0: there was none
 	seen, out      int
 	cutAt, sentAt  time.Duration
 	heardAt        time.Duration // when it answered last
@@ -64,8 +65,10 @@
 	fetch          uint64 // attempts that went to the origin
 	ran            uint64 // attempts that may have run, or may yet
 	ranAt          time.Duration
-	ranOn          *node // the first of those went there
-	missAt         *node // where the value will be stored
+	ranOn          *node         // the first of those went there
+	nextAt         time.Duration // no attempt before: an earlier one may be in transit
+	toOrigin       bool          // the next attempt goes there
+	missAt         *node         // where the value will be stored
 	tried          []*node
 	waiting        bool // for another request's fetch, or in the origin's queue
 	queued         bool // in the origin's queue
