A dial that fails for want of this machine's resources is no fault of its member

Change: such a request ends as one that found no connection here, and goes elsewhere; the member stays as it was. A dial stands in a file of its own.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -556,6 +556,28 @@
 	p.dialNext()
 }
 
+// NotDialled takes in that a dial has failed for want of something that this machine is short of. That tells nothing of the member, which is neither
+// held back nor out of reach; whoever has waited longest goes elsewhere, where connections may stand, unless those that stand here will take it.
+func (p *Pool[X]) NotDialled(m *Member[X], warm bool) {
+	m.dials--
+	p.dialling--
+	p.open--
+	if warm {
+		m.warming = false
+	}
+	p.serveWaiting(m)
+	if len(m.Conns) > 0 {
+		m.full = max(m.full, p.now+dialBackoff)
+		p.do.DialAt(m, m.full)
+	} else if len(m.Waiting) > 0 {
+		x := m.Waiting[0]
+		m.Waiting = m.Waiting[1:]
+		p.do.End(x, Short)
+	}
+	p.Redial(m)
+	p.dialNext()
+}
+
 // dialFailed ends the request that has waited longest, unless the connections that stand will take it: a cache
 // that is up but holds all the connections it will goes on answering on the open ones. Refused at once, it is
 // tried once more, since that has taken no time.
--- /dev/null
+++ b/internal/upstream/dial.go
@@ -0,0 +1,57 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// dialTCP opens a connection within a time.
+func dialTCP(addr string, within time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: within, KeepAlive: -1}
+	return d.DialContext(context.Background(), "tcp", addr)
+}
+
+// shortages are the errors of a dial that tell of this machine, not of the member: it is short of descriptors, ports, buffers or memory, or a rule
+// of its own forbids the connection.
+var shortages = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.EAGAIN,
+	syscall.EPERM, syscall.EACCES, syscall.EINTR}
+
+// local tells whether a dial failed for want of something that this machine is short of.
+func local(err error) bool {
+	for _, shortage := range shortages {
+		if errors.Is(err, shortage) {
+			return true
+		}
+	}
+	return false
+}
+
+// dial opens a connection and reads its answers until it ends.
+func (s *Set) dial(m *Member, addr string, epoch int, warm bool) {
+	conn, err := s.dialer(addr, s.connect)
+	var u *Conn
+	s.host.Do(func() {
+		if err == nil {
+			u, err = s.newConn(m, conn.(*net.TCPConn))
+		}
+		var slow net.Error
+		switch {
+		case err == nil:
+			s.Dialled(m, &u.Conn, epoch, warm, false)
+		case local(err):
+			s.NotDialled(m, warm)
+		default:
+			s.Dialled(m, nil, epoch, warm, !(errors.As(err, &slow) && slow.Timeout()))
+		}
+	})
+	if err != nil {
+		if conn != nil {
+			conn.Close()
+		}
+		return
+	}
+	u.fail(u.serve())
+}
--- /dev/null
+++ b/internal/upstream/dial_test.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"linenloom/internal/pool"
+	"linenloom/logic"
+)
+
+// lockedHost is a host with a lock, under which dials of their own report.
+type lockedHost struct {
+	testHost
+	mu sync.Mutex
+}
+
+func (h *lockedHost) Do(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+}
+
+// ending passes on the outcome of an exchange.
+type ending struct {
+	testHost
+	x    *Exchange
+	seen chan logic.Status
+}
+
+func (e *ending) Done(s logic.Status, _ int) {
+	e.x.Ended = true
+	e.seen <- s
+}
+
+// A dial that fails for want of this machine's own resources was counted as one that the member had refused: two in a row held it back, and took it
+// out of use for all requests, though it was well. Such a request is now one that found no connection here, and the member is as it was.
+func TestLocalShortageIsNoFaultOfTheMember(t *testing.T) {
+	for errno, blamed := range map[syscall.Errno]bool{
+		syscall.EMFILE: false, syscall.ENFILE: false, syscall.ENOBUFS: false, syscall.ENOMEM: false, syscall.EADDRNOTAVAIL: false,
+		syscall.EADDRINUSE: false, syscall.EAGAIN: false, syscall.EPERM: false, syscall.EINTR: false,
+		syscall.ECONNREFUSED: true, syscall.ENETUNREACH: true, syscall.EHOSTUNREACH: true, syscall.ECONNRESET: true, syscall.ETIMEDOUT: true,
+	} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			host := &lockedHost{}
+			s := New(pool.Config{ConnIdle: time.Minute, ConnectTimeout: time.Second, Multiplex: 1, Instances: 1, Sockets: 100}, host)
+			s.dialer = func(string, time.Duration) (net.Conn, error) {
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
+			}
+			m := &Member{Addr: "127.0.0.1:1", Ready: true}
+			for range 3 { // more than one in a row, as a shortage lasts
+				e := &ending{seen: make(chan logic.Status, 2)}
+				e.x = &Exchange{Msg: &Message{Key: []byte("k")}, By: e}
+				e.x.Until = time.Minute
+				host.Do(func() { s.Exchange(m, e.x) })
+				want := logic.StatusNoConn
+				if blamed {
+					want = logic.StatusConnectFailed
+				}
+				if got := <-e.seen; got != want {
+					t.Fatalf("the request ended with %v, want %v", got, want)
+				}
+			}
+			host.Do(func() {
+				if held := m.Backoff() > 0; held != blamed {
+					t.Errorf("the member is held back: %v, want %v", held, blamed)
+				}
+				if s.Open() != 0 {
+					t.Errorf("%d connections are counted, none is there", s.Open())
+				}
+			})
+		})
+	}
+	if local(errors.New("something else")) {
+		t.Error("an unknown error counts as a shortage of this machine")
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -11,8 +11,6 @@
 package upstream
 
 import (
-	"context"
-	"errors"
 	"hash/maphash"
 	"net"
 	"sync"
@@ -127,6 +125,7 @@
 	buffers  sync.Pool
 	readers  sync.Pool // of connections to caches
 	seed     maphash.Seed
+	dialer   func(addr string, within time.Duration) (net.Conn, error)
 	corking  bool          // reads that are sent wait for Uncork
 	corked   []*Conn       // on these
 	corkedAt time.Duration // when the first of them was
@@ -134,7 +133,7 @@
 
 // New makes a Set.
 func New(cfg pool.Config, host Host) *Set {
-	s := &Set{host: host, connect: cfg.ConnectTimeout, once: holdTime, seed: maphash.MakeSeed()}
+	s := &Set{host: host, connect: cfg.ConnectTimeout, once: holdTime, seed: maphash.MakeSeed(), dialer: dialTCP}
 	s.buffers.New = func() any { return new([]byte) }
 	s.readers.New = func() any { return resp.NewReader(nil, readBuffer) }
 	s.Pool = pool.New(cfg, actions{s})
@@ -311,28 +310,3 @@
 	}
 	x.transit = written + u.s.Transit(u.M)
 }
-
-// dial opens a connection and reads its answers until it ends.
-func (s *Set) dial(m *Member, addr string, epoch int, warm bool) {
-	d := net.Dialer{Timeout: s.connect, KeepAlive: -1}
-	conn, err := d.DialContext(context.Background(), "tcp", addr)
-	var u *Conn
-	s.host.Do(func() {
-		if err == nil {
-			u, err = s.newConn(m, conn.(*net.TCPConn))
-		}
-		if err != nil {
-			var slow net.Error
-			s.Dialled(m, nil, epoch, warm, !(errors.As(err, &slow) && slow.Timeout()))
-			return
-		}
-		s.Dialled(m, &u.Conn, epoch, warm, false)
-	})
-	if err != nil {
-		if conn != nil {
-			conn.Close()
-		}
-		return
-	}
-	u.fail(u.serve())
-}
