Rig: one way of carrying bytes for both relays, and second copies watched between processes

Need: the rig's links and the relay of second copies carried bytes by two copies of the same code, and the rig added up the delays of pieces behind each other, so that a link with a delay was also a slow one. Scenes that cut links don't use it: what a cut holds comes when it is healed.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -45,6 +45,9 @@
 	Regions  map[string][]string
 	// Deadlines checks what members are told of deadlines; nil: nobody does. Links that delay or hold what is sent make it find fault with them.
 	Deadlines *standin.Deadlines
+	// Copies checks that members have one attempt of a request at a time; nil: nobody does. A link that is cut, and healed while another attempt is
+	// out, makes it find fault: it holds what was sent for longer than a proxy can wait.
+	Copies *standin.Copies
 }
 
 // Cluster is all of it.
@@ -190,6 +193,7 @@
 			return err
 		}
 		addrs[m.ID] = at
+		c.Link(name, m.ID).watched(func(from net.Conn) *standin.Watch { return c.Copies.Watch(m.ID, m.ID == c.Fleet.Origin.ID, from) })
 	}
 	see := func(m discovery.Member) discovery.Member {
 		if at := addrs[m.ID]; at != "" {
--- /dev/null
+++ b/internal/cluster/copies_test.go
@@ -0,0 +1,44 @@
+package cluster
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"linenloom/internal/standin"
+)
+
+// betweenZones is how long bytes take from one zone to another.
+const betweenZones = 15 * time.Millisecond
+
+// Processes in three zones some way apart, before caches that stay silent, turn requests away, drop connections or answer noise: no member has an
+// attempt of a request while another one has one.
+func TestMembersHaveOneAttemptAtATime(t *testing.T) {
+	t.Parallel()
+	copies := standin.NewCopies()
+	s := stage(t, Options{Copies: copies})
+	for _, p := range s.Proxies {
+		for _, zone := range abc {
+			for _, b := range s.BoxesIn(zone) {
+				if zone != p.Zone {
+					s.Link(p.Name, b).Both(Trouble{Delay: betweenZones})
+				}
+			}
+		}
+	}
+	for turn, fault := range []standin.Fault{standin.Stall, standin.Reset, standin.Spoil, standin.Busy, standin.Halting, standin.Stall} {
+		zone := abc[turn%len(abc)]
+		s.faults(fault, zone)
+		s.run(time.Second)
+		s.faults(standin.Healthy, zone)
+	}
+	s.Stop()
+	all, further := copies.Attempts()
+	t.Logf("%d attempts, %d of them further ones", all, further)
+	if further < 50 {
+		t.Errorf("only %d further attempts", further)
+	}
+	if v := copies.Violations(); len(v) > 0 {
+		t.Errorf("%d second copies:\n%s", len(v), strings.Join(v[:min(10, len(v))], "\n"))
+	}
+}
--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"linenloom/internal/standin"
 )
 
 // Way is a direction of a link.
@@ -36,6 +38,7 @@
 	conns   map[net.Conn]struct{}
 	bins    map[int64]int // commands, by tenths of a second since start
 	start   time.Time
+	watch   func(from net.Conn) *standin.Watch // of a connection to a member; nil: none is watched
 }
 
 func newLink(start time.Time) *Link {
@@ -85,9 +88,15 @@
 
 func (l *Link) bin(at time.Time) int64 { return int64(at.Sub(l.start) / (100 * time.Millisecond)) }
 
-// pass waits until a piece that came now may go on; false: its connection has ended.
-func (l *Link) pass(w Way, ended <-chan struct{}) bool {
-	came := time.Now()
+// watched has the connections that come from now on watched.
+func (l *Link) watched(watch func(from net.Conn) *standin.Watch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watch = watch
+}
+
+// pass waits until a piece that came then may go on; false: its connection has ended.
+func (l *Link) pass(w Way, came time.Time, ended <-chan struct{}) bool {
 	for {
 		l.mu.Lock()
 		t, changed := l.trouble[w], l.changed
@@ -123,7 +132,7 @@
 // relay relays one connection.
 func (l *Link) relay(in net.Conn, to string) {
 	l.mu.Lock()
-	lose := l.trouble[Forth].Lose
+	lose, watch := l.trouble[Forth].Lose, l.watch
 	l.mu.Unlock()
 	if lose > 0 && rand.Float64() < lose {
 		reset(in)
@@ -147,55 +156,29 @@
 	l.mu.Lock()
 	l.conns[in], l.conns[out] = struct{}{}, struct{}{}
 	l.mu.Unlock()
-	go l.copy(Back, out, in, ended, end)
-	l.copy(Forth, in, out, ended, end)
+	w := &standin.Watch{}
+	if watch != nil {
+		w = watch(in)
+	}
+	go l.carry(Back, out, in, ended, end, w)
+	l.carry(Forth, in, out, ended, end, w)
 }
 
-// copy passes pieces on in their order, each after its delay. Those on their way are bounded: beyond that the sender waits, as TCP has it.
-func (l *Link) copy(w Way, from, to net.Conn, ended chan struct{}, end func()) {
-	type piece struct {
-		b    []byte
-		last bool
+// carry passes on what comes in one direction, each piece after its delay. An end passes like all else: a link that is cut hides it.
+func (l *Link) carry(w Way, from, to net.Conn, ended chan struct{}, end func(), watch *standin.Watch) {
+	defer end()
+	hold := func(came time.Time) bool { return l.pass(w, came, ended) }
+	if w == Back {
+		standin.Carry(from, to, ended, watch.Replied, hold, nil)
+		return
 	}
-	way := make(chan piece, 64)
-	go func() {
-		for p := range way {
-			if !l.pass(w, ended) {
-				continue
-			}
-			if p.last {
-				end()
-				continue
-			}
-			if _, err := to.Write(p.b); err != nil {
-				end()
-			}
-		}
-	}()
-	defer close(way)
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buf)
-		if n > 0 {
-			if w == Forth {
-				l.mu.Lock()
-				l.bins[l.bin(time.Now())] += bytes.Count(buf[:n], []byte("OBJ."))
-				l.mu.Unlock()
-			}
-			select {
-			case way <- piece{b: slices.Clone(buf[:n])}:
-			case <-ended:
-				return
-			}
-		}
-		if err != nil { // an end passes like all else: a link that is cut hides it
-			select {
-			case way <- piece{last: true}:
-			case <-ended:
-			}
-			return
-		}
+	took := func(b []byte) {
+		l.mu.Lock()
+		l.bins[l.bin(time.Now())] += bytes.Count(b, []byte("OBJ."))
+		l.mu.Unlock()
+		watch.Wrote(b)
 	}
+	standin.Carry(from, to, ended, took, hold, watch.Came)
 }
 
 // gossip stands before an instance's address for the others, over UDP and TCP; who sends is told by the address that it comes from.
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -1,25 +1,16 @@
 package standin
 
 import (
-	"bufio"
-	"bytes"
-	"errors"
-	"io"
 	"net"
-	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
-// Relay is the network between proxies and a member: it holds what passes, each way for a time of its own, keeps its order, and reports to
-// the checker of copies what it sees at its two ends. An end of a connection passes like all else.
+// Relay is the network between proxies and a member: it holds what passes, each way for a time of its own, keeps its order, and has what passes
+// watched for the checker of copies. An end of a connection passes like all else.
 type Relay struct {
-	name     string
+	member   string
 	origin   bool // HTTP/1.1 is spoken, else RESP
 	to       string
 	copies   *Copies // may be nil
@@ -29,7 +20,7 @@
 	delay     func() (there, back time.Duration) // of the next connection
 	handshake func() time.Duration               // by which its first message comes later; nil: none
 	stalled   [2]bool
-	changed   chan struct{}
+	changed   chan struct{} // closed and made anew with each change
 	conns     map[net.Conn]struct{}
 }
 
@@ -39,13 +30,17 @@
 	Back
 )
 
+// dialTime is how long a relay waits for its member.
+const dialTime = 5 * time.Second
+
 // NewRelay makes a relay before the member at an address; origin tells that HTTP is spoken there. Every connection has the same delays.
-func NewRelay(name, to string, origin bool, there, back time.Duration, copies *Copies) (*Relay, error) {
+func NewRelay(member, to string, origin bool, there, back time.Duration, copies *Copies) (*Relay, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{name: name, origin: origin, to: to, copies: copies, listener: listener, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	r := &Relay{member: member, origin: origin, to: to, copies: copies, listener: listener,
+		changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
 	r.SetDelay(func() (time.Duration, time.Duration) { return there, back })
 	go r.serve()
 	return r, nil
@@ -105,135 +100,67 @@
 	}
 }
 
-func (r *Relay) relay(in net.Conn) {
-	defer in.Close()
-	out, err := net.DialTimeout("tcp", r.to, 5*time.Second)
-	if err != nil {
-		in.(*net.TCPConn).SetLinger(0)
-		return
-	}
-	defer out.Close()
+// begin notes the two connections of a relayed one, and finds its delays.
+func (r *Relay) begin(in, out net.Conn) (there, back, handshake time.Duration) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.conns[in], r.conns[out] = struct{}{}, struct{}{}
-	there, back := r.delay()
-	handshake := time.Duration(0)
+	there, back = r.delay()
 	if r.handshake != nil {
 		handshake = r.handshake()
 	}
-	r.mu.Unlock()
-	defer func() {
-		r.mu.Lock()
-		delete(r.conns, in)
-		delete(r.conns, out)
-		r.mu.Unlock()
-	}()
-	c := &relayed{relay: r, ended: make(chan struct{}), over: func() bool { return over(in) }}
-	var ways sync.WaitGroup
-	ways.Go(func() {
-		c.pass(There, in, out, there, handshake, c.wrote, c.came)
-		c.end(in, out)
-	})
-	ways.Go(func() {
-		c.pass(Back, out, in, back, 0, c.replied, nil)
-		c.end(in, out)
-	})
-	ways.Wait()
-}
-
-// over tells whether the other side of a connection has ended it, also behind bytes that nobody has read yet.
-func over(conn net.Conn) (ended bool) {
-	raw, err := conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = raw.Control(func(fd uintptr) {
-		look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look[:], 0)
-		ended = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-	return ended || err != nil
+	return there, back, handshake
 }
 
-// relayed is a connection that is relayed.
-type relayed struct {
-	relay *Relay
-	once  sync.Once
-	ended chan struct{}
-	over  func() bool
-
-	mu         sync.Mutex
-	in         []byte // of the proxy's messages, what is not whole yet
-	answers    []byte // of the member's
-	sent       int64  // bytes that the proxy has written
-	delivered  int64
-	attempts   []*relayedAttempt // in order
-	delivering int               // the first of them that has not come at the member
-	answering  int               // the first that has no answer
-}
-
-type relayedAttempt struct {
-	*copyAttempt
-	id  string
-	end int64 // of its last byte, in what the proxy writes; 0 for what is no attempt
-}
-
-func (c *relayed) end(conns ...net.Conn) {
-	c.once.Do(func() { close(c.ended) })
+func (r *Relay) end(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, conn := range conns {
-		conn.Close()
+		delete(r.conns, conn)
 	}
 }
 
-// pass passes pieces on one way, each after the delay, and none before the first has waited for the handshake. took is told of each piece as it comes, gave once it has gone on; nil for the end.
-func (c *relayed) pass(way int, from, to net.Conn, delay, handshake time.Duration, took, gave func([]byte)) {
-	type piece struct {
-		bytes []byte // nil: the end
-		at    time.Time
+func (r *Relay) relay(in net.Conn) {
+	defer in.Close()
+	out, err := net.DialTimeout("tcp", r.to, dialTime)
+	if err != nil {
+		in.(*net.TCPConn).SetLinger(0)
+		return
 	}
-	line := make(chan piece, 1024)
-	go func() {
-		defer close(line)
-		buffer := make([]byte, 32<<10)
-		for {
-			n, err := from.Read(buffer)
-			if n > 0 {
-				b := slices.Clone(buffer[:n])
-				took(b)
-				line <- piece{b, time.Now()}
-			}
-			if err != nil {
-				took(nil)
-				line <- piece{nil, time.Now()}
-				return
-			}
-		}
-	}()
-	for p := range line {
-		if !c.hold(way, p.at.Add(delay+handshake)) {
-			continue // the line is emptied, so that its reader ends
-		}
-		handshake = 0 // what is behind waits in line
-		if p.bytes != nil {
-			if _, err := to.Write(p.bytes); err != nil {
-				c.end(from, to)
-				continue
-			}
-		}
-		if gave != nil {
-			gave(p.bytes)
-		}
-		if p.bytes == nil {
-			return
+	defer out.Close()
+	there, back, handshake := r.begin(in, out)
+	defer r.end(in, out)
+	ended := make(chan struct{})
+	end := sync.OnceFunc(func() {
+		close(ended)
+		in.Close()
+		out.Close()
+	})
+	w := r.copies.Watch(r.member, r.origin, in)
+	var ways sync.WaitGroup
+	ways.Go(func() {
+		defer end()
+		hold := func(came time.Time) bool {
+			until := came.Add(there + handshake)
+			handshake = 0 // what is behind waits in line
+			return r.hold(There, until, ended)
 		}
-	}
+		Carry(in, out, ended, w.Wrote, hold, w.Came)
+	})
+	ways.Go(func() {
+		defer end()
+		hold := func(came time.Time) bool { return r.hold(Back, came.Add(back), ended) }
+		Carry(out, in, ended, w.Replied, hold, nil)
+	})
+	ways.Wait()
 }
 
 // hold waits until what is held may pass; false: the connection has ended.
-func (c *relayed) hold(way int, until time.Time) bool {
+func (r *Relay) hold(way int, until time.Time, ended <-chan struct{}) bool {
 	for {
-		c.relay.mu.Lock()
-		stalled, changed := c.relay.stalled[way], c.relay.changed
-		c.relay.mu.Unlock()
+		r.mu.Lock()
+		stalled, changed := r.stalled[way], r.changed
+		r.mu.Unlock()
 		var ripe <-chan time.Time
 		if !stalled {
 			left := time.Until(until)
@@ -243,7 +170,7 @@
 			ripe = time.After(left)
 		}
 		select {
-		case <-c.ended:
+		case <-ended:
 			return false
 		case <-changed:
 		case <-ripe:
@@ -251,152 +178,54 @@
 	}
 }
 
-// wrote takes what the proxy has written, or nil for its end.
-func (c *relayed) wrote(b []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.relay.copies == nil {
-		return
-	}
-	if b == nil {
-		c.relay.copies.closed(c.out())
-		return
-	}
-	c.in = append(c.in, b...)
-	for len(c.in) > 0 {
-		id, n := c.message()
-		if n == 0 {
-			return
-		}
-		c.sent += int64(n)
-		c.in = c.in[n:]
-		a := &relayedAttempt{id: id, end: c.sent}
-		if id != "" {
-			a.copyAttempt = c.relay.copies.wrote(c.relay.name, id, c.over)
-		}
-		c.attempts = append(c.attempts, a)
-	}
-}
-
-// out is what the proxy has written and the member has not answered.
-func (c *relayed) out() (all []*copyAttempt) {
-	for _, a := range c.attempts[c.answering:] {
-		if a.copyAttempt != nil {
-			all = append(all, a.copyAttempt)
-		}
-	}
-	return all
-}
-
-// came takes what has gone on to the member, or nil for the end.
-func (c *relayed) came(b []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.relay.copies == nil {
-		return
-	}
-	if b == nil {
-		c.relay.copies.closedAtMember(c.out())
-		return
-	}
-	c.delivered += int64(len(b))
-	for ; c.delivering < len(c.attempts) && c.attempts[c.delivering].end <= c.delivered; c.delivering++ {
-		if a := c.attempts[c.delivering]; a.copyAttempt != nil {
-			c.relay.copies.arrived(a.id, a.copyAttempt)
-		}
-	}
-}
+// mostOnTheWay bounds the pieces that are on their way in one direction of a connection: beyond that the sender waits, as TCP has it.
+const mostOnTheWay = 1024
 
-// replied takes what the member has written.
-func (c *relayed) replied(b []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.relay.copies == nil || b == nil {
-		return
-	}
-	c.answers = append(c.answers, b...)
-	for len(c.answers) > 0 && c.answering < len(c.attempts) {
-		n := c.answer()
-		if n == 0 {
-			return
-		}
-		c.answers = c.answers[n:]
-		if a := c.attempts[c.answering]; a.copyAttempt != nil {
-			c.relay.copies.replied(a.copyAttempt)
-		}
-		c.answering++
+// Carry passes what comes on one connection on to another, in its order, until its end has passed or ended is closed. took, if set, hears of each
+// piece as it comes; hold waits until a piece that came then may go on, false: the connection is over; gave, if set, hears of it once it has gone
+// on. A nil piece is the end.
+func Carry(from, to net.Conn, ended <-chan struct{}, took func([]byte), hold func(came time.Time) bool, gave func([]byte)) {
+	type piece struct {
+		bytes []byte
+		came  time.Time
 	}
-}
-
-// message measures the message that c.in begins with; id is empty where it is no attempt, n is 0 where it is not whole.
-func (c *relayed) message() (id string, n int) {
-	whole := bytes.NewReader(c.in)
-	buffered := bufio.NewReader(whole)
-	length := func() int { return len(c.in) - whole.Len() - buffered.Buffered() }
-	if c.relay.origin {
-		request, err := http.ReadRequest(buffered)
-		if err != nil {
-			return "", 0
+	line := make(chan piece, mostOnTheWay)
+	put := func(b []byte) bool {
+		if took != nil {
+			took(b)
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return "", 0
+		select {
+		case line <- piece{b, time.Now()}:
+			return true
+		case <-ended:
+			return false
 		}
-		return request.Header.Get("X-Request-ID"), length()
 	}
-	words, err := readWords(buffered)
-	if err != nil {
-		return "", 0
-	}
-	if len(words) > 3 && bytes.HasPrefix(words[0], []byte("OBJ.")) {
-		id = string(words[2])
-	}
-	return id, length()
-}
-
-// answer measures the answer that c.answers begins with; 0, where it is not whole.
-func (c *relayed) answer() int {
-	whole := bytes.NewReader(c.answers)
-	buffered := bufio.NewReader(whole)
-	if c.relay.origin {
-		response, err := http.ReadResponse(buffered, nil)
-		if err != nil {
-			return 0
+	go func() {
+		defer close(line)
+		buffer := make([]byte, 32<<10)
+		for {
+			n, err := from.Read(buffer)
+			if n > 0 && !put(slices.Clone(buffer[:n])) {
+				return
+			}
+			if err != nil {
+				put(nil)
+				return
+			}
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return 0
+	}()
+	for p := range line {
+		if !hold(p.came) {
+			return
 		}
-	} else if skipReply(buffered) != nil {
-		return 0
-	}
-	return len(c.answers) - whole.Len() - buffered.Buffered()
-}
-
-var errReply = errors.New("standin: no reply")
-
-// skipReply reads over one reply.
-func skipReply(in *bufio.Reader) error {
-	line, err := in.ReadString('\n')
-	if err != nil || len(line) < 3 {
-		return errReply
-	}
-	kind := line[0]
-	if kind != '$' && kind != '*' {
-		return nil
-	}
-	n, err := strconv.Atoi(strings.TrimSpace(line[1:]))
-	if err != nil {
-		return errReply
-	}
-	if kind == '$' && n >= 0 {
-		_, err = io.CopyN(io.Discard, in, int64(n)+2)
-		return err
-	}
-	for range max(0, n) {
-		if kind == '*' {
-			if err := skipReply(in); err != nil {
-				return err
+		if p.bytes != nil {
+			if _, err := to.Write(p.bytes); err != nil {
+				return
 			}
 		}
+		if gave != nil {
+			gave(p.bytes)
+		}
 	}
-	return nil
 }
