Start times of members are worked out when learnt, and the younger one counts

Change: a start is worked out once, when it is learnt, by the wall then and at the beginning; the younger one counts, none in the future. Also, where settings allow two attempts at once, nothing waits for what is in transit.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -66,6 +66,7 @@
 	Instances      int // proxies that share the members
 	Sockets        int // descriptors of this proxy
 	CanProbe       bool
+	SecondCopies   bool // two attempts of a request may be out at once
 }
 
 // Request is what the choices need to know of a request. Timers keep many that are long over: it is small on purpose.
--- a/internal/pool/transit.go
+++ b/internal/pool/transit.go
@@ -24,7 +24,11 @@
 
 // Transit is how long after it was written a request has surely come at a member, on a connection that has carried one before: no longer than a
 // round trip, as far as one is known. What is given up sooner may come after what is written to another member later, and both then have it in hand.
+// Where two attempts may be out at once, nothing waits for that.
 func (p *Pool[X]) Transit(m *Member[X]) time.Duration {
+	if p.cfg.SecondCopies {
+		return 0
+	}
 	longest := min(p.cfg.ConnectTimeout/transitShare, transitMost)
 	if m.roundTrip == 0 {
 		return longest
@@ -35,6 +39,9 @@
 // FirstTransit is the same for the first request on a connection. It comes once the handshake is through, for which the member may have to find
 // the time; a connection that takes longer than the connect time-out never comes up.
 func (p *Pool[X]) FirstTransit() time.Duration {
+	if p.cfg.SecondCopies {
+		return 0
+	}
 	return min(p.cfg.ConnectTimeout, transitShare*transitMost)
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -63,8 +63,9 @@
 	Before func()
 
 	// Clock, if set, is the time since the start in place of the system's, and Tick has to be called once it has
-	// moved. OnSend, if set, is told of each choice of the module's, under the lock. Both are for tests and the rig.
+	// moved; Wall is the wall's time in place of the system's. OnSend, if set, is told of each choice of the module's, under the lock. Both are for tests and the rig.
 	Clock  func() time.Duration
+	Wall   func() time.Duration
 	OnSend func(logic.RequestID, logic.MemberID)
 }
 
@@ -147,8 +148,7 @@
 		ids:     newIDs(),
 		heldMax: heldMax(cfg.MemoryMB), out: cfg.Out, killMost: killMost,
 	}
-	// The module's clock is monotonic and begins at the wall's time, so that start times, which members
-	// tell by the wall, are positive on it.
+	// The module's clock is monotonic and begins at the wall's time, so that all start times are positive on it.
 	p.offset = time.Duration(p.started.UnixNano())
 	if cfg.Clock != nil {
 		p.offset = time.Hour
@@ -160,6 +160,7 @@
 	p.ups = upstream.New(pool.Config{
 		ConnIdle: cfg.ConnIdle, ConnectTimeout: cfg.Settings.ConnectTimeout, Multiplex: cfg.Multiplex,
 		Instances: cfg.Settings.Instances, Sockets: cfg.Sockets, CanProbe: cfg.Settings.CanProbe,
+		SecondCopies: cfg.Settings.SecondCopies,
 	}, host{p})
 	p.ups.Advance(p.now)
 	bal, err := logic.New(cfg.Settings, cfg.Seed, actions{p})
@@ -335,8 +336,8 @@
 	m := logic.Member{
 		ID: MemberID(e.ID), Zone: p.zone(e.Locality), Cell: e.Cell,
 		Kind: slices.Index(p.cfg.Kinds, e.Flavor), State: logic.Gone, Weight: e.Size,
-		StartedAt: time.Duration(p.out.UpSince(e.ID, e.UpSinceMS) * float64(time.Millisecond)),
 	}
+	m.StartedAt = p.startedAt(m.ID, p.upSince(e))
 	switch e.Phase {
 	case discovery.PhaseInService:
 		m.State = logic.Ready
@@ -489,9 +490,40 @@
 	id      logic.MemberID
 	listed  discovery.Member // as the list has it
 	state   logic.State
+	upSince time.Duration // as the list tells it, of which started was made
 	started time.Duration
 }
 
+// upSince is when a member started by the wall's time, as the list and the operators' calls have it; 0: long ago.
+func (p *Proxy) upSince(e discovery.Member) time.Duration {
+	return time.Duration(p.out.UpSince(e.ID, e.UpSinceMS) * float64(time.Millisecond))
+}
+
+// startedAt is when a member started, on the module's clock. It is worked out once, when its start is learnt: the wall's time may be stepped while
+// this process runs, and was perhaps wrong when it began. Where the two disagree the member counts as the younger one: taken for older than it is,
+// a cold member would be pushed over.
+func (p *Proxy) startedAt(id logic.MemberID, upSince time.Duration) time.Duration {
+	if upSince <= 0 {
+		return 0
+	}
+	if m := p.members[id]; m != nil && m.upSince == upSince {
+		return m.started
+	}
+	byWall := p.now - (p.wall() - upSince)
+	return min(p.now, max(byWall, upSince))
+}
+
+// wall is the wall's time, since 1970.
+func (p *Proxy) wall() time.Duration {
+	switch {
+	case p.cfg.Wall != nil:
+		return p.cfg.Wall()
+	case p.cfg.Clock != nil:
+		return p.Clock()
+	}
+	return time.Duration(time.Now().UnixNano())
+}
+
 // update takes a list entry.
 func (p *Proxy) update(e logic.Member, listed discovery.Member) {
 	addr := listed.HostPort
@@ -507,7 +539,7 @@
 	m.Origin = e.Kind == p.cfg.Settings.OriginKind && p.cfg.Settings.Mode == logic.Aside
 	m.listed = listed
 	moved := m.Addr != addr || m.started != e.StartedAt
-	m.Addr, m.started, m.state = addr, e.StartedAt, e.State
+	m.Addr, m.started, m.state, m.upSince = addr, e.StartedAt, e.State, p.upSince(listed)
 	p.ups.Change(&m.Member, e.State == logic.Ready, moved)
 }
 
