--- a/cmd/linenloom/stop_test.go
+++ b/cmd/linenloom/stop_test.go
@@ -80,6 +80,41 @@
 	}
 }
 
+// What happens: a signal that comes once the drain is over, and before the process has ended, ends it by its default, and not with status 0: whoever
+// looks after the process takes that for a crash. Nothing is lost by it. Why: signals are let go of (NotifyContext's stop) before the process ends.
+// Seen in the soak of planned restarts: "terminated at 0s, interrupt at 936ms", deadlines of 0.8 s: "the process ended with status -1".
+func TestEndsWellUnderRepeatedSignals(t *testing.T) {
+	fleet, err := standin.NewFleet(1, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	text, err := fleet.Config("n0", freeAddr(t), "7", 64, 256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	apptest.Replace(t, path, text)
+	for range 5 {
+		cmd := launch(t, &lines{to: t.Output()}, nil, "LB_CONFIG="+path, "TMPDIR="+t.TempDir())
+		ended := make(chan error, 1)
+		go func() { ended <- cmd.Wait() }()
+		signals := time.NewTicker(200 * time.Microsecond)
+		defer signals.Stop()
+		for over := false; !over; {
+			select {
+			case <-signals.C:
+				cmd.Process.Signal(syscall.SIGTERM)
+			case err := <-ended:
+				if err != nil {
+					t.Errorf("the program ended with %v", err)
+				}
+				over = true
+			}
+		}
+	}
+}
+
 func dial(t *testing.T, addr string) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", addr)
--- a/internal/cluster/process.go
+++ b/internal/cluster/process.go
@@ -99,13 +99,13 @@
 	<-p.done
 }
 
-// Ended tells whether the process has ended, and with which status; -1: by a signal.
-func (p *Process) Ended() (ended bool, status int) {
+// Ended tells whether the process has ended, and how.
+func (p *Process) Ended() (ended bool, how *os.ProcessState) {
 	select {
 	case <-p.done:
-		return true, p.cmd.ProcessState.ExitCode()
+		return true, p.cmd.ProcessState
 	default:
-		return false, 0
+		return false, nil
 	}
 }
 
--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -495,6 +495,7 @@
 		p.dial().send(w.get(fmt.Sprint("k", i), fmt.Sprint("id", i), int(wait.Milliseconds())))
 		<-asks
 	}
+	p.Do(func() {}) // the last one's event is over: it has noted when it was written
 	holding.Store(true)
 	moved.Add(int64(3500 * time.Millisecond)) // the first attempts of all have timed out
 	p.Tick()
--- a/internal/restarts/restarts.go
+++ b/internal/restarts/restarts.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -319,14 +320,22 @@
 	}
 	time.Sleep(time.Until(first.Add(p.kill())))
 	close(done)
-	ended, status := p.process.Ended()
+	ended, how := p.process.Ended()
 	p.process.Kill()
 	p.clients.killed()
-	if ended && status != 0 {
-		p.fault("the process ended with status %d: %v", status, p.process.Lines("panic"))
+	// One of the signals may end it by its default once the drain is over: a process that ends after SIGTERM has not crashed, and what it would
+	// have lost by that is found as lost. Its status is TestEndsWellUnderRepeatedSignals' concern.
+	if ended && !how.Success() && !endedBy(how, syscall.SIGTERM, syscall.SIGINT) {
+		p.fault("the process ended with %v: %v", how, p.process.Lines("panic"))
 	}
 }
 
+// endedBy tells whether one of some signals has ended a process.
+func endedBy(how *os.ProcessState, signals ...syscall.Signal) bool {
+	status, ok := how.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && slices.Contains(signals, status.Signal())
+}
+
 func (p *play) fault(format string, args ...any) {
 	p.faults = append(p.faults, fmt.Sprintf(format, args...))
 }
