What stands behind a command that crosses the end is dropped with it

Change: it is dropped with the command that crosses. Result: that test and those of ends, leaving and deadlines twice under the race detector: pass.

--- a/internal/proxy/redis_client.go
+++ b/internal/proxy/redis_client.go
@@ -210,6 +210,7 @@
 		c.mid, c.more = false, c.in.Buffered() > 0
 		if c.ended { // it has been told of the end; a request that crosses it is sent again elsewhere
 			p.letGo(&Request{Command: cmd.Command, long: cmd.long})
+			c.more = false // it is dropped too
 			hung := c.hung
 			p.leave()
 			if !hung { // answers are still out, to what came before
