Connections at rest aren't ended over commands that have come

Cause: a connection was closed for its place or as idle without a look at what had come on it, and whoever looked asked the kernel only: what its reader had taken, and could not say yet for want of the core or the lock, was seen by nobody. Change: the reader notes that it may hold bytes before each attempt to read (intake.go); all ways to end a connection at rest ask for both.

--- a/internal/proxy/redis_client.go
+++ b/internal/proxy/redis_client.go
@@ -22,14 +22,14 @@
 	p       *Proxy
 	f       *redisFront
 	conn    *net.TCPConn
-	stream  net.Conn // conn, or what is encrypted on it
+	intake  *intake  // what is read of conn
+	stream  net.Conn // the intake, or what is encrypted on it
 	tls     *secured // nil: it speaks plainly
 	from    netip.Addr
 	in      *resp.Reader
 	w       *sender.Sender
 	pending []*owed            // in the order of their commands
 	mid     bool               // a command has been read in part
-	more    bool               // bytes behind the latest command have been read with it, and not been taken up
 	stale   bool               // what comes next may have stood unread for long; the reader's own
 	arrived arrival.Connection // when what was read came; the reader's own
 	heard   atomic.Int64       // when bytes of it came last, since the start of the proxy
@@ -121,7 +121,7 @@
 	}
 }
 
-// free tells whether the connection can be closed without losing anything.
+// free tells whether nothing is owed on the connection, as far as its commands have been taken up.
 func (c *client) free() bool {
 	return len(c.pending) == 0 && !c.w.Busy() && !c.mid
 }
@@ -176,7 +176,7 @@
 }
 
 // quiet tells whether nothing has come that was not taken up yet: a command that has is answered before its connection ends.
-func (c *client) quiet() bool { return !c.more && !c.unread() }
+func (c *client) quiet() bool { return !c.unread() && !c.intake.holds.Load() }
 
 // unread tells whether something has come that was not read yet.
 func (c *client) unread() bool {
@@ -207,10 +207,11 @@
 			c.identify(&cmd)
 		}
 		p.enter()
-		c.mid, c.more = false, c.in.Buffered() > 0
+		c.mid = false
+		c.intake.takenUp(c.in.Buffered() > 0)
 		if c.ended { // it has been told of the end; a request that crosses it is sent again elsewhere
 			p.letGo(&Request{Command: cmd.Command, long: cmd.long})
-			c.more = false // it is dropped too
+			c.intake.takenUp(false) // what was read behind it is dropped too
 			hung := c.hung
 			p.leave()
 			if !hung { // answers are still out, to what came before
--- a/internal/proxy/redis_front.go
+++ b/internal/proxy/redis_front.go
@@ -206,6 +206,10 @@
 	if err != nil {
 		return nil, err
 	}
+	in, err := newIntake(conn)
+	if err != nil {
+		return nil, err
+	}
 	for len(f.clients) >= f.maxClients() {
 		if !f.dropClient() {
 			return nil, nil
@@ -214,7 +218,7 @@
 	if !p.Room() {
 		return nil, nil
 	}
-	c := &client{p: p, f: f, conn: conn, stream: conn, w: w, active: p.now, limited: true, stale: true,
+	c := &client{p: p, f: f, conn: conn, intake: in, stream: in, w: w, active: p.now, limited: true, stale: true,
 		arrived: arrival.Accepted(f.inLineSince(), p.now)}
 	size := clientBuffer
 	if p.cfg.Callers != nil {
@@ -267,7 +271,7 @@
 		case !c.asked:
 			rank = 2
 		}
-		if victim == nil || rank < least || rank == least && c.active < victim.active {
+		if (victim == nil || rank < least || rank == least && c.active < victim.active) && c.quiet() {
 			victim, least = c, rank
 		}
 	}
@@ -282,7 +286,7 @@
 func (f *redisFront) closeIdleClients() {
 	age := f.idleAge(f.asked)
 	for c := range f.clients {
-		if c.asked && f.p.now-c.active >= age && c.free() {
+		if c.asked && f.p.now-c.active >= age && c.free() && c.quiet() {
 			c.close()
 		}
 	}
--- a/internal/proxy/secure.go
+++ b/internal/proxy/secure.go
@@ -33,7 +33,7 @@
 // secure makes the handshake, without the lock, and takes in what the client's certificate proves. One that proves nothing here is none:
 // a token may still do.
 func (c *client) secure(cfg *tls.Config) error {
-	s := &secured{Conn: tls.Server(c.conn, cfg)}
+	s := &secured{Conn: tls.Server(c.intake, cfg)}
 	c.conn.SetDeadline(time.Now().Add(handshakeTime))
 	if err := s.Handshake(); err != nil {
 		return err
