Mode route: a try that its caller gives up counts as the first on its connection

Cause: the wait for a try that is given up was that for a connection that stands, and the caller does not say that it has opened one. Change: the longer wait. The stand-in caller has a time for a try.

--- a/internal/extproc/caller/caller.go
+++ b/internal/extproc/caller/caller.go
@@ -54,6 +54,8 @@
 	// RetryFailed is for how long the caller's own retry policy repeats, after 5 ms each, what ended because the
 	// processor failed, orders too: it knows no better.
 	RetryFailed time.Duration
+	// TryTimeout is how long the caller waits for a member in mode route before it gives the try up; 0: for as long as its client.
+	TryTimeout time.Duration
 	// SendAfter is called in mode route between the pick and the send.
 	SendAfter func(addr string)
 
@@ -439,6 +441,12 @@
 
 // sendTo makes the attempt at one member, and says like a proxy why there is no response where there is none.
 func (x *exchange) sendTo(ctx context.Context, addr string) (Result, map[string]*structpb.Struct) {
+	whole := ctx
+	if x.c.TryTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, x.c.TryTimeout)
+		defer cancel()
+	}
 	r, err := http.NewRequestWithContext(ctx, x.q.Method, "http://"+addr+"/"+x.q.Path[strings.LastIndexByte(x.q.Path, '/')+1:], bytes.NewReader(x.q.Body))
 	if err != nil {
 		return Result{Status: 500, Err: err}, nil
@@ -450,8 +458,11 @@
 	answer, err := x.c.client.Do(r)
 	if err != nil {
 		details := "upstream_reset_before_response_started{connection_termination}"
-		if strings.Contains(err.Error(), "connect:") {
+		switch {
+		case strings.Contains(err.Error(), "connect:"):
 			details = "upstream_reset_before_response_started{remote_connection_failure}"
+		case ctx.Err() != nil && whole.Err() == nil:
+			return Result{Status: 504, Headers: map[string]string{}}, codeDetails("upstream_per_try_timeout")
 		}
 		return Result{Status: 503, Headers: map[string]string{}}, codeDetails(details)
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -140,7 +140,7 @@
 }
 
 // inTransit is until when an attempt that has ended with a status may come at its member as one that is new; 0: it does not. Of one that a
-// Carrier's client was told to make, it is not known when that was written.
+// Carrier's client was told to make, it is not known when that was written, nor whether as the first on a connection.
 func (p *Proxy) inTransit(a *attempt, s logic.Status) time.Duration {
 	if !a.carried {
 		return a.InTransit()
@@ -149,7 +149,7 @@
 	if !a.given || m == nil || s != logic.StatusTimeout && s != logic.StatusCancelled {
 		return 0
 	}
-	return a.Began + p.ups.Transit(&m.Member)
+	return a.Began + p.ups.FirstTransit()
 }
 
 // recall takes back the attempts of a request that is over which surely have not run yet: those that wait for a connection, for the
