One place each: a peer's end, what a link holds, the place of a dial

sender.PeerClosed serves Sender.Left and the checker of copies, standin.Hold both relays, Pool.dialEnded both ends of a dial. No change of behaviour; tests of pool, sender, standin and the links pass.

--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -115,25 +115,11 @@
 
 // pass waits until a piece that came then may go on; false: its connection has ended.
 func (l *Link) pass(w Way, came time.Time, ended <-chan struct{}) bool {
-	for {
+	return standin.Hold(ended, func() (bool, time.Time, <-chan struct{}) {
 		l.mu.Lock()
-		t, changed := l.trouble[w], l.changed
-		l.mu.Unlock()
-		var ripe <-chan time.Time
-		if !t.Cut {
-			left := t.Delay - time.Since(came)
-			if left <= 0 {
-				return true
-			}
-			ripe = time.After(left)
-		}
-		select {
-		case <-ended:
-			return false
-		case <-changed:
-		case <-ripe:
-		}
-	}
+		defer l.mu.Unlock()
+		return l.trouble[w].Cut, came.Add(l.trouble[w].Delay), l.changed
+	})
 }
 
 // tcp relays connections that come to a listener.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -535,11 +535,7 @@
 // Dialled takes in how a dial has ended: with a connection that is new, of the epoch that it was begun in, or nil; atOnce
 // tells that it was turned away without a wait.
 func (p *Pool[X]) Dialled(m *Member[X], c *Conn[X], epoch int, warm, atOnce bool) {
-	m.dials--
-	p.dialling--
-	if warm {
-		m.warming = false
-	}
+	p.dialEnded(m, warm)
 	switch {
 	case c == nil:
 		p.open--
@@ -557,15 +553,20 @@
 	p.dialNext()
 }
 
-// NotDialled takes in that a dial has failed for want of something that this machine is short of. That tells nothing of the member, which is neither
-// held back nor out of reach; whoever has waited longest goes elsewhere, where connections may stand, unless those that stand here will take it.
-func (p *Pool[X]) NotDialled(m *Member[X], warm bool) {
+// dialEnded gives back the place of a dial.
+func (p *Pool[X]) dialEnded(m *Member[X], warm bool) {
 	m.dials--
 	p.dialling--
-	p.open--
 	if warm {
 		m.warming = false
 	}
+}
+
+// NotDialled takes in that a dial has failed for want of something that this machine is short of. That tells nothing of the member, which is neither
+// held back nor out of reach; whoever has waited longest goes elsewhere, where connections may stand, unless those that stand here will take it.
+func (p *Pool[X]) NotDialled(m *Member[X], warm bool) {
+	p.dialEnded(m, warm)
+	p.open--
 	p.serveWaiting(m)
 	if len(m.Conns) > 0 {
 		m.full = max(m.full, p.now+dialBackoff)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -250,14 +250,15 @@
 // were not read yet. It costs a system call more than Look, and is for where nobody reads. An end behind more than the kernel takes in is
 // not seen: it has not come.
 func (w *Sender) Left() (left bool) {
-	if err := w.raw.Control(func(fd uintptr) {
-		look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look[:], 0)
-		left = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	}); err != nil {
-		return true
-	}
-	return left
+	err := w.raw.Control(func(fd uintptr) { left = PeerClosed(fd) })
+	return left || err != nil
+}
+
+// PeerClosed tells whether the other side of a socket has ended its sending, or the connection is reset, also behind bytes that nobody has read.
+func PeerClosed(fd uintptr) bool {
+	look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(look[:], 0)
+	return err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
 // What Peek can see.
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -157,23 +157,31 @@
 
 // hold waits until what is held may pass; false: the connection has ended.
 func (r *Relay) hold(way int, until time.Time, ended <-chan struct{}) bool {
-	for {
+	return Hold(ended, func() (bool, time.Time, <-chan struct{}) {
 		r.mu.Lock()
-		stalled, changed := r.stalled[way], r.changed
-		r.mu.Unlock()
-		var ripe <-chan time.Time
-		if !stalled {
+		defer r.mu.Unlock()
+		return r.stalled[way], until, r.changed
+	})
+}
+
+// Hold waits until something that is held may pass; false: ended was closed before that. state tells whether it is held for good, until when if not,
+// and what is closed when either of them changes.
+func Hold(ended <-chan struct{}, state func() (held bool, until time.Time, changed <-chan struct{})) bool {
+	for {
+		held, until, changed := state()
+		var due <-chan time.Time
+		if !held {
 			left := time.Until(until)
 			if left <= 0 {
 				return true
 			}
-			ripe = time.After(left)
+			due = time.After(left)
 		}
 		select {
 		case <-ended:
 			return false
 		case <-changed:
-		case <-ripe:
+		case <-due:
 		}
 	}
 }
--- a/internal/standin/watch.go
+++ b/internal/standin/watch.go
@@ -11,7 +11,7 @@
 	"strings"
 	"sync"
 
-	"golang.org/x/sys/unix"
+	"linenloom/internal/sender"
 )
 
 // Watch finds the attempts in what passes on a connection between a proxy and a member, and reports them to the checker of copies. Each of its
@@ -49,11 +49,7 @@
 	if err != nil {
 		return true
 	}
-	err = raw.Control(func(fd uintptr) {
-		look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look[:], 0)
-		ended = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
+	err = raw.Control(func(fd uintptr) { ended = sender.PeerClosed(fd) })
 	return ended || err != nil
 }
 
