--- a/cmd/linenloom/upgrade_test.go
+++ b/cmd/linenloom/upgrade_test.go
@@ -20,12 +20,11 @@
 // freeAddr is a loopback address that nobody listens at.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addr
 }
 
 // Three processes follow one another at one address, under load and with a box taken out by hand: no request meets a
--- a/internal/lab/answers.go
+++ b/internal/lab/answers.go
@@ -125,7 +125,7 @@
 			return rc.ask("OBJ.GET", key, id, fmt.Sprint("c=tile-read,d=", wait.Milliseconds()))
 		}
 	} else {
-		addr, err := freeAddr()
+		addr, err := standin.FreeAddr()
 		if err != nil {
 			return 0, err
 		}
--- a/internal/lab/extproc.go
+++ b/internal/lab/extproc.go
@@ -71,16 +71,6 @@
 	return fleet, nil
 }
 
-// freeAddr is a loopback address that nothing listens on.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // processor starts linenproc before a fleet.
 func (e *Env) processor(name string, fleet *standin.Fleet, redis, listen, mode, messageTimeout string) (*Process, error) {
 	return e.processorWith(name, fleet, redis, OperatorFile(listen, mode, messageTimeout))
@@ -336,7 +326,7 @@
 	defer fleet.Close()
 	addrs := make([]string, 6)
 	for i := range addrs {
-		if addrs[i], err = freeAddr(); err != nil {
+		if addrs[i], err = standin.FreeAddr(); err != nil {
 			return err
 		}
 	}
--- a/internal/lab/operate.go
+++ b/internal/lab/operate.go
@@ -32,7 +32,7 @@
 		return r, err
 	}
 	defer fleet.Close()
-	listen, err := freeAddr()
+	listen, err := standin.FreeAddr()
 	if err != nil {
 		return r, err
 	}
@@ -148,7 +148,7 @@
 
 // start starts a process beside the one that serves, and waits until it says yes.
 func (o *operation) start() error {
-	calls, err := freeAddr()
+	calls, err := standin.FreeAddr()
 	if err != nil {
 		return err
 	}
--- a/internal/lab/orders.go
+++ b/internal/lab/orders.go
@@ -94,7 +94,7 @@
 func (e *Env) recording(front string, fleet *standin.Fleet, dir string) (addr string, p *Process, err error) {
 	text := ordersTable(dir)
 	if front == "processor" {
-		listen, err := freeAddr()
+		listen, err := standin.FreeAddr()
 		if err != nil {
 			return "", nil, err
 		}
--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -91,7 +91,7 @@
 
 // proxy starts linenloom before a fleet, on one core, and tells where it listens.
 func (e *Env) proxy(name string, fleet *standin.Fleet, memoryMB, sockets int, args ...string) (addr string, p *Process, err error) {
-	if addr, err = freeAddr(); err != nil {
+	if addr, err = standin.FreeAddr(); err != nil {
 		return "", nil, err
 	}
 	config, err := fleet.Config(name, addr, "8c1f30d27a5be964", memoryMB, sockets)
@@ -120,7 +120,7 @@
 		return r, err
 	}
 	defer p.Kill()
-	relayAddr, err := freeAddr()
+	relayAddr, err := standin.FreeAddr()
 	if err != nil {
 		return r, err
 	}
--- a/internal/lab/successor.go
+++ b/internal/lab/successor.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	listen, err := freeAddr()
+	listen, err := standin.FreeAddr()
 	if err != nil {
 		fleet.Close()
 		return nil, nil, err
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"strings"
 	"testing"
@@ -18,6 +19,7 @@
 	"linenloom/internal/proxy"
 	"linenloom/internal/resp"
 	"linenloom/internal/standin"
+	"linenloom/logic"
 )
 
 const patience = 20 * time.Second
@@ -30,6 +32,8 @@
 	in    *bufio.Reader
 	conn  net.Conn
 	n     int
+
+	sentTo map[logic.MemberID]int // attempts so far, under the proxy's lock
 }
 
 func start(t *testing.T, path string, record ...mgmt.Orders) *rig {
@@ -48,6 +52,9 @@
 		t.Fatal(err)
 	}
 	cfg.AcceptMore = 0
+	// What is sent is counted as it is: on a busy machine a box begins one that was given up when others are counted already.
+	sentTo := map[logic.MemberID]int{}
+	cfg.OnSend = func(_ logic.RequestID, m logic.MemberID) { sentTo[m]++ }
 	dir, _, err := handover.Open(path, "m")
 	if err != nil {
 		t.Fatal(err)
@@ -80,7 +87,7 @@
 	}
 	conn.SetDeadline(time.Now().Add(patience))
 	t.Cleanup(func() { conn.Close() })
-	return &rig{t: t, fleet: fleet, p: p, calls: f.Addr().String(), conn: conn, in: bufio.NewReader(conn)}
+	return &rig{t: t, fleet: fleet, p: p, sentTo: sentTo, calls: f.Addr().String(), conn: conn, in: bufio.NewReader(conn)}
 }
 
 func (r *rig) call(method, path, body string) int {
@@ -115,18 +122,24 @@
 // sent is how many requests each box has begun after a number of reads of different keys.
 func (r *rig) sent(reads int) (n [2]int) {
 	r.t.Helper()
-	for i := range n {
-		n[i] = -r.fleet.Boxes[i].Began()
-	}
+	before := r.sends()
 	for i := range reads {
 		r.read(fmt.Sprintf("%x", 0x1000+i))
 	}
+	after := r.sends()
 	for i := range n {
-		n[i] += r.fleet.Boxes[i].Began()
+		id := proxy.MemberID(r.fleet.Boxes[i].ID)
+		n[i] = after[id] - before[id]
 	}
 	return n
 }
 
+// sends is how many attempts each member has been sent.
+func (r *rig) sends() (sends map[logic.MemberID]int) {
+	r.p.Do(func() { sends = maps.Clone(r.sentTo) })
+	return sends
+}
+
 func TestCalls(t *testing.T) {
 	r := start(t, t.TempDir())
 	for _, c := range []struct {
--- a/internal/restarts/restarts.go
+++ b/internal/restarts/restarts.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -232,7 +231,7 @@
 		m.HostPort = at[m.ID]
 		return m
 	}
-	if p.listen, err = freeAddr(); err != nil {
+	if p.listen, err = standin.FreeAddr(); err != nil {
 		return err
 	}
 	for i := range p.files {
@@ -351,16 +350,6 @@
 	}
 }
 
-// freeAddr is an address that nobody listens at.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // String sums a play up in one line.
 func (r *Result) String() string {
 	verdict := "kept"
