Transit goes by the smoothed time of answers and its deviation, not by the quickest

Symptom: with all tests three times beside each other, a member had a second copy of a read that was written 1.4 ms before its connection ended and came 1 ms late. Cause: how long a request may be under way was taken from the quickest answers (about 1 ms there), whatever the others took. Change: the time by which RFC 6298 holds a segment for lost, bounded as before; what waits in line is turned away by the quickest answers as before. The checker of copies takes nothing for an answer that came before its attempt was passed on (noise did count as one), and no longer the rig's own delays for the proxy's: a client's time counts from when its link has passed its request on, what a member is told when the proxy has written it.

--- a/internal/cluster/clients.go
+++ b/internal/cluster/clients.go
@@ -162,7 +162,7 @@
 			words = []string{"OBJ.SET", a.Key, a.ID, fmt.Sprintf("c=pass-order,d=%d,k=%016x%s", cl.load.Deadline.Milliseconds(),
 				crc64.Checksum([]byte(a.Key), table), attrs), "one pass"}
 		}
-		line, value, err := c.ask(words, cl.c.Deadlines)
+		line, value, err := c.ask(words)
 		a.Took = time.Since(a.At)
 		switch {
 		case err != nil && line == "" && !fresh && try < 3: // an idle connection that was closed as the request came: it goes again on another
@@ -190,22 +190,15 @@
 	}
 }
 
-// ask asks one thing and reads the answer. The third and fourth word are the request's id and list.
-func (c *conn) ask(words []string, deadlines *standin.Deadlines) (line, value string, err error) {
+// ask asks one thing and reads the answer.
+func (c *conn) ask(words []string) (line, value string, err error) {
 	b := resp.AppendArray(nil, len(words))
 	for _, w := range words {
 		b = resp.AppendBulk(b, w)
 	}
-	report := func() {
-		if deadlines != nil {
-			deadlines.Sent(words[2], words[3])
-		}
-	}
-	report() // a member may have heard of it before the write returns
 	if _, err = c.Write(b); err != nil {
 		return "", "", err
 	}
-	report() // and this process may have been held up in it
 	if line, err = c.in.ReadString('\n'); err != nil {
 		return line, "", err
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -43,7 +43,8 @@
 	Dir      string         // scratch
 	Set      map[string]any // further settings
 	Regions  map[string][]string
-	// Deadlines checks what members are told of deadlines; nil: nobody does. Links that delay or hold what is sent make it find fault with them.
+	// Deadlines checks what members are told of deadlines; nil: nobody does. A client's time counts from when its link has passed its request on, and
+	// what a member is told by when it has been written to the member's link, so that the links and the stand-ins take no time of either.
 	Deadlines *standin.Deadlines
 	// Copies checks that members have one attempt of a request at a time; nil: nobody does. A link that is cut, and healed while another attempt is
 	// out, makes it find fault: it holds what was sent for longer than a proxy can wait.
@@ -110,7 +111,6 @@
 	c.Fleet.Set = o.Set
 	if o.Deadlines != nil {
 		o.Deadlines.Prefix = c.idPrefix()
-		c.Fleet.SetDeadlines(o.Deadlines)
 	}
 	if err := os.WriteFile(filepath.Join(o.Dir, "key"), []byte(keyText+"\n"), 0o600); err != nil {
 		return nil, err
@@ -193,7 +193,13 @@
 			return err
 		}
 		addrs[m.ID] = at
-		c.Link(name, m.ID).watched(func(from net.Conn) *standin.Watch { return c.Copies.Watch(m.ID, m.ID == c.Fleet.Origin.ID, from) })
+		c.Link(name, m.ID).watched(func(from net.Conn) *standin.Watch {
+			watch := c.Copies.Watch(m.ID, m.ID == c.Fleet.Origin.ID, from)
+			if c.Deadlines == nil {
+				return watch
+			}
+			return watch.Tell(func(id, attrs string) { c.Deadlines.Told(m.ID, id, attrs) })
+		})
 	}
 	see := func(m discovery.Member) discovery.Member {
 		if at := addrs[m.ID]; at != "" {
@@ -213,6 +219,9 @@
 	if p.Addr, err = c.relay("clients", name, "127.0.0.1:0", listen); err != nil {
 		return err
 	}
+	if c.Deadlines != nil {
+		c.Link("clients", name).passing(c.Deadlines.Sent)
+	}
 	p.host = own
 	p.Mgmt = p.calls(mgmtPort)
 	for j := range c.Options.Proxies {
--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -41,6 +41,7 @@
 	strange int           // commands of somebody else: ports are used again, and another proxy on this machine may ask at one for a while
 	start   time.Time
 	watch   func(from net.Conn) *standin.Watch // of a connection to a member; nil: none is watched
+	asked   func(id, attrs string)             // told of each request that has been passed on; nil: nobody is
 }
 
 func newLink(start time.Time, own []byte) *Link {
@@ -113,6 +114,13 @@
 	l.watch = watch
 }
 
+// passing has asked told of each request that has been passed on over connections that come from now on.
+func (l *Link) passing(asked func(id, attrs string)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked = asked
+}
+
 // pass waits until a piece that came then may go on; false: its connection has ended.
 func (l *Link) pass(w Way, came time.Time, ended <-chan struct{}) bool {
 	return standin.Hold(ended, func() (bool, time.Time, <-chan struct{}) {
@@ -136,7 +144,7 @@
 // relay relays one connection.
 func (l *Link) relay(in net.Conn, to string) {
 	l.mu.Lock()
-	lose, watch := l.trouble[Forth].Lose, l.watch
+	lose, watch, asked := l.trouble[Forth].Lose, l.watch, l.asked
 	l.mu.Unlock()
 	if lose > 0 && rand.Float64() < lose {
 		reset(in)
@@ -164,23 +172,25 @@
 	if watch != nil {
 		w = watch(in)
 	}
-	go l.carry(Back, out, in, ended, end, w)
-	l.carry(Forth, in, out, ended, end, w)
-}
-
-// carry passes on what comes in one direction, each piece after its delay. An end passes like all else: a link that is cut hides it.
-func (l *Link) carry(w Way, from, to net.Conn, ended chan struct{}, end func(), watch *standin.Watch) {
-	defer end()
-	hold := func(came time.Time) bool { return l.pass(w, came, ended) }
-	if w == Back {
-		standin.Carry(from, to, ended, watch.Replied, hold, nil)
-		return
+	passed := w.Came
+	if asked != nil {
+		passed = standin.Listen(asked).Wrote
 	}
+	go func() {
+		defer end()
+		standin.Carry(out, in, ended, l.holding(Back, ended), standin.Passage{Took: w.Replied})
+	}()
+	defer end()
 	took := func(b []byte) {
 		l.count(b)
-		watch.Wrote(b)
+		w.Wrote(b)
 	}
-	standin.Carry(from, to, ended, took, hold, watch.Came)
+	standin.Carry(in, out, ended, l.holding(Forth, ended), standin.Passage{Took: took, Giving: w.Giving, Gave: passed})
+}
+
+// holding has what goes over a connection in one direction wait for its delay. An end passes like all else: a link that is cut hides it.
+func (l *Link) holding(w Way, ended <-chan struct{}) func(came time.Time) bool {
+	return func(came time.Time) bool { return l.pass(w, came, ended) }
 }
 
 // gossip stands before an instance's address for the others, over UDP and TCP; who sends is told by the address that it comes from.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -136,8 +136,10 @@
 	turn    time.Duration // how long a connection is taken for a request lately; 0: not known
 	// roundTrip is about the least time that an answer has taken lately; 0: there was none.
 	roundTrip time.Duration
-	queued    bool // in dialQueue
-	rests     bool // it is in rested
+	// smoothed and deviation are how long answers take as a rule, and by how much that varies.
+	smoothed, deviation time.Duration
+	queued              bool // in dialQueue
+	rests               bool // it is in rested
 	// clean answers since the last that was spoilt, and how many are asked for before requests travel together
 	clean, cleanNeed int
 	backoff          time.Duration // the last one, doubled with each dial in a row that failed
@@ -235,7 +237,7 @@
 	m.Ready = ready
 	if moved {
 		m.Epoch++
-		m.backoff, m.full, m.roundTrip = 0, 0, 0 // it is another process
+		m.backoff, m.full, m.roundTrip, m.smoothed, m.deviation = 0, 0, 0, 0, 0 // it is another process
 	}
 	if moved || !ready {
 		p.retireAll(m)
--- a/internal/pool/transit.go
+++ b/internal/pool/transit.go
@@ -11,29 +11,42 @@
 	// transitRise is the part by which the estimate of a round trip grows with each answer that is slower. A member that has moved farther away
 	// is known as such some hundred answers later.
 	transitRise = 64
+
+	// The weights of RFC 6298: an answer counts for an eighth of the smoothed time and a quarter of its deviation, and one that takes four deviations
+	// longer than the smoothed time is late.
+	smoothedOf, deviationOf, deviations = 8, 4, 4
 )
 
-// heard takes in how long an answer took since its request was written. That is at least a round trip.
+// heard takes in how long an answer took since its request was written. That is at least a round trip. The smoothed time and its deviation are those
+// of RFC 6298, which tells by them when a segment counts as lost.
 func (m *Member[X]) heard(took time.Duration) {
 	if m.roundTrip == 0 {
-		m.roundTrip = took
+		m.roundTrip, m.smoothed, m.deviation = took, took, took/2
 		return
 	}
 	m.roundTrip = min(took, m.roundTrip+m.roundTrip/transitRise)
+	m.deviation += ((took - m.smoothed).Abs() - m.deviation) / deviationOf
+	m.smoothed += (took - m.smoothed) / smoothedOf
 }
 
-// Transit is how long after it was written a request has surely come at a member, on a connection that has carried one before: no longer than a
-// round trip, as far as one is known. What is given up sooner may come after what is written to another member later, and both then have it in hand.
-// Where two attempts may be out at once, nothing waits for that.
+// Transit is how long after it was written a request has surely come at a member, on a connection that has carried one before: by when its answer
+// would have come, were it one of the slower ones, as far as answers have told. What is given up sooner may come after what is written to another
+// member later, and both then have it in hand. Where two attempts may be out at once, nothing waits for that.
 func (p *Pool[X]) Transit(m *Member[X]) time.Duration {
+	expected := m.smoothed + deviations*m.deviation
+	return p.transit(expected.Truncate(time.Microsecond)) // whole numbers leave some nanoseconds
+}
+
+// transit bounds a time that is expected by answers; 0: none has told.
+func (p *Pool[X]) transit(expected time.Duration) time.Duration {
 	if p.cfg.SecondCopies {
 		return 0
 	}
 	longest := min(p.cfg.ConnectTimeout/transitShare, transitMost)
-	if m.roundTrip == 0 {
+	if expected == 0 {
 		return longest
 	}
-	return min(m.roundTrip, longest)
+	return min(expected, longest)
 }
 
 // FirstTransit is the same for the first request on a connection. It comes once the handshake is through, for which the member may have to find
@@ -50,5 +63,5 @@
 // to know.
 func (p *Pool[X]) tooLate(m *Member[X], x X) bool {
 	until := x.Pooled().Until
-	return until > 0 && until-p.now < p.Transit(m)
+	return until > 0 && until-p.now < p.transit(m.roundTrip)
 }
--- a/internal/pool/transit_test.go
+++ b/internal/pool/transit_test.go
@@ -46,3 +46,17 @@
 		})
 	}
 }
+
+// Where answers take now longer, now less, the slower ones say how long a request may be under way.
+func TestTransitCoversSlowAnswers(t *testing.T) {
+	const quick, slow = 2 * time.Millisecond, 20 * time.Millisecond
+	w := newWorld(t, usual)
+	m := &Member[*fake]{Ready: true}
+	for range 100 {
+		m.heard(quick)
+		m.heard(slow)
+	}
+	if got := w.p.Transit(m); got < slow {
+		t.Errorf("under way for %v, and answers took up to %v", got, slow)
+	}
+}
