--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -188,12 +188,14 @@
 // stays has a zone in a state for a time, at all that live.
 func (s *scene) stays(zone, state string, d time.Duration) {
 	s.t.Helper()
+	late := standin.MeasureLateness()
+	defer late.Stop()
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for _, p := range s.Proxies {
 			if v, err := p.View(); err == nil {
 				for _, z := range v.Zones {
 					if z.Name == zone && z.State != state {
-						s.t.Fatalf("%s says that %s is %s, and it has to be %s", p.Name, zone, z.State, state)
+						s.t.Fatalf("%s says that %s is %s, and it has to be %s; the rig's own goroutines were late by %v", p.Name, zone, z.State, state, late.Stop())
 					}
 				}
 			}
--- a/internal/standin/lateness.go
+++ b/internal/standin/lateness.go
@@ -11,6 +11,7 @@
 // Lateness measures by how much the goroutines of a test are late on a busy machine, so that its verdict does not hang on that.
 type Lateness struct {
 	quit chan struct{}
+	stop sync.Once
 	g    sync.WaitGroup
 	most time.Duration
 }
@@ -32,9 +33,9 @@
 	return l
 }
 
-// Stop tells how late they were at the most.
+// Stop tells how late they were at the most. It may be called again.
 func (l *Lateness) Stop() time.Duration {
-	close(l.quit)
+	l.stop.Do(func() { close(l.quit) })
 	l.g.Wait()
 	return l.most
 }
