Cluster scenes are watched for second copies, those that cut links too

What a link has held for longer than a proxy takes a request to be under way (a quarter of the connect time-out) doesn't count: no proxy could wait that out.

--- a/internal/cluster/clients.go
+++ b/internal/cluster/clients.go
@@ -267,6 +267,9 @@
 			all = append(all, fmt.Sprintf("%s at %s, %v after the start: %s", a.Key, a.Proxy, a.At.Sub(cl.c.start).Round(time.Millisecond), what))
 		}
 	}
+	if cl.c.Copies != nil {
+		all = append(all, cl.c.Copies.Violations()...)
+	}
 	for _, b := range cl.c.Fleet.Boxes {
 		if b.Fell() {
 			all = append(all, "pushed over: "+b.ID)
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -73,6 +73,10 @@
 		o.Proxies = 6
 	}
 	o.Boxes, o.Service, o.Origin, o.OriginPlaces, o.Seed = 4, 12*time.Millisecond, 20*time.Millisecond, 24, 7
+	if o.Copies == nil { // scenes cut links, which hold what was sent until they are healed
+		o.Copies = standin.NewCopies()
+		o.Copies.HeldMost = heldMost
+	}
 	if o.Set == nil {
 		o.Set = map[string]any{}
 	}
@@ -234,6 +238,9 @@
 	s.state("c", "in")
 }
 
+// heldMost is for how long a proxy takes a request to be under way at the most: a quarter of the connect time-out (docs/connections.md).
+const heldMost = 250 * time.Millisecond / 4
+
 const zoneGone = 480 * time.Millisecond // forty times what an answer takes
 
 // scenes are the hard cases of zones that fail; each ends with the rules as clients and boxes have seen them.
--- a/internal/standin/copies.go
+++ b/internal/standin/copies.go
@@ -11,6 +11,10 @@
 // member, and is a second copy if another that came before is out, neither answered nor given up by the end of its connection. Relays report
 // what passes them; the texts of Violations name both orders, the proxy's (written, ended) and the members' (came).
 type Copies struct {
+	// HeldMost is for how long an attempt may be under way and count: one that a link has held for longer, as one that is cut does until it is healed,
+	// comes after any time that a proxy could wait. 0: all count.
+	HeldMost time.Duration
+
 	mu       sync.Mutex
 	start    time.Time
 	attempts map[string][]*copyAttempt // by request
@@ -133,7 +137,7 @@
 		if b.answered == 0 && b.ended == 0 && b.over != nil && b.over() {
 			b.ended = a.came
 		}
-		if b.outAt(a.came) {
+		if b.outAt(a.came) && !c.held(a) {
 			c.second = append(c.second, fmt.Sprintf("request %s: a second copy at %s (%v), while one is out at %s (%v)", id, a.member, a, b.member, b))
 		}
 	}
@@ -142,6 +146,9 @@
 	}
 }
 
+// held tells whether an attempt was under way for too long to count, when it came.
+func (c *Copies) held(a *copyAttempt) bool { return c.HeldMost > 0 && a.came-a.written > c.HeldMost }
+
 // outAt tells whether an attempt was neither answered nor given up at a time.
 func (a *copyAttempt) outAt(at time.Duration) bool {
 	return (a.answered == 0 || a.answered > at) && (a.ended == 0 || a.ended > at)
--- a/internal/standin/copies_test.go
+++ b/internal/standin/copies_test.go
@@ -87,6 +87,23 @@
 	}
 }
 
+// What a link has held for longer than any proxy could wait is no fault of the proxy's; what it has held for less stays one.
+func TestCopiesCountsNotWhatWasHeldTooLong(t *testing.T) {
+	const held = 30 * time.Millisecond
+	for most, want := range map[time.Duration]int{0: 1, time.Hour: 1, held / 2: 0} {
+		copies := NewCopies()
+		copies.HeldMost = most
+		first := copies.wrote("a", "id", nil)
+		copies.closed([]*copyAttempt{first})
+		copies.arrived("id", copies.wrote("b", "id", nil))
+		time.Sleep(held) // the link holds the first
+		copies.arrived("id", first)
+		if got := copies.Violations(); len(got) != want {
+			t.Errorf("at most %v: %d second copies, want %d: %v", most, len(got), want, got)
+		}
+	}
+}
+
 // silent is a member that reads everything and answers nothing.
 func silent(t *testing.T) (addr string) {
 	t.Helper()
