Checker of copies: an attempt comes when its link begins to write it to the member

Attempts are dated by when they were given to the member; whichever of two came later is held against the other.

--- a/internal/standin/copies.go
+++ b/internal/standin/copies.go
@@ -26,6 +26,7 @@
 type copyAttempt struct {
 	member                          string
 	written, ended, came, cameToEnd time.Duration
+	given                           time.Duration // when it was about to be written to the member
 	answered                        time.Duration
 	over                            func() bool // looks whether its connection has ended, though that was not reported yet; may be nil
 }
@@ -116,13 +117,24 @@
 	return a
 }
 
-// arrived notes that the last byte of an attempt has come at its member, and gives the verdict on it.
+// giving notes that the last byte of an attempt is about to be written to its member.
+func (c *Copies) giving(a *copyAttempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.given = c.now()
+}
+
+// arrived notes that the last byte of an attempt has come at its member, and gives the verdict on it. Who says so may be late: it came when it was
+// written to the member, and no later than its answer.
 func (c *Copies) arrived(id string, a *copyAttempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a.came = c.now()
-	if a.answered > 0 { // it had come by then, and who saw it come was late to say so
-		a.came = a.answered
+	if a.given > 0 {
+		a.came = a.given
+	}
+	if a.answered > 0 {
+		a.came = min(a.came, a.answered)
 	}
 	before := 0
 	for _, b := range c.attempts[id] {
@@ -130,15 +142,16 @@
 			continue
 		}
 		before++
+		first, second := b, a
 		if b.came > a.came {
-			continue
+			first, second = a, b
 		}
 		// The end of one connection may be reported after what came on another one, though it was before it.
-		if b.answered == 0 && b.ended == 0 && b.over != nil && b.over() {
-			b.ended = a.came
+		if first.answered == 0 && first.ended == 0 && first.over != nil && first.over() {
+			first.ended = second.came
 		}
-		if b.outAt(a.came) && !c.held(a) {
-			c.second = append(c.second, fmt.Sprintf("request %s: a second copy at %s (%v), while one is out at %s (%v)", id, a.member, a, b.member, b))
+		if first.outAt(second.came) && !c.held(second) {
+			c.second = append(c.second, fmt.Sprintf("request %s: a second copy at %s (%v), while one is out at %s (%v)", id, second.member, second, first.member, first))
 		}
 	}
 	if before > 0 {
--- a/internal/standin/copies_test.go
+++ b/internal/standin/copies_test.go
@@ -58,24 +58,30 @@
 // come before it was answered: what came after that was no copy. Seen beside three runs of all tests: "a second copy at s-2 (written at 836.9 ms, came
 // at 873.6 ms, answered at 840.8 ms), while one is out at origin (written at 845.8 ms, came at 873.6 ms)".
 func TestCopiesCountsWhatIsToldLate(t *testing.T) {
+	answered := func(c *Copies, a *copyAttempt) { c.replied(a) }
+	given := func(c *Copies, a *copyAttempt) { c.giving(a) }
+	givenAndEnded := func(c *Copies, a *copyAttempt) { c.giving(a); c.closed([]*copyAttempt{a}) }
+	nothing := func(*Copies, *copyAttempt) {}
 	for name, c := range map[string]struct {
-		answeredFirst bool
+		before, after func(*Copies, *copyAttempt) // the next one comes
 		want          int
-	}{"answered before the next one came": {true, 0}, "answered while the next one was out": {false, 1}} {
+	}{
+		"answered before the next one came":                  {answered, nothing, 0},
+		"answered while the next one was out":                {nothing, answered, 1},
+		"written to its member and ended before that":        {givenAndEnded, nothing, 0},
+		"written to its member before that":                  {given, nothing, 1},
+		"written to its member and ended after the next one": {nothing, givenAndEnded, 1},
+	} {
 		t.Run(name, func(t *testing.T) {
 			copies := NewCopies()
 			first := copies.wrote("a", "id", nil)
 			time.Sleep(time.Millisecond) // what is told has times of its own
-			if c.answeredFirst {
-				copies.replied(first)
-				time.Sleep(time.Millisecond)
-			}
+			c.before(copies, first)
+			time.Sleep(time.Millisecond)
 			second := copies.wrote("b", "id", nil)
 			copies.arrived("id", second)
 			time.Sleep(time.Millisecond)
-			if !c.answeredFirst {
-				copies.replied(first)
-			}
+			c.after(copies, first)
 			copies.arrived("id", first)
 			if got := copies.Violations(); len(got) != c.want {
 				t.Errorf("%d second copies, want %d: %s", len(got), c.want, strings.Join(got, "\n"))
--- a/internal/standin/watch.go
+++ b/internal/standin/watch.go
@@ -30,6 +30,7 @@
 	giving     int64  // of them, those that have come at the member or are being written to it
 	delivered  int64
 	attempts   []*watchedAttempt // in order
+	given      int               // the first of them that is not being written to the member
 	delivering int               // the first of them that has not come at the member
 	answering  int               // the first that has no answer
 }
@@ -114,6 +115,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.giving += int64(len(b))
+	for ; w.given < len(w.attempts) && w.attempts[w.given].end <= w.giving; w.given++ {
+		if a := w.attempts[w.given]; a.copyAttempt != nil {
+			w.copies.giving(a.copyAttempt)
+		}
+	}
 }
 
 // Came takes what has come at the member.
