--- a/internal/standin/copies.go
+++ b/internal/standin/copies.go
@@ -118,20 +118,31 @@
 }
 
 // giving notes that the last byte of an attempt is about to be written to its member.
-func (c *Copies) giving(a *copyAttempt) {
+func (c *Copies) giving(id string, a *copyAttempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lookForEnds(id, a)
 	a.given = c.now()
 }
 
+// lookForEnds dates the ends of a request's other attempts that have not been reported yet: that of a connection may be after what was written to
+// another one later.
+func (c *Copies) lookForEnds(id string, but *copyAttempt) {
+	for _, b := range c.attempts[id] {
+		if b != but && b.answered == 0 && b.ended == 0 && b.over != nil && b.over() {
+			b.ended = c.now()
+		}
+	}
+}
+
 // arrived notes that the last byte of an attempt has come at its member, and gives the verdict on it. Who says so may be late: it came when it was
 // written to the member, and no later than its answer.
 func (c *Copies) arrived(id string, a *copyAttempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a.came = c.now()
-	if a.given > 0 {
-		a.came = a.given
+	if a.came = a.given; a.given == 0 {
+		c.lookForEnds(id, a)
+		a.came = c.now()
 	}
 	if a.answered > 0 {
 		a.came = min(a.came, a.answered)
@@ -146,10 +157,6 @@
 		if b.came > a.came {
 			first, second = a, b
 		}
-		// The end of one connection may be reported after what came on another one, though it was before it.
-		if first.answered == 0 && first.ended == 0 && first.over != nil && first.over() {
-			first.ended = second.came
-		}
 		if first.outAt(second.came) && !c.held(second) {
 			c.second = append(c.second, fmt.Sprintf("request %s: a second copy at %s (%v), while one is out at %s (%v)", id, second.member, second, first.member, first))
 		}
--- a/internal/standin/copies_test.go
+++ b/internal/standin/copies_test.go
@@ -59,9 +59,13 @@
 // at 873.6 ms, answered at 840.8 ms), while one is out at origin (written at 845.8 ms, came at 873.6 ms)".
 func TestCopiesCountsWhatIsToldLate(t *testing.T) {
 	answered := func(c *Copies, a *copyAttempt) { c.replied(a) }
-	given := func(c *Copies, a *copyAttempt) { c.giving(a) }
-	givenAndEnded := func(c *Copies, a *copyAttempt) { c.giving(a); c.closed([]*copyAttempt{a}) }
+	given := func(c *Copies, a *copyAttempt) { c.giving("id", a) }
+	givenAndEnded := func(c *Copies, a *copyAttempt) { c.giving("id", a); c.closed([]*copyAttempt{a}) }
 	nothing := func(*Copies, *copyAttempt) {}
+	overAt := func(c *Copies, a *copyAttempt) {
+		c.arrived("id", a)
+		a.over = func() bool { return true }
+	}
 	for name, c := range map[string]struct {
 		before, after func(*Copies, *copyAttempt) // the next one comes
 		want          int
@@ -69,6 +73,7 @@
 		"answered before the next one came":                  {answered, nothing, 0},
 		"answered while the next one was out":                {nothing, answered, 1},
 		"written to its member and ended before that":        {givenAndEnded, nothing, 0},
+		"ended before that, which nobody has reported yet":   {overAt, nothing, 0},
 		"written to its member before that":                  {given, nothing, 1},
 		"written to its member and ended after the next one": {nothing, givenAndEnded, 1},
 	} {
@@ -79,10 +84,17 @@
 			c.before(copies, first)
 			time.Sleep(time.Millisecond)
 			second := copies.wrote("b", "id", nil)
+			copies.giving("id", second)
+			if first.over != nil { // now it is reported
+				copies.closed([]*copyAttempt{first})
+			}
+			time.Sleep(time.Millisecond)
 			copies.arrived("id", second)
 			time.Sleep(time.Millisecond)
 			c.after(copies, first)
-			copies.arrived("id", first)
+			if first.came == 0 {
+				copies.arrived("id", first)
+			}
 			if got := copies.Violations(); len(got) != c.want {
 				t.Errorf("%d second copies, want %d: %s", len(got), c.want, strings.Join(got, "\n"))
 			}
--- a/internal/standin/watch.go
+++ b/internal/standin/watch.go
@@ -117,7 +117,7 @@
 	w.giving += int64(len(b))
 	for ; w.given < len(w.attempts) && w.attempts[w.given].end <= w.giving; w.given++ {
 		if a := w.attempts[w.given]; a.copyAttempt != nil {
-			w.copies.giving(a.copyAttempt)
+			w.copies.giving(a.id, a.copyAttempt)
 		}
 	}
 }
