--- a/cmd/linenlab/main.go
+++ b/cmd/linenlab/main.go
@@ -32,6 +32,7 @@
 	{"idle", "CPU time of a proxy without requests", lab.Idle},
 	{"overload", "more reads than one core can serve: share served in time, and effect on another tenant", lab.Overload},
 	{"restarts", "planned restarts under load and network faults, for the seeds given by -first and -count", lab.Restarts},
+	{"strays", "members that send answers that no request asks for, late and in many forms, and writes refused on their header", lab.Strays},
 	{"scale", "many clients in front of a healthy fleet: reads served and refused, cost of a read compared with a relay", lab.Scale},
 }
 
--- /dev/null
+++ b/internal/cluster/attribution_test.go
@@ -0,0 +1,152 @@
+package cluster
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"linenloom/internal/standin"
+)
+
+// strayDelays are the delays of stray bytes after an answer, in turn.
+var strayDelays = []time.Duration{25, 3, 200, 60, 10, 150, 100, 5, 0}
+
+const (
+	strayDelayTime   = 300 * time.Millisecond // how long each delay lasts
+	strayServiceTime = 25 * time.Millisecond  // of the origin
+	strayClients     = 24
+)
+
+// attributionScene is a fleet whose members send strays, before one fresh process.
+type attributionScene struct {
+	t       *testing.T
+	fleet   *standin.Fleet
+	proxy   string
+	process *Process
+}
+
+func newAttributionScene(t *testing.T) *attributionScene {
+	t.Helper()
+	runningClusters <- struct{}{}
+	t.Cleanup(func() { <-runningClusters })
+	fleet, err := standin.NewFleet(4, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	fleet.Overrides = map[string]any{"classes": standin.AttributionSettings()}
+	fleet.Origin.SetService(strayServiceTime, 0)
+	return &attributionScene{t: t, fleet: fleet}
+}
+
+// start starts the process, with the arguments.
+func (s *attributionScene) start(args ...string) {
+	s.t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if s.proxy, err = standin.FreeAddr(); err != nil {
+		s.t.Fatal(err)
+	}
+	config, err := s.fleet.Config("n1", s.proxy, "8c1f30d27a5be964", 96, 1024)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	path := filepath.Join(s.t.TempDir(), "config.json")
+	if err := os.WriteFile(path, config, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	if s.process, err = Start("msg=ready", []string{proxyEnv + "=1", "LB_CONFIG=" + path, "LB_LISTEN=" + s.proxy}, self, args...); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(s.process.Kill)
+}
+
+// sweep runs clients while members send strays of a form after each delay in turn, and returns what they saw.
+func (s *attributionScene) sweep(form standin.StrayForm, classes []standin.AttributionClass, set func(standin.Strays)) standin.AttributionResult {
+	s.t.Helper()
+	checker := standin.NewAttributionChecker(s.fleet)
+	set(standin.Strays{Form: form, Every: 10, Delay: strayDelays[0] * time.Millisecond})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, delay := range strayDelays[1:] {
+			time.Sleep(strayDelayTime)
+			set(standin.Strays{Form: form, Every: 10, Delay: delay * time.Millisecond})
+		}
+	}()
+	result, err := checker.RunClients([]string{s.proxy}, classes, strayClients, strayDelayTime*time.Duration(len(strayDelays)))
+	<-done
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return result
+}
+
+func (s *attributionScene) requireUnbroken(result standin.AttributionResult) {
+	s.t.Helper()
+	s.t.Log(result)
+	if result.Broken() > 0 {
+		s.t.Errorf("%d requests broke a rule: %v", result.Broken(), result)
+	}
+	if result.Served < 100 {
+		s.t.Errorf("only %d requests were served", result.Served)
+	}
+}
+
+// An answer that comes up to 200 ms after another one on a connection to the origin, in any form, is not
+// taken for the answer to a later request.
+func TestLateAnswersOfTheOriginAreNotAttributed(t *testing.T) {
+	t.Parallel()
+	for _, form := range standin.OriginStrays {
+		t.Run(fmt.Sprint(form), func(t *testing.T) {
+			t.Parallel()
+			scene := newAttributionScene(t)
+			scene.start()
+			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses, scene.fleet.Origin.SetStrays))
+		})
+	}
+}
+
+// An answer that comes up to 200 ms after another one on a connection to a cache, in any form, is not taken
+// for the answer to a later request.
+func TestLateAnswersOfCachesAreNotAttributed(t *testing.T) {
+	t.Parallel()
+	for _, form := range standin.CacheStrays {
+		t.Run(fmt.Sprint(form), func(t *testing.T) {
+			t.Parallel()
+			scene := newAttributionScene(t)
+			for _, cache := range scene.fleet.Caches {
+				cache.SetService(2*time.Millisecond, 0)
+				cache.SetSource(func(key string) []byte { return standin.Value(key, 64) })
+			}
+			scene.start()
+			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses[:3], func(strays standin.Strays) {
+				for _, cache := range scene.fleet.Caches {
+					cache.SetStrays(strays)
+				}
+			}))
+		})
+	}
+}
+
+// A connection on which a write was refused before its last byte was sent is not used again: the first byte
+// of the next request would become the last byte of the write.
+func TestWriteRefusedEarlyDoesNotTakeTheNextRequest(t *testing.T) {
+	t.Parallel()
+	scene := newAttributionScene(t)
+	scene.fleet.Origin.SetRejectEarly(true)
+	scene.start()
+	checker := standin.NewAttributionChecker(scene.fleet)
+	result, err := checker.RunClients([]string{scene.proxy}, standin.AttributionClasses, strayClients, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	scene.requireUnbroken(result)
+	if result.Refused == 0 {
+		t.Error("no write was refused")
+	}
+}
--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	process, err = Start("msg=ready", []string{"LB_CONFIG=" + path, "LB_LISTEN=" + addr}, e.Bin+"/linenloom", args...)
+	process, err = Start("msg=ready", []string{"LB_CONFIG=" + path, "LB_LISTEN=" + addr}, e.program(), args...)
 	return addr, process, err
 }
 
--- /dev/null
+++ b/internal/lab/strays.go
@@ -0,0 +1,147 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"linenloom/internal/standin"
+)
+
+const (
+	strayClients     = 24
+	strayCaches      = 4
+	strayServiceTime = 25 * time.Millisecond // of the origin
+	strayEvery       = 10                    // every n-th answer is followed by stray bytes
+)
+
+// strayDelays are the delays of stray bytes after an answer that the scenario sweeps.
+var strayDelays = []time.Duration{0, 500 * time.Microsecond, 3 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond,
+	60 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond}
+
+// Strays runs the scenario of members that send bytes that no request asks for: each form of them, at each
+// delay after an answer, from the origin and from caches, before processes that have just started. No client
+// may be served another's answer, nothing may run twice, be out twice or be refused although it ran.
+func Strays(ctx context.Context, env *Env) (*Report, error) {
+	report := &Report{Scenario: "strays"}
+	for _, proxies := range []int{1, 6} {
+		if err := env.sweepStrays(ctx, report, proxies); err != nil {
+			return report, err
+		}
+	}
+	return report, env.measureEarlyRejections(report)
+}
+
+func (e *Env) sweepStrays(ctx context.Context, report *Report, proxies int) error {
+	for _, member := range []string{"origin", "cache"} {
+		forms := standin.OriginStrays
+		if member == "cache" {
+			forms = standin.CacheStrays
+		}
+		for _, form := range forms {
+			var total standin.AttributionResult
+			for _, delay := range strayDelays {
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
+				result, err := e.runStrays(member, standin.Strays{Form: form, Every: strayEvery, Delay: delay}, proxies, nil)
+				if err != nil {
+					return fmt.Errorf("%s, %s after %v: %w", member, form, delay, err)
+				}
+				if result.Broken() > 0 {
+					e.Log("%s, %s after %v, %d proxies: %v", member, form, delay, proxies, result)
+				}
+				total.Add(result)
+			}
+			name := fmt.Sprintf("%d proxies, %s, %s: ", proxies, member, form)
+			report.AddValue(name+"served", float64(total.Served))
+			report.AddValue(name+"failed", float64(total.Failed))
+			report.Equal(name+"served another's", float64(total.ServedAnother), 0)
+			report.Equal(name+"ran twice", float64(total.RanTwice), 0)
+			report.Equal(name+"two out at once", float64(total.TwoOut), 0)
+			report.Equal(name+"refused after it ran", float64(total.RefusedAfterRun), 0)
+		}
+	}
+	return nil
+}
+
+// strayFleet starts a fleet whose caches always miss, or have every key, and the proxies in front of it.
+func (e *Env) strayFleet(proxies int, hits bool) (fleet *standin.Fleet, addrs []string, closeAll func(), err error) {
+	if fleet, err = standin.NewFleet(strayCaches, 64); err != nil {
+		return nil, nil, nil, err
+	}
+	settings := standin.AttributionSettings()
+	fleet.Overrides = map[string]any{"classes": settings}
+	fleet.Origin.SetService(strayServiceTime, 0)
+	if hits {
+		for _, cache := range fleet.Caches {
+			cache.SetService(2*time.Millisecond, 0)
+			cache.SetSource(func(key string) []byte { return standin.Value(key, 64) })
+		}
+	}
+	var processes []*Process
+	closeAll = func() {
+		for _, process := range processes {
+			process.Kill()
+		}
+		fleet.Close()
+	}
+	for i := range proxies {
+		addr, process, err := e.startProxy(fmt.Sprint("strays-", i), fleet, 96, 1024)
+		if err != nil {
+			closeAll()
+			return nil, nil, nil, err
+		}
+		processes, addrs = append(processes, process), append(addrs, addr)
+	}
+	return fleet, addrs, closeAll, nil
+}
+
+// runStrays runs clients before fresh processes while a kind of member sends strays.
+func (e *Env) runStrays(member string, strays standin.Strays, proxies int, prepare func(*standin.Fleet)) (result standin.AttributionResult, err error) {
+	fleet, addrs, closeAll, err := e.strayFleet(proxies, member == "cache")
+	if err != nil {
+		return result, err
+	}
+	defer closeAll()
+	classes := standin.AttributionClasses
+	if member == "cache" {
+		classes = classes[:3]
+		for _, cache := range fleet.Caches {
+			cache.SetStrays(strays)
+		}
+	} else {
+		fleet.Origin.SetStrays(strays)
+	}
+	if prepare != nil {
+		prepare(fleet)
+	}
+	return standin.NewAttributionChecker(fleet).RunClients(addrs, classes, strayClients, e.strayTime())
+}
+
+// strayTime is how long each cell of the sweep lasts.
+func (e *Env) strayTime() time.Duration { return time.Duration(e.Seconds) * time.Second / 10 }
+
+// measureEarlyRejections runs writes that the origin refuses on their header.
+func (e *Env) measureEarlyRejections(report *Report) error {
+	result, err := e.runStrays("origin", standin.Strays{}, 1, func(fleet *standin.Fleet) { fleet.Origin.SetRejectEarly(true) })
+	if err != nil {
+		return err
+	}
+	e.Log("early rejections: %v", result)
+	report.AddValue("writes refused on their header: refused", float64(result.Refused))
+	report.Equal("writes refused on their header: garbled", float64(result.Garbled), 0)
+	return nil
+}
+
+// programVariable names a linenloom program to measure in place of the one that was built.
+const programVariable = "LINENLAB_PROGRAM"
+
+// program returns the path of the program that is measured.
+func (e *Env) program() string {
+	if path := os.Getenv(programVariable); path != "" {
+		return path
+	}
+	return e.Bin + "/linenloom"
+}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -44,10 +44,13 @@
 	serviceTime time.Duration // how long an answer takes
 	capacity    int           // concurrent requests; 0 means unlimited
 	inProgress  int
-	received    int              // requests received, whatever their outcome
-	coldStart   *coldStartState  // nil if warm
-	lastEnded   time.Time        // when the latest request ended
-	deadlines   *DeadlineChecker // receives the deadline of each complete request; may be nil
+	received    int                 // requests received, whatever their outcome
+	coldStart   *coldStartState     // nil if warm
+	lastEnded   time.Time           // when the latest request ended
+	deadlines   *DeadlineChecker    // receives the deadline of each complete request; may be nil
+	attribution *AttributionChecker // receives each complete request; may be nil
+	strays      Strays
+	answers     int // sent while strays are set
 	quit        chan struct{}
 }
 
@@ -72,7 +75,7 @@
 
 // serveConn serves a connection until it ends.
 func (m *member) serveConn(conn net.Conn, serve func(net.Conn)) {
-	serve(conn)
+	serve(&strayConn{Conn: conn, member: m})
 	conn.Close()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -221,7 +224,8 @@
 	onMiss func(id string, cache *Cache)
 	hits   int
 	misses int
-	onRead func(id string) // called with the id of each read; may be nil
+	onRead func(id string)         // called with the id of each read; may be nil
+	source func(key string) []byte // makes the values of keys that are not stored; may be nil
 }
 
 func newCache(id, zone string, onMiss func(string, *Cache)) (*Cache, error) {
@@ -244,6 +248,13 @@
 	c.mu.Unlock()
 }
 
+// SetSource sets the function that makes the values of keys that are not stored, which then are no misses.
+func (c *Cache) SetSource(source func(key string) []byte) {
+	c.mu.Lock()
+	c.source = source
+	c.mu.Unlock()
+}
+
 // OnRead sets a function that is called with the id of each later read before it is processed.
 func (c *Cache) OnRead(f func(id string)) {
 	c.mu.Lock()
@@ -260,7 +271,9 @@
 
 func (c *Cache) lookup(key, id string) (value []byte, ok bool) {
 	c.mu.Lock()
-	value, ok = c.store[key]
+	if value, ok = c.store[key]; !ok && c.source != nil {
+		value, ok = c.source(key), true
+	}
 	if ok {
 		c.hits++
 	} else {
@@ -307,6 +320,7 @@
 		out = []byte("+OK\r\n")
 	case len(args) == 4 && string(args[0]) == "OBJ.GET":
 		c.reportDeadline(string(args[2]), string(args[3]))
+		c.beginAttempt(conn, string(args[2]))
 		out, err = c.handleRead(in, string(args[1]), string(args[2]))
 	default:
 		out = []byte("-ERR unknown command\r\n")
--- a/internal/standin/origin.go
+++ b/internal/standin/origin.go
@@ -18,6 +18,7 @@
 	executions    map[string]int // executions of writes by key
 	fetches       int
 	resetAfterRun bool
+	rejectEarly   bool
 }
 
 func newOrigin(id string, makeValue func(string) []byte, onFetched func(id, key string, value []byte)) (*Origin, error) {
@@ -51,13 +52,46 @@
 	o.mu.Unlock()
 }
 
+// SetRejectEarly makes the origin refuse writes on their header, before it has read their body.
+func (o *Origin) SetRejectEarly(on bool) {
+	o.mu.Lock()
+	o.rejectEarly = on
+	o.mu.Unlock()
+}
+
+// rejectsEarly refuses a write on its header, if that is set, and then reads its body, which has to be the
+// one that was written for it.
+func (o *Origin) rejectsEarly(conn net.Conn, request *http.Request) bool {
+	o.mu.Lock()
+	early := o.rejectEarly && request.Method != http.MethodGet
+	o.mu.Unlock()
+	if !early {
+		return false
+	}
+	if writeHTTP(conn, 503, "X-Not-Processed: 1\r\n", nil) != nil {
+		return true
+	}
+	body, err := io.ReadAll(request.Body)
+	if err == nil && string(body) != "written for "+request.Header.Get("X-Request-ID") {
+		o.recordGarbled()
+	}
+	return true
+}
+
 func (o *Origin) serve(conn net.Conn) {
 	in := bufio.NewReader(conn)
 	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
 		r, err := http.ReadRequest(in)
 		if err != nil {
+			o.recordGarbled()
 			return
 		}
+		if o.rejectsEarly(conn, r) {
+			continue
+		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
@@ -72,9 +106,14 @@
 		return writeHTTP(conn, 200, "", nil)
 	}
 	key := strings.TrimPrefix(request.URL.Path, "/")
-	o.reportDeadline(request.Header.Get("X-Request-ID"), request.Header.Get("X-Attrs"))
+	id := request.Header.Get("X-Request-ID")
+	o.reportDeadline(id, request.Header.Get("X-Attrs"))
+	o.beginAttempt(conn, id)
 	fault, serviceTime := o.beginRequest()
 	defer o.endRequest()
+	if fault != Busy {
+		o.recordRun(id)
+	}
 	switch fault {
 	case Stall:
 		o.awaitDisconnect(in)
