Logs and counts of connections to members, and of bytes that no request asked for

Change: an attempt's debug line names its connection, the requests on it so far, its rest before reuse and the time to the first byte; a warning, at most one a second, when members send bytes that no request asked for; GET /connections counts open and opened connections, closes by reason and stray bytes. Result: TestConnectionCountsShowStrayBytes passes; without the code the call answers 404.

--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -73,6 +73,7 @@
 	f := &Front{proxy: p, dir: dir, log: log, listener: listener, quit: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", f.status)
+	mux.HandleFunc("GET /connections", f.memberConnections)
 	mux.HandleFunc("PUT /maintenance/enter", f.enter)
 	mux.HandleFunc("PUT /maintenance/exit", f.exit)
 	f.mux = mux
@@ -199,6 +200,11 @@
 	io.WriteString(w, "serving\n")
 }
 
+// memberConnections responds with counts of the connections to members.
+func (f *Front) memberConnections(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, f.proxy.Connections())
+}
+
 func (f *Front) enter(w http.ResponseWriter, r *http.Request) {
 	f.change(w, r, true, func(s maintenance.Set, id string) (maintenance.Set, error) {
 		return s.Enter(id, time.Now().UnixMilli())
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -246,3 +247,30 @@
 		t.Errorf("%d", got)
 	}
 }
+
+// A second copy of an answer appears in the counts of connections that operators see, with the reason for
+// which its connection was closed.
+func TestConnectionCountsShowStrayBytes(t *testing.T) {
+	r := startHarness(t, t.TempDir())
+	for _, cache := range r.fleet.Caches {
+		cache.SetSource(func(key string) []byte { return standin.Value(key, 100) })
+		cache.SetStrays(standin.Strays{Form: standin.StrayCopy, Every: 1, Delay: 20 * time.Millisecond})
+	}
+	r.read("k1")
+	var counts proxy.ConnectionCounts
+	for end := time.Now().Add(testTimeout); counts.Closed["unsolicited"] == 0; time.Sleep(time.Millisecond) {
+		status, body, err := mgmt.Call("GET", r.addr, "/connections", "", testTimeout)
+		if err != nil || status != 200 {
+			t.Fatal(status, err)
+		}
+		if err := json.Unmarshal([]byte(body), &counts); err != nil {
+			t.Fatal(err)
+		}
+		if time.Now().After(end) {
+			t.Fatalf("no stray bytes are counted: %+v", counts)
+		}
+	}
+	if counts.Strays == 0 || counts.Opened == 0 {
+		t.Errorf("counts %+v", counts)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -212,8 +212,29 @@
 	// new.
 	idleBucket int
 	reusableAt time.Duration // when it may carry the next request
+	// restedFor is how long it was unused before its current request, requestCount how many requests it has
+	// been given.
+	restedFor    time.Duration
+	requestCount int
+	closeReason  CloseReason
 }
 
+// RestedFor returns how long the connection was unused before its current request.
+func (c *Conn[X]) RestedFor() time.Duration { return c.restedFor }
+
+// RequestCount returns how many requests the connection has been given.
+func (c *Conn[X]) RequestCount() int { return c.requestCount }
+
+// SetCloseReason sets why the connection is about to be closed.
+func (c *Conn[X]) SetCloseReason(reason CloseReason) {
+	if !c.Closed {
+		c.closeReason = reason
+	}
+}
+
+// UnusedSince returns since when the connection is unused, if it is not busy.
+func (c *Conn[X]) UnusedSince() time.Duration { return c.lastUsed }
+
 // Busy reports whether a request or a ping is in flight.
 func (c *Conn[X]) Busy() bool {
 	var none X
@@ -244,6 +265,7 @@
 	hold               holdTime
 	maxPipelineAge     time.Duration // see the constant
 	noPipeliningUntil  time.Duration // nothing is pipelined before this time
+	counters           Counters
 }
 
 // New returns a Pool without connections.
@@ -299,7 +321,7 @@
 	c.Retired = true
 	var none X
 	if (c.Current == none || c.Current.PoolRequest().Ended) && len(c.Pipelined) == 0 {
-		p.Close(c)
+		p.CloseFor(c, CloseRetired)
 	}
 }
 
@@ -313,6 +335,7 @@
 		c.Member.Conns = slices.Delete(c.Member.Conns, i, i+1)
 	}
 	p.openConns--
+	p.counters.Closed[c.closeReason]++
 	c.Link.Close()
 }
 
@@ -554,7 +577,7 @@
 		case p.now-c.lastUsed < p.cfg.ConnIdle*idlePercent/100:
 			return c
 		case len(m.Conns)+m.pendingDials >= p.MaxConns(m):
-			p.Close(c) // a new one replaces it
+			p.CloseFor(c, CloseSurplus) // a new one replaces it
 		}
 	}
 	return nil
@@ -597,6 +620,7 @@
 		p.Retire(c) // the member has changed meanwhile
 	default:
 		c.lastUsed, m.noDialUntil = p.now, 0
+		p.counters.Opened++
 		m.Conns = append(m.Conns, c)
 		if p.serveWaiting(m); prewarm && !c.Busy() {
 			p.ping(c)
@@ -737,11 +761,13 @@
 func (p *Pool[X]) start(c *Conn[X], x X) {
 	r := x.PoolRequest()
 	r.BeganAt = p.now
+	c.requestCount++
 	var none X
 	if c.Current != none {
 		c.Pipelined = append(c.Pipelined, x)
 	} else {
 		c.Current, c.currentSince, c.carriesWrite, c.group = x, p.now, r.Write, r.Group
+		c.restedFor = p.now - c.lastUsed
 		if c.idleBucket = -1; c.HasAnswered {
 			c.idleBucket = p.idle.bucket(p.now - c.lastUsed)
 			p.idle.reused[c.idleBucket]++
@@ -796,7 +822,7 @@
 	if c.HasAnswered = c.HasAnswered || !c.Refused; c.HasAnswered {
 		c.Member.backoff, c.Member.noDialUntil = 0, 0
 		if !c.Member.Origin && p.hold.current < minHoldTime && len(c.Member.Waiting) == 0 {
-			p.Close(c)
+			p.CloseFor(c, CloseSurplus)
 			return
 		}
 	}
@@ -888,6 +914,7 @@
 // PingTimedOut drops a connection whose ping, sent at the given time, has not been answered.
 func (p *Pool[X]) PingTimedOut(c *Conn[X], sent time.Duration) {
 	if c.PingPending && c.lastUsed == sent {
+		c.SetCloseReason(ClosePingTimeout)
 		p.HandleBroken(c)
 	}
 }
@@ -897,7 +924,7 @@
 func (p *Pool[X]) CloseIdle(m *Member[X], age time.Duration) (closed int) {
 	for _, c := range slices.Clone(m.Conns) {
 		if !c.Busy() && p.now-c.lastUsed >= age {
-			p.Close(c)
+			p.CloseFor(c, CloseIdle)
 			closed++
 		}
 	}
--- a/internal/proxy/attempt_log.go
+++ b/internal/proxy/attempt_log.go
@@ -26,6 +26,12 @@
 		line = append(line, "waited_ms", milliseconds(a.BeganAt-a.startedAt), "out_ms", milliseconds(p.now-a.BeganAt),
 			"left_at_write_ms", milliseconds(a.ExpiresAt-a.BeganAt), "first_on_connection", a.Fresh())
 	}
+	if trace, ok := a.Trace(); ok {
+		line = append(line, "connection", trace.Connection, "requests_on_connection", trace.Requests, "rested_ms", milliseconds(trace.RestedFor))
+		if trace.FirstByteAt > a.BeganAt {
+			line = append(line, "first_byte_ms", milliseconds(trace.FirstByteAt-a.BeganAt))
+		}
+	}
 	p.log.Debug("attempt", line...)
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -85,6 +85,7 @@
 	firstListTimeout        = 500 * time.Millisecond // maximum wait for the first list from discovery
 	listUpdateTimeout       = 50 * time.Millisecond  // maximum wait once discovery has accepted the watch
 	reasonsLogInterval      = 10 * time.Second       // interval for logging changes of the counts by reason
+	strayLogInterval        = time.Second            // shortest time between two log lines about stray bytes
 )
 
 // Proxy accepts requests from its front ends and sends them to members as its Balancer decides.
@@ -139,6 +140,7 @@
 	reasonsLogged      *reasons.Counts // as last logged
 	shortOfDescriptors bool
 	shortOfMemory      bool
+	strayLog           strayLog
 }
 
 func bufferLimit(memoryMB int) int { return int(float64(memoryMB) * (1 << 20) * bufferMemoryShare) }
@@ -448,8 +450,13 @@
 			p.openDescriptors() >= p.cfg.Descriptors-reservedDescriptors, "short of file descriptors")
 		p.shortOfMemory = p.logShortage(p.shortOfMemory,
 			p.bufferedBytes >= p.maxBufferedBytes, "short of memory for buffered bodies")
+		var strays []any
+		if ticks%int(strayLogInterval/frontSweepInterval) == 0 {
+			strays = p.newStrayAttrs()
+		}
 		p.endEvent()
 		p.logReasons(newCounts)
+		p.logStrays(strays)
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -44,6 +44,8 @@
 	conn             *net.TCPConn
 	sender           *sender.Sender
 	codec            Codec
+	number           uint64        // counts the connections of the Set, for logs
+	firstByteAt      time.Duration // when the first byte of the latest answer arrived; 0: there was none
 	lastWriteAt      time.Duration // when the latest bytes were written
 	lastValueHash    uint64        // hash of the latest value, while others were pipelined behind it; 0: none
 	readDeadlineSet  bool          // a read deadline is set for the rest of an answer; only the reader uses it
@@ -66,7 +68,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{set: s, conn: conn, sender: connSender, codec: resp2{}}
+	s.lastConn++
+	c := &Conn{set: s, conn: conn, sender: connSender, codec: resp2{}, number: s.lastConn}
 	if m.Origin {
 		c.codec = http1{}
 	}
@@ -202,6 +205,7 @@
 
 // closeAndCancel closes a connection because of one of its exchanges, and cancels the others on it.
 func (s *Set) closeAndCancel(c *Conn) {
+	c.SetCloseReason(pool.CloseAbandoned)
 	if c.Current != nil {
 		c.cancel(c.Current)
 	}
@@ -283,10 +287,22 @@
 	if badAnswer {
 		c.Member.RecordBadAnswer()
 	}
+	c.SetCloseReason(closeReason(err, badAnswer))
 	c.cancelPipelined()
 	c.set.HandleBroken(&c.Conn)
 }
 
+// closeReason returns why a connection whose reader has ended with an error is closed.
+func closeReason(err error, badAnswer bool) pool.CloseReason {
+	switch {
+	case errors.Is(err, errUnsolicited):
+		return pool.CloseUnsolicited
+	case badAnswer:
+		return pool.CloseBadAnswer
+	}
+	return pool.CloseByPeer
+}
+
 // readAnswers reads answers until the connection ends.
 func (c *Conn) readAnswers() error {
 	next := c.codec.Reader(c)
@@ -355,8 +371,10 @@
 	case c.peekResult == sender.EndOfStream:
 		return io.EOF
 	case !c.Busy():
+		c.reportStray()
 		return errUnsolicited
 	}
+	c.firstByteAt = c.set.host.Clock()
 	return nil
 }
 
@@ -372,6 +390,7 @@
 	case c.set.Answered(&c.Conn, c.Current != nil && c.Current.streamingSince == 0):
 		return nil
 	case buffered > 0:
+		c.set.reportStray(c.Member, Stray{Connection: c.number, Requests: c.RequestCount(), StartsWith: "(read with the answer)"})
 		return errUnsolicited
 	case c.Retired:
 		return io.EOF
--- a/internal/upstream/cork_test.go
+++ b/internal/upstream/cork_test.go
@@ -24,6 +24,7 @@
 func (h *testHost) Do(f func())                                     { f() }
 func (h *testHost) ScheduleTimer(Timer)                             {}
 func (h *testHost) ScheduleWake(time.Duration)                      {}
+func (h *testHost) ReportStray(*Member, Stray)                      {}
 func (h *testHost) HasDescriptor(bool) bool                         { return true }
 func (h *testHost) ReserveLongValue(int, time.Duration) Reservation { return nil }
 func (h *testHost) Served([]byte)                                   {}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -85,6 +85,7 @@
 	Do(f func())                   // calls f under the lock, as one event
 	ScheduleTimer(d Timer)         // calls HandleTimer with the timer when it is due
 	ScheduleWake(at time.Duration) // calls Wake at that time; the latest call replaces earlier ones
+	ReportStray(m *Member, s Stray)
 	HasDescriptor(evict bool) bool // reports whether a descriptor is available; evict: one may be freed for it
 	// ReserveLongValue requests n bytes of the memory for long values, waiting until a time at most.
 	ReserveLongValue(n int, until time.Duration) Reservation
@@ -132,6 +133,8 @@
 	readers        sync.Pool // readers of connections to caches
 	seed           maphash.Seed
 	dialer         func(addr string, within time.Duration) (net.Conn, error)
+	lastConn       uint64        // number of the latest connection
+	strays         uint64        // times that bytes arrived that no request asked for
 	corking        bool          // reads wait for Uncork
 	corkedConns    []*Conn       // connections with reads that wait
 	corkedSince    time.Duration // when the first of them was corked
