A connection whose request was answered before it was written is not used again

Callers saw nothing yet; an origin that refuses a write on its header, and reads on, took the first byte of the next request as the last byte of the body that the proxy holds back. Cause: finishAnswer released the connection with the byte still held back, or a body half sent. Change: such a connection ends (errUnwritten). The verdict stays: the write never ran.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,6 +35,9 @@
 var (
 	errUnsolicited = errors.New("unsolicited bytes on the connection")
 	errTruncated   = errors.New("answer is truncated")
+	// errUnwritten ends a connection on which a request was answered before it was written: whatever is
+	// written next would be read as the rest of that request (RFC 9112, sections 9.3 and 9.6).
+	errUnwritten = errors.New("answer to a request that is not fully written")
 )
 
 // Conn is a connection to a member.
@@ -170,6 +173,11 @@
 // connection has failed.
 func (c *Conn) unsent(x *Exchange) bool { return c.sender.Unsent(x.endOffset) }
 
+// written reports whether all of an exchange has been written.
+func (c *Conn) written(x *Exchange) bool {
+	return !c.unsent(x) && (!c.sender.Busy() || len(c.Pipelined) > 0)
+}
+
 // Abandon stops waiting for an exchange by closing its connection: until then it is in flight, and a
 // further attempt would be a second copy.
 func (s *Set) Abandon(x *Exchange, status logic.Status) {
@@ -297,6 +305,8 @@
 	switch {
 	case errors.Is(err, errUnsolicited):
 		return pool.CloseUnsolicited
+	case errors.Is(err, errUnwritten):
+		return pool.CloseUnwritten
 	case badAnswer:
 		return pool.CloseBadAnswer
 	}
@@ -387,6 +397,8 @@
 	switch {
 	case c.Closed:
 		return net.ErrClosed
+	case c.Current != nil && !c.written(c.Current):
+		return errUnwritten
 	case c.set.Answered(&c.Conn, c.Current != nil && c.Current.streamingSince == 0):
 		return nil
 	case buffered > 0:
