Reads on a cache connection in use are followed by a fence, so that answers can be attributed

Clients were served other keys' values, and reads were out twice, when a cache sent an answer a second time, or any other answer, 3 to 200 ms late: RESP2 answers name no request. Change: a request sent within 250 ms of the last answer (1 s at suspected caches), or behind another, is followed by SELECT 0, which the protocol answers +OK; an answer counts only with that behind it, otherwise the attempt may have run and the connection ends. Connections that have rested are preferred and need none. Where caches end the connection with a fence, it is kept for requests that must not run twice, pipelined ones, and ten minutes after a stray byte.

--- a/internal/pool/learnt.go
+++ b/internal/pool/learnt.go
@@ -21,7 +21,7 @@
 // adopted in any case.
 func (p *Pool[X]) RestoreStats(m *Member[X], stats ConnStats) {
 	if stats.SuspectFor > 0 {
-		m.suspectUntil = max(m.suspectUntil, p.now+min(stats.SuspectFor, SuspicionTime))
+		p.suspect(m, min(stats.SuspectFor, SuspicionTime))
 	}
 	if m.occupancy == 0 && m.cleanAnswers == 0 && stats.Occupancy > 0 {
 		m.occupancy = stats.Occupancy
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -46,11 +46,9 @@
 	// attempt is expensive.
 	dialBackoff    = 10 * time.Millisecond
 	dialBackoffMax = time.Second
-	// CooldownTime is how long a connection stays unused after an answer. Bytes that arrive in that time
-	// belong to no request (a second copy of the answer, or noise after it) and end the connection before
-	// they could be taken for the next answer. It should be long enough for whatever a member sends
-	// unsolicited, and costs that much of the connection's time; unsolicited bytes that arrive after it,
-	// when the next request has been sent, are not detected.
+	// CooldownTime is how long a connection to a cache stays unused after an answer. Bytes that arrive in that
+	// time belong to no request and end the connection before they could spoil the next answer. Those that
+	// arrive later are found by the fence behind the next request, which then fails (see reuse.go).
 	CooldownTime = time.Millisecond
 	// SuspectCooldownTime replaces CooldownTime for a member that has recently sent unsolicited or
 	// unreadable bytes: second copies of its answers may arrive some milliseconds late. Its connections
@@ -92,6 +90,9 @@
 	Write     bool
 	Once      bool // it must never run twice
 	Ended     bool // set by the host: it no longer needs a connection
+	// Fenced: bytes of an earlier exchange may arrive on its connection before its answer, so the host sends a
+	// fence behind it (see reuse.go). Set before it is sent.
+	Fenced bool
 	// Group is shared by requests that arrive together, which may use one connection from the start; 0: no
 	// group.
 	Group    uint32
@@ -167,6 +168,8 @@
 	// before requests are pipelined.
 	cleanAnswers, cleanRequired int
 	suspectUntil                time.Duration // see Suspect
+	// answersFences: it has answered a fence; refusesFences: it has refused one and answered none.
+	answersFences, refusesFences bool
 	// backoff is the latest backoff; it doubles with each consecutive failed dial.
 	backoff     time.Duration
 	noDialUntil time.Duration // no dials before this time while connections are open
@@ -213,6 +216,9 @@
 	// new.
 	idleBucket int
 	reusableAt time.Duration // when it may carry the next request
+	// attributableAt is when no bytes of its earlier exchanges can arrive any more.
+	attributableAt time.Duration
+	lastFenced     bool // a fence was sent behind its latest request
 	// restedFor is how long it was unused before its current request, requestCount how many requests it has
 	// been given.
 	restedFor    time.Duration
@@ -267,6 +273,8 @@
 	maxPipelineAge     time.Duration // see the constant
 	noPipeliningUntil  time.Duration // nothing is pipelined before this time
 	counters           Counters
+	fences             fenceRecord
+	cachesSuspectUntil time.Duration // the caches are suspected, as one of them was seen to send stray bytes
 }
 
 // New returns a Pool without connections.
@@ -297,6 +305,7 @@
 		m.Epoch++
 		// it is another process
 		m.backoff, m.noDialUntil, m.roundTrip, m.smoothedTime, m.timeDeviation, m.suspectUntil = 0, 0, 0, 0, 0, 0
+		m.answersFences, m.refusesFences = false, false
 	}
 	if moved || !ready {
 		p.retireAll(m)
@@ -343,6 +352,9 @@
 
 // HandleBroken handles the end of a connection.
 func (p *Pool[X]) HandleBroken(c *Conn[X]) {
+	if !c.Closed && c.closeReason == CloseByPeer {
+		p.recordClosure(c)
+	}
 	if !c.Closed && !c.HasAnswered && (c.Refused || c.PingPending) {
 		if c.Refused && !c.Member.Origin {
 			p.hold.recordRefusal()
@@ -452,7 +464,7 @@
 		return 0
 	}
 	var none X
-	pipelining := p.now >= p.noPipeliningUntil && p.cfg.Multiplex > 1 &&
+	pipelining := p.now >= p.noPipeliningUntil && p.CanFence(m) &&
 		m.cleanAnswers >= max(MinCleanAnswers, m.cleanRequired)
 	for _, c := range m.Conns {
 		switch {
@@ -468,8 +480,7 @@
 
 // mayPipeline reports whether the request may be pipelined behind others at a member.
 func (p *Pool[X]) mayPipeline(m *Member[X], r *Request) bool {
-	return !m.Origin && !r.Write && p.now >= p.noPipeliningUntil && !r.Once &&
-		p.cfg.Multiplex >= 2 && m.cleanAnswers >= max(MinCleanAnswers, m.cleanRequired)
+	return p.CanFence(m) && !r.Write && p.now >= p.noPipeliningUntil && !r.Once && m.cleanAnswers >= max(MinCleanAnswers, m.cleanRequired)
 }
 
 // acceptsPipelined reports whether a read may be pipelined on a connection.
@@ -562,6 +573,7 @@
 	if x.PoolRequest().Once {
 		idlePercent = onceIdlePercent
 	}
+	var unattributable *Conn[X]
 	for i := len(m.Conns) - 1; i >= 0; i-- {
 		c := m.Conns[i]
 		switch {
@@ -569,13 +581,19 @@
 		case p.now-c.lastUsed >= p.idle.limit && c.HasAnswered ||
 			p.now-c.lastUsed >= p.cfg.ConnIdle*IdlePercent/100 || !c.Link.Silent():
 			p.Retire(c)
-		case p.now-c.lastUsed < p.cfg.ConnIdle*idlePercent/100:
+		case p.now-c.lastUsed >= p.cfg.ConnIdle*idlePercent/100:
+			if len(m.Conns)+m.pendingDials >= p.MaxConns(m) {
+				p.CloseFor(c, CloseSurplus) // a new one replaces it
+			}
+		case p.now < c.attributableAt:
+			if unattributable == nil {
+				unattributable = c
+			}
+		default:
 			return c
-		case len(m.Conns)+m.pendingDials >= p.MaxConns(m):
-			p.CloseFor(c, CloseSurplus) // a new one replaces it
 		}
 	}
-	return nil
+	return unattributable
 }
 
 // Redial opens connections for the waiting requests, within the limits.
@@ -758,6 +776,8 @@
 	r.BeganAt = p.now
 	c.requestCount++
 	var none X
+	r.Fenced = p.needsFence(c, r)
+	c.lastFenced = r.Fenced
 	if c.Current != none {
 		c.Pipelined = append(c.Pipelined, x)
 	} else {
@@ -811,6 +831,7 @@
 func (p *Pool[X]) Release(c *Conn[X]) {
 	var none X
 	c.Current, c.PingPending, c.lastUsed = none, false, p.now
+	c.attributableAt = p.now + p.quarantineTime(c.Member)
 	if !c.Member.Origin && !c.HasAnswered && !c.Refused {
 		p.hold.recordAnswer()
 	}
@@ -821,7 +842,7 @@
 			return
 		}
 	}
-	if c.Member.Origin && !p.keepsResting(c.Member) {
+	if p.endsWithFence(c) || !p.CanFence(c.Member) && !p.keepsResting(c.Member) {
 		p.CloseFor(c, CloseSurplus)
 		p.Redial(c.Member)
 		return
--- a/internal/pool/reuse_test.go
+++ b/internal/pool/reuse_test.go
@@ -114,3 +114,115 @@
 		t.Errorf("%d connections rest", got)
 	}
 }
+
+// fencedCache returns a pool and a cache with one connection, on which a request was just answered and its
+// cooldown is over.
+func fencedCache(t *testing.T, cfg Config) (*testHost, *Member[*testRequest], *testLink) {
+	t.Helper()
+	host := newTestHost(t, cfg)
+	cache := &Member[*testRequest]{Ready: true}
+	host.submit(cache, 1)
+	link := host.connect(0, true)
+	host.answer(link)
+	host.pass(CooldownTime)
+	return host, cache, link
+}
+
+// A fence is sent behind each request before whose answer bytes of an earlier exchange may arrive; where it
+// costs a connection, only behind those that could do harm, and behind all while a cache is suspected.
+func TestWhatIsFenced(t *testing.T) {
+	costly := func(h *testHost, _ *Member[*testRequest], _ *testRequest) { h.pool.fences.costly = true }
+	for name, tc := range map[string]struct {
+		edit func(*testHost, *Member[*testRequest], *testRequest)
+		want bool
+	}{
+		"right after another": {func(*testHost, *Member[*testRequest], *testRequest) {}, true},
+		"rested":              {func(h *testHost, _ *Member[*testRequest], _ *testRequest) { h.pass(QuarantineTime) }, false},
+		"rested, but suspected": {func(h *testHost, m *Member[*testRequest], _ *testRequest) {
+			h.pool.RecordStray(m)
+			h.submit(m, 2)
+			h.answer(h.links[0])
+			h.pass(QuarantineTime)
+		}, true},
+		"refused before": {func(h *testHost, m *Member[*testRequest], _ *testRequest) { h.pool.RecordFence(m, false) }, false},
+		"refused after answers": {func(h *testHost, m *Member[*testRequest], _ *testRequest) {
+			h.pool.RecordFence(m, true)
+			h.pool.RecordFence(m, false)
+		}, true},
+		"costly": {costly, false},
+		"costly, must not run twice": {func(h *testHost, m *Member[*testRequest], x *testRequest) {
+			costly(h, m, x)
+			x.Once = true
+		}, true},
+		"costly, another cache suspected": {func(h *testHost, m *Member[*testRequest], x *testRequest) {
+			costly(h, m, x)
+			h.pool.RecordStray(&Member[*testRequest]{})
+		}, true},
+		"costly, an origin suspected": {func(h *testHost, m *Member[*testRequest], x *testRequest) {
+			costly(h, m, x)
+			h.pool.RecordStray(&Member[*testRequest]{Origin: true})
+		}, false},
+	} {
+		host, cache, link := fencedCache(t, defaultConfig)
+		request := &testRequest{id: 9, key: "other", Request: Request{ExpiresAt: host.now + time.Second}}
+		tc.edit(host, cache, request)
+		host.pool.Submit(cache, request)
+		for len(host.dials) > 0 {
+			host.connect(0, true)
+		}
+		if len(link.sent) == 1 && request.Fenced != tc.want {
+			t.Errorf("%s: fenced %v", name, request.Fenced)
+		}
+		if len(link.sent) != 1 && tc.want {
+			t.Errorf("%s: not sent on the connection", name)
+		}
+	}
+}
+
+// Pipelined requests are fenced whatever that costs.
+func TestPipelinedRequestsAreFenced(t *testing.T) {
+	host, cache, _ := fencedCache(t, defaultConfig)
+	host.pool.fences.costly = true
+	host.pass(QuarantineTime)
+	host.submit(cache, 2)
+	behind := &testRequest{id: 3, key: "other"}
+	host.pool.start(cache.Conns[0], behind)
+	if !behind.Fenced {
+		t.Error("not fenced")
+	}
+}
+
+// Fences count as costly once connections end with them, not where they merely end now and then.
+func TestFencesThatEndConnectionsAreCostly(t *testing.T) {
+	for answered, want := range map[int]bool{0: true, maxFencesPerClosure * minFenceClosures: true, maxFencesPerClosure*minFenceClosures + 1: false} {
+		host, cache, _ := fencedCache(t, defaultConfig)
+		host.pool.fences.answered = answered
+		for range minFenceClosures {
+			if host.pool.fences.costly {
+				t.Errorf("%d answered: costly too early", answered)
+			}
+			conn := &Conn[*testRequest]{Member: cache, HasAnswered: true, lastFenced: true, attributableAt: host.now + time.Second}
+			conn.Link = &testLink{host: host, conn: conn}
+			conn.SetCloseReason(CloseByPeer)
+			host.pool.HandleBroken(conn)
+		}
+		if got := host.pool.fences.costly; got != want {
+			t.Errorf("%d answered: costly %v", answered, got)
+		}
+	}
+}
+
+// A connection that has rested is preferred to the one used last: its request needs no fence.
+func TestRestedConnectionIsPreferred(t *testing.T) {
+	host, cache, rested := fencedCache(t, defaultConfig)
+	host.submit(cache, 2)
+	host.submit(cache, 3)
+	host.connect(0, true)
+	host.answer(rested)
+	host.pass(QuarantineTime)
+	host.answer(host.links[1])
+	host.pass(CooldownTime)
+	if host.submit(cache, 4); len(rested.sent) != 1 {
+		t.Error("the rested connection is not used")
+	}
+}
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"linenloom/internal/discovery"
-	"linenloom/internal/resp"
 )
 
 // A member that is listed as draining or gone while a connection to it is being opened gets no request on that
@@ -146,7 +145,7 @@
 	closed := make(chan struct{}, 10)
 	node := serveConns(t, func(conn net.Conn) {
 		defer func() { closed <- struct{}{} }()
-		in := resp.NewReader(conn, 4096)
+		in := newMemberInput(conn)
 		last := ""
 		for {
 			words, err := readCommand(in)
--- a/internal/proxy/churn_test.go
+++ b/internal/proxy/churn_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"linenloom/internal/discovery"
-	"linenloom/internal/resp"
 )
 
 // churnCache is a simulated cache that can be killed, so that its connections are closed and new ones refused, or can
@@ -46,7 +45,7 @@
 }
 
 func (c *churnCache) serve(conn net.Conn) {
-	in := resp.NewReader(conn, 1<<10)
+	in := newMemberInput(conn)
 	for {
 		words, err := readCommand(in)
 		if err != nil {
--- a/internal/proxy/copies_test.go
+++ b/internal/proxy/copies_test.go
@@ -14,7 +14,6 @@
 
 	"linenloom/internal/discovery"
 	"linenloom/internal/pool"
-	"linenloom/internal/resp"
 	"linenloom/internal/standin"
 )
 
@@ -103,7 +102,7 @@
 					case <-t.Context().Done():
 					}
 				}()
-				for in := resp.NewReader(conn, 4096); ; {
+				for in := newMemberInput(conn); ; {
 					w, err := readCommand(in)
 					if err != nil {
 						return
@@ -171,7 +170,7 @@
 		mu.Lock()
 		conns = append(conns, conn)
 		mu.Unlock()
-		for in := resp.NewReader(conn, 4096); ; {
+		for in := newMemberInput(conn); ; {
 			w, err := readCommand(in)
 			if err != nil {
 				return
--- a/internal/proxy/copies_ways_test.go
+++ b/internal/proxy/copies_ways_test.go
@@ -14,7 +14,6 @@
 
 	"linenloom/internal/discovery"
 	"linenloom/internal/pool"
-	"linenloom/internal/resp"
 	"linenloom/internal/standin"
 	"linenloom/internal/store/crash"
 	"linenloom/logic"
@@ -104,7 +103,7 @@
 		return hitReply("value")
 	})
 	return serveConns(t, func(conn net.Conn) {
-		in := resp.NewReader(conn, 4096)
+		in := newMemberInput(conn)
 		for {
 			w, err := readCommand(in)
 			if err != nil || !turn(conn, w[2]) {
--- a/internal/proxy/deadline_test.go
+++ b/internal/proxy/deadline_test.go
@@ -18,7 +18,6 @@
 	"linenloom/internal/joining"
 	"linenloom/internal/manykeys"
 	"linenloom/internal/pool"
-	"linenloom/internal/resp"
 	"linenloom/internal/standin"
 	"linenloom/internal/upstream"
 	"linenloom/logic"
@@ -55,7 +54,7 @@
 // serve is the cache side of one connection, which checks received deadlines and has every key. The
 // text of each deadline is sent to the channel unless that is nil.
 func (w *deadlineChecker) serve(name string, conn net.Conn, deadlines chan<- string) {
-	in := resp.NewReader(conn, 4096)
+	in := newMemberInput(conn)
 	for {
 		command, err := readCommand(in)
 		if err != nil {
--- a/internal/proxy/effect_test.go
+++ b/internal/proxy/effect_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"linenloom/internal/resp"
 	"linenloom/logic"
 )
 
@@ -35,7 +34,7 @@
 			l := newRequestLog()
 			// The first request is read completely, then its connection is closed.
 			node := serveConns(t, func(conn net.Conn) {
-				in := resp.NewReader(conn, 4096)
+				in := newMemberInput(conn)
 				for {
 					words, err := readCommand(in)
 					if err != nil {
--- a/internal/proxy/idle_test.go
+++ b/internal/proxy/idle_test.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"testing"
 	"time"
-
-	"linenloom/internal/resp"
 )
 
 // Connections that a member closes sooner than the settings say are detected, and no longer used after such
@@ -16,7 +14,7 @@
 func TestStaleConnectionsAreDetected(t *testing.T) {
 	var broke atomic.Int32
 	node := serveConns(t, func(conn net.Conn) {
-		in := resp.NewReader(conn, 4096)
+		in := newMemberInput(conn)
 		for n := 0; ; n++ {
 			if _, err := readCommand(in); err != nil {
 				return
--- a/internal/proxy/join_test.go
+++ b/internal/proxy/join_test.go
@@ -455,7 +455,7 @@
 			cfg.Joining, cfg.MaxRequests, cfg.Descriptors = &joinLimits, 5000, 2048
 			run := boundedClock(t, &cfg, 4*time.Second) // starts once all have arrived; stays below their deadlines
 			cacheAddress := serveConns(t, func(conn net.Conn) {
-				for in := resp.NewReader(conn, 4096); ; {
+				for in := newMemberInput(conn); ; {
 					w, err := readCommand(in)
 					if err != nil {
 						return
--- a/internal/proxy/leave_test.go
+++ b/internal/proxy/leave_test.go
@@ -14,7 +14,6 @@
 
 	"linenloom/internal/discovery"
 	"linenloom/internal/pool"
-	"linenloom/internal/resp"
 	"linenloom/internal/standin"
 	"linenloom/internal/upstream"
 )
@@ -93,7 +92,7 @@
 
 // serveLoggingCache logs requests, waits for hold, unless it is nil, and answers.
 func serveLoggingCache(conn net.Conn, requests *requestLog, hold <-chan struct{}) {
-	in := resp.NewReader(conn, 4096)
+	in := newMemberInput(conn)
 	for {
 		words, err := readCommand(in)
 		if err != nil {
--- a/internal/proxy/long_test.go
+++ b/internal/proxy/long_test.go
@@ -36,7 +36,7 @@
 	for name, member := range map[string]func(t *testing.T) (flavor, addr string){
 		"cache": func(t *testing.T) (string, string) {
 			return "large", serveConns(t, func(conn net.Conn) {
-				if _, err := readCommand(resp.NewReader(conn, 4096)); err != nil {
+				if _, err := readCommand(newMemberInput(conn)); err != nil {
 					return
 				}
 				fmt.Fprintf(conn, "*3\r\n$%d\r\n%s", len(value), value[:1<<20])
@@ -147,7 +147,7 @@
 	value := numberedText(3 << 20)
 	asked, behind := make(chan struct{}), make(chan struct{})
 	p := startProxy(t, cfg, listEntry("c", serveConns(t, func(conn net.Conn) {
-		for in := resp.NewReader(conn, 4096); ; {
+		for in := newMemberInput(conn); ; {
 			w, err := readCommand(in)
 			if err != nil {
 				return
@@ -157,12 +157,12 @@
 				continue
 			}
 			close(asked)
-			for range 2 {
-				if _, err := readCommand(in); err != nil {
-					return
-				}
+			// A fence behind the long value is answered with it.
+			_, fences, err := in.readBatchBehind(2)
+			if err != nil {
+				return
 			}
-			fmt.Fprintf(conn, "*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n%s%s", len(value), value, hitReply("first"), hitReply("second"))
+			fmt.Fprintf(conn, "*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n%s%s%s%s", len(value), value, fences[0], hitReply("first"), fences[1], hitReply("second"))
 		}
 	}), "large"))
 	p.Do(func() { p.upstreams.SetMaxPipelineAge(testTimeout) })
@@ -217,7 +217,7 @@
 	value := numberedText(1 << 20)
 	requests := make(chan string, 10)
 	p := startProxy(t, testConfig(), listEntry("m", serveConns(t, func(conn net.Conn) {
-		for in := resp.NewReader(conn, 4096); ; {
+		for in := newMemberInput(conn); ; {
 			w, err := readCommand(in)
 			if err != nil {
 				return
--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"linenloom/internal/resp"
 	"linenloom/logic"
 )
 
@@ -20,7 +19,7 @@
 	keys, release := make(chan string, 10), make(chan struct{})
 	serve := func(conn net.Conn) {
 		defer conn.Close()
-		in := resp.NewReader(conn, 4096)
+		in := newMemberInput(conn)
 		for {
 			words, err := readCommand(in)
 			if err != nil {
@@ -110,7 +109,7 @@
 	}()
 	t.Cleanup(func() { close(ids) })
 	node := serveConns(t, func(conn net.Conn) {
-		in := resp.NewReader(conn, 4096)
+		in := newMemberInput(conn)
 		for {
 			words, err := readCommand(in)
 			if err != nil {
@@ -249,7 +248,7 @@
 func TestPoolCacheThatRefusesConnections(t *testing.T) {
 	var refused atomic.Int32
 	full := serveConns(t, func(conn net.Conn) {
-		if _, err := readCommand(resp.NewReader(conn, 1<<10)); err == nil {
+		if _, err := readCommand(newMemberInput(conn)); err == nil {
 			refused.Add(1)
 			io.WriteString(conn, "-BUSY too many connections\r\n")
 		}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -52,7 +52,7 @@
 // startCache starts a simulated cache, which replies to each command with the text that answer returns.
 func startCache(t *testing.T, answer func(memberCommand) string) string {
 	return serveConns(t, func(conn net.Conn) {
-		in := resp.NewReader(conn, 4096)
+		in := newMemberInput(conn)
 		for {
 			words, err := readCommand(in)
 			if err != nil {
@@ -66,7 +66,59 @@
 	})
 }
 
-func readCommand(in *resp.Reader) ([]string, error) {
+// memberInput reads the commands that a simulated cache receives on a connection.
+type memberInput struct {
+	*resp.Reader
+	conn net.Conn
+}
+
+func newMemberInput(conn net.Conn) *memberInput {
+	return &memberInput{resp.NewReader(conn, 4096), conn}
+}
+
+// readCommand returns the next request, and answers fences before it.
+func readCommand(in *memberInput) ([]string, error) {
+	for {
+		words, err := readWords(in.Reader)
+		if err != nil || words[0] != "SELECT" {
+			return words, err
+		}
+		if _, err := io.WriteString(in.conn, "+OK\r\n"); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// readBatch reads n requests before any of them is answered. It returns their keys and the answers to the
+// fences behind them, as far as those were sent before the last request.
+func (in *memberInput) readBatch(n int) (keys, fences []string, err error) {
+	words, err := readCommand(in)
+	if err != nil {
+		return nil, nil, err
+	}
+	keys, fences, err = in.readBatchBehind(n - 1)
+	return append([]string{words[1]}, keys...), fences, err
+}
+
+// readBatchBehind reads the rest of a batch, n requests behind one that was read. The first fence is the one
+// behind that request.
+func (in *memberInput) readBatchBehind(n int) (keys, fences []string, err error) {
+	fences = []string{""}
+	for len(keys) < n {
+		words, err := readWords(in.Reader)
+		switch {
+		case err != nil:
+			return nil, nil, err
+		case words[0] == "SELECT":
+			fences[len(fences)-1] = "+OK\r\n"
+		default:
+			keys, fences = append(keys, words[1]), append(fences, "")
+		}
+	}
+	return keys, fences, nil
+}
+
+func readWords(in *resp.Reader) ([]string, error) {
 	h, err := in.Head()
 	if err != nil {
 		return nil, err
--- a/internal/proxy/scale_test.go
+++ b/internal/proxy/scale_test.go
@@ -13,7 +13,6 @@
 
 	"linenloom/internal/discovery"
 	"linenloom/internal/pool"
-	"linenloom/internal/resp"
 	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
@@ -156,7 +155,7 @@
 
 // serveCache answers commands; if breaks is set, it closes the connection at the first one.
 func serveCache(conn net.Conn, answer func(memberCommand) string, breaks bool) {
-	in := resp.NewReader(conn, 4096)
+	in := newMemberInput(conn)
 	for {
 		w, err := readCommand(in)
 		if err != nil || breaks {
@@ -257,10 +256,10 @@
 
 // startPipelined starts a proxy with one cache, to which it has one connection with pipelined reads, and an
 // origin.
-func startPipelined(t *testing.T, serve func(conn net.Conn, in *resp.Reader, nth int32)) *testProxy {
+func startPipelined(t *testing.T, serve func(conn net.Conn, in *memberInput, nth int32)) *testProxy {
 	t.Helper()
 	var conns atomic.Int32
-	node := serveConns(t, func(conn net.Conn) { serve(conn, resp.NewReader(conn, 4096), conns.Add(1)) })
+	node := serveConns(t, func(conn net.Conn) { serve(conn, newMemberInput(conn), conns.Add(1)) })
 	o := startOrigin(t, func(r *http.Request) string { return httpOK("value of " + r.URL.Path[1:]) })
 	cfg := testConfig()
 	// So that each proxy has one connection to a cache.
@@ -278,7 +277,7 @@
 }
 
 // readKey reads a command and returns its key.
-func readKey(in *resp.Reader) (string, error) {
+func readKey(in *memberInput) (string, error) {
 	w, err := readCommand(in)
 	if err != nil {
 		return "", err
@@ -319,7 +318,7 @@
 		for _, outstanding := range []int{1, 2, 32} {
 			t.Run(fmt.Sprintf("%s, %d outstanding", name, outstanding), func(t *testing.T) {
 				var most atomic.Int32
-				p := startPipelined(t, func(conn net.Conn, in *resp.Reader, nth int32) {
+				p := startPipelined(t, func(conn net.Conn, in *memberInput, nth int32) {
 					for {
 						key, err := readKey(in)
 						if err != nil {
@@ -329,20 +328,17 @@
 							fmt.Fprint(conn, hitReply("value of "+key))
 							continue
 						}
-						keys := []string{key}
-						for len(keys) < outstanding {
-							if key, err = readKey(in); err != nil {
-								return
-							}
-							keys = append(keys, key)
+						keys, fences, err := in.readBatchBehind(outstanding - 1)
+						if err != nil {
+							return
 						}
-						most.Store(int32(len(keys)))
+						most.Store(int32(1 + len(keys)))
 						if spoil == nil {
 							return
 						}
-						out := spoil(keys[0])
-						for _, k := range keys[1:] {
-							out += hitReply("value of " + k)
+						out := spoil(key) + fences[0]
+						for i, k := range keys {
+							out += hitReply("value of "+k) + fences[i+1]
 						}
 						fmt.Fprint(conn, out)
 						readAll(conn)
@@ -369,18 +365,20 @@
 // Answers that arrive byte by byte are complete all the same, with others outstanding behind them.
 func TestAnswersByteByByte(t *testing.T) {
 	for _, outstanding := range []int{1, 2, 32} {
-		p := startPipelined(t, func(conn net.Conn, in *resp.Reader, _ int32) {
+		p := startPipelined(t, func(conn net.Conn, in *memberInput, _ int32) {
 			for {
-				var keys []string
-				for len(keys) == 0 || keys[0][0] == 'a' && len(keys) < outstanding {
-					key, err := readKey(in)
-					if err != nil {
+				key, err := readKey(in)
+				if err != nil {
+					return
+				}
+				keys, fences := []string{}, []string{""}
+				if key[0] == 'a' {
+					if keys, fences, err = in.readBatchBehind(outstanding - 1); err != nil {
 						return
 					}
-					keys = append(keys, key)
 				}
-				for _, key := range keys {
-					for _, b := range []byte(hitReply("value of " + key)) {
+				for i, key := range append([]string{key}, keys...) {
+					for _, b := range []byte(hitReply("value of "+key) + fences[i]) {
 						if _, err := conn.Write([]byte{b}); err != nil {
 							return
 						}
@@ -416,7 +414,7 @@
 			var asked [caches]atomic.Int32
 			for i := range caches {
 				node := serveConns(t, func(conn net.Conn) {
-					in := resp.NewReader(conn, 4096)
+					in := newMemberInput(conn)
 					for left := answers(conns.Add(1)); left > 0; left-- {
 						key, err := readKey(in)
 						if err != nil {
@@ -446,7 +444,7 @@
 // elsewhere, and the cache's latency is that of the slow request alone, without the time in the queue.
 func TestSlowAnswerAheadOfPipelined(t *testing.T) {
 	release := make(chan struct{})
-	p := startPipelined(t, func(conn net.Conn, in *resp.Reader, nth int32) {
+	p := startPipelined(t, func(conn net.Conn, in *memberInput, nth int32) {
 		for {
 			key, err := readKey(in)
 			if err != nil {
@@ -508,7 +506,7 @@
 	t.Helper()
 	asked, release = &atomic.Int32{}, make(chan struct{})
 	node := serveConns(t, func(conn net.Conn) {
-		in := resp.NewReader(conn, 4096)
+		in := newMemberInput(conn)
 		for {
 			key, err := readKey(in)
 			if err != nil {
@@ -590,7 +588,7 @@
 	var asked atomic.Int32
 	release := make(chan struct{})
 	node := serveConns(t, func(conn net.Conn) {
-		in := resp.NewReader(conn, 4096)
+		in := newMemberInput(conn)
 		for {
 			key, err := readKey(in)
 			if err != nil {
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -11,7 +11,6 @@
 	"testing"
 
 	"linenloom/internal/pool"
-	"linenloom/internal/resp"
 	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
@@ -143,7 +142,7 @@
 func TestUpstreamClosedConnectionIsNotReused(t *testing.T) {
 	closed := make(chan struct{}, 10)
 	node := serveConns(t, func(conn net.Conn) {
-		if _, err := readCommand(resp.NewReader(conn, 4096)); err == nil {
+		if _, err := readCommand(newMemberInput(conn)); err == nil {
 			io.WriteString(conn, hitReply("value"))
 		}
 		conn.Close()
@@ -190,7 +189,7 @@
 	pings, conns := make(chan net.Conn, 10), make(chan net.Conn, 10)
 	node := serveConns(t, func(conn net.Conn) {
 		conns <- conn
-		in := resp.NewReader(conn, 4096)
+		in := newMemberInput(conn)
 		for {
 			words, err := readCommand(in)
 			switch {
@@ -286,7 +285,7 @@
 	conns, commands, release := make(chan struct{}, 10), make(chan memberCommand, 10), make(chan struct{})
 	node := serveConns(t, func(conn net.Conn) {
 		conns <- struct{}{}
-		in := resp.NewReader(conn, 4096)
+		in := newMemberInput(conn)
 		for {
 			words, err := readCommand(in)
 			if err != nil {
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -25,6 +25,8 @@
 	Append(b []byte, x *Exchange, addr string, deadline time.Duration) []byte
 	// Trailer returns the bytes that follow the value of a write.
 	Trailer() []byte
+	// Fence returns a command that a member answers like no request; nil if the protocol has none.
+	Fence() []byte
 	// Ping returns a command that the member answers immediately; nil if the protocol has none.
 	Ping() []byte
 	// RunsOnLastByte reports whether a member executes a write only once its last byte has arrived, which
@@ -49,9 +51,12 @@
 var (
 	lineEnd     = []byte("\r\n")
 	pingCommand = []byte("*1\r\n$4\r\nPING\r\n")
+	// fenceCommand is answered +OK without any work or effect.
+	fenceCommand = []byte("*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n")
 )
 
 func (resp2) Trailer() []byte      { return lineEnd }
+func (resp2) Fence() []byte        { return fenceCommand }
 func (resp2) Ping() []byte         { return pingCommand }
 func (resp2) RunsOnLastByte() bool { return false }
 
@@ -66,6 +71,7 @@
 }
 
 func (http1) Trailer() []byte      { return nil }
+func (http1) Fence() []byte        { return nil }
 func (http1) Ping() []byte         { return nil }
 func (http1) RunsOnLastByte() bool { return true }
 
@@ -167,7 +173,11 @@
 		}
 		return nil
 	case h.Kind == '-':
-		return c.deliverResult(errorStatus(h.Text), 0, nil)
+		status := errorStatus(h.Text)
+		if err := c.readFence(in); err != nil {
+			return err
+		}
+		return c.deliverResult(status, 0, nil)
 	case h.Kind == '*' && h.N == answerElements:
 		return c.readArray(in)
 	}
@@ -218,11 +228,49 @@
 	if err != nil {
 		return err
 	}
-	if err := c.deliverResult(status, parseNote(word), value); err != nil {
+	note := parseNote(word)
+	if !c.fenced() {
+		if err := c.deliverResult(status, note, value); err != nil {
+			return err
+		}
+		_, err = readWord(in)
+		return err
+	}
+	if err := c.readReportAndFence(in); err != nil {
+		return err
+	}
+	return c.deliverResult(status, note, value)
+}
+
+// fenced reports whether a fence follows the current exchange. Only the reader uses it, which has seen the
+// exchange under the lock.
+func (c *Conn) fenced() bool { return c.Current != nil && c.Current.Fenced }
+
+// readReportAndFence reads the load report that ends an answer and, if one was sent, the answer to the fence.
+func (c *Conn) readReportAndFence(in *resp.Reader) error {
+	if _, err := readWord(in); err != nil {
 		return err
 	}
-	_, err = readWord(in)
-	return err
+	return c.readFence(in)
+}
+
+// readFence reads the answer to the fence behind the current exchange, if one was sent. Any other answer in
+// its place shows that the answers on the connection can't be attributed to requests.
+func (c *Conn) readFence(in *resp.Reader) error {
+	if !c.fenced() {
+		return nil
+	}
+	h, err := in.Head()
+	switch {
+	case errors.Is(err, io.EOF):
+		return io.EOF // the member ended the connection instead
+	case err != nil:
+		return err
+	case h.Kind == '+' && string(h.Text) == "OK":
+		return nil
+	}
+	c.reportUnattributed(h)
+	return errUnsolicited
 }
 
 // readWord reads a short string or null.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -115,12 +115,19 @@
 		s.cork(c, now)
 	}
 	b := c.codec.Append(s.scratch[:0], x, c.Member.Addr, c.announcedDeadline(x)-now)
+	x.endOffset = c.sender.Accepted() + int64(len(b))
+	if x.Fenced && !x.Write {
+		b = append(b, c.codec.Fence()...)
+	}
 	s.scratch = b[:0]
 	c.sender.Send(b, false)
 	if x.Write {
 		c.sendValue(x)
+		x.endOffset = c.sender.Accepted() + x.heldBytes
+		if x.Fenced {
+			c.sender.Send(c.codec.Fence(), true)
+		}
 	}
-	x.endOffset = c.sender.Accepted() + x.heldBytes
 	if !corked && !c.sender.Busy() && x.heldBytes == 0 {
 		x.WrittenAt = s.host.Clock()
 	}
@@ -263,6 +270,9 @@
 	if x == nil || x.Ended { // abandoned; the connection is closed
 		return nil
 	}
+	if x.Fenced {
+		c.set.RecordFence(c.Member, true)
+	}
 	c.Refused = status == logic.StatusFull
 	if status == logic.StatusOK {
 		if c.repeatsLastValue(value) {
--- a/internal/upstream/long.go
+++ b/internal/upstream/long.go
@@ -145,21 +145,43 @@
 
 // streamRESP streams a long value of a cache.
 func (c *Conn) streamRESP(in *resp.Reader, n int) error {
-	x, err := c.streamValue(in, n, in.LineEnd)
+	note := 0
+	readEnd := in.LineEnd
+	if c.fenced() {
+		readEnd = func() (err error) {
+			note, err = c.readFencedEnd(in)
+			return err
+		}
+	}
+	fenced := c.fenced()
+	x, err := c.streamValue(in, n, readEnd)
 	if err != nil {
 		return err
 	}
-	word, err := readWord(in)
-	note := 0
-	if err == nil {
-		note = parseNote(word)
-		_, err = readWord(in)
+	if !fenced {
+		var word []byte
+		if word, err = readWord(in); err == nil {
+			note = parseNote(word)
+			_, err = readWord(in)
+		}
 	}
 	// The value is complete; an error after it only ends the connection.
 	c.completeStreamed(x, note)
 	return err
 }
 
+// readFencedEnd reads what follows a value, up to the answer to the fence.
+func (c *Conn) readFencedEnd(in *resp.Reader) (note int, err error) {
+	if err := in.LineEnd(); err != nil {
+		return 0, err
+	}
+	word, err := readWord(in)
+	if err != nil {
+		return 0, err
+	}
+	return parseNote(word), c.readReportAndFence(in)
+}
+
 // streamHTTP streams a long value of an origin.
 func (c *Conn) streamHTTP(answer *http.Response, limit *limitedReader, n int) error {
 	limit.remaining += n
--- a/internal/upstream/trace.go
+++ b/internal/upstream/trace.go
@@ -1,9 +1,12 @@
 package upstream
 
 import (
+	"fmt"
 	"strconv"
 	"syscall"
 	"time"
+
+	"linenloom/internal/resp"
 )
 
 // ConnTrace describes the connection that an exchange used, for logs.
@@ -43,6 +46,17 @@
 	s.host.ReportStray(m, stray)
 }
 
+// reportUnattributed reports an answer in place of a fence's. It may be a member's refusal of fences.
+func (c *Conn) reportUnattributed(h resp.Head) {
+	c.set.host.Do(func() {
+		if h.Kind == '-' {
+			c.set.RecordFence(c.Member, false)
+		}
+		text := fmt.Sprintf("%c%s", h.Kind, h.Text[:min(len(h.Text), maxStrayText)])
+		c.set.reportStray(c.Member, Stray{Connection: c.number, Requests: c.RequestCount(), StartsWith: strconv.Quote(text)})
+	})
+}
+
 // reportStray reports the bytes that have arrived while nothing was in flight.
 func (c *Conn) reportStray() {
 	text := make([]byte, maxStrayText)
