Connections that end during a ping, or are given up, are no closures after a fence

Need: fences count as costly when connections end with them; two other ends were counted too. Change: a ping clears the mark of the last fence, and a reader that gave up counts as abandoned. Result: internal/pool and internal/upstream pass; found by reading, no run showed it.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -926,7 +926,7 @@
 func (p *Pool[X]) UpdateIdleLimit() { p.idle.updateLimit(p.cfg.ConnIdle * IdlePercent / 100) }
 
 func (p *Pool[X]) ping(c *Conn[X]) {
-	c.PingPending = true
+	c.PingPending, c.lastFenced = true, false
 	p.touch(c)
 	c.Link.Ping()
 	p.actions.SchedulePingTimeout(c, p.now+pingTimeout, c.lastUsed)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -301,6 +301,8 @@
 		return pool.CloseUnwritten
 	case badAnswer:
 		return pool.CloseBadAnswer
+	case errors.Is(err, net.ErrClosed): // the reader gave up
+		return pool.CloseAbandoned
 	}
 	return pool.CloseByPeer
 }
