Tests: unsafe reads where fences end connections, the warning on stray bytes; linenlab strays

Need: the operators' caches end a connection with a fence; what must not run twice is fenced all the same. An operator has to see stray bytes in the log. The costs need figures. Change: the stand-in caches can end connections after SELECT; tests of both; linenlab strays measures a healthy origin, equal values, and caches that end connections with fences.

--- a/internal/cluster/attribution_test.go
+++ b/internal/cluster/attribution_test.go
@@ -111,6 +111,9 @@
 			scene := newAttributionScene(t)
 			scene.start()
 			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses, scene.fleet.Origin.SetStrays), minServed)
+			if lines := scene.process.LogLines("no request asked for"); len(lines) == 0 {
+				t.Error("the log does not tell of the stray bytes")
+			}
 		})
 	}
 }
@@ -137,6 +140,28 @@
 	}
 }
 
+// Where caches end the connection with each fence, reads that must not run twice are fenced all the same.
+func TestUnsafeReadsAreAttributedWhereFencesEndConnections(t *testing.T) {
+	t.Parallel()
+	for _, form := range []standin.StrayForm{standin.StrayCopy, standin.StrayOther, standin.StrayBusy, standin.StrayNull} {
+		t.Run(fmt.Sprint(form), func(t *testing.T) {
+			t.Parallel()
+			scene := newAttributionScene(t)
+			for _, cache := range scene.fleet.Caches {
+				cache.SetService(2*time.Millisecond, 0)
+				cache.SetSource(func(key string) []byte { return standin.Value(key, 64) })
+				cache.SetEndAfterSelect(true)
+			}
+			scene.start()
+			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses[:1], func(strays standin.Strays) {
+				for _, cache := range scene.fleet.Caches {
+					cache.SetStrays(strays)
+				}
+			}), minServed)
+		})
+	}
+}
+
 // A connection on which a write was refused before its last byte was sent is not used again: the first byte
 // of the next request would become the last byte of the write.
 func TestWriteRefusedEarlyDoesNotTakeTheNextRequest(t *testing.T) {
--- a/internal/lab/strays.go
+++ b/internal/lab/strays.go
@@ -1,8 +1,10 @@
 package lab
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"time"
 
@@ -30,7 +32,16 @@
 			return report, err
 		}
 	}
-	return report, env.measureEarlyRejections(report)
+	if err := env.measureEarlyRejections(report); err != nil {
+		return report, err
+	}
+	if err := env.measureCostlyFences(report); err != nil {
+		return report, err
+	}
+	if err := env.measureHealthyOrigin(report); err != nil {
+		return report, err
+	}
+	return report, env.measureEqualValues(report)
 }
 
 func (e *Env) sweepStrays(ctx context.Context, report *Report, proxies int) error {
@@ -123,6 +134,107 @@
 // strayTime is how long each cell of the sweep lasts.
 func (e *Env) strayTime() time.Duration { return time.Duration(e.Seconds) * time.Second / 10 }
 
+// measureCostlyFences runs reads before caches that end the connection with each fence, and sends strays. Reads
+// that may be repeated are then not all fenced until a stray is seen, so the figures carry no claim.
+func (e *Env) measureCostlyFences(report *Report) error {
+	for _, form := range []standin.StrayForm{standin.StrayCopy, standin.StrayOther, standin.StrayBusy, standin.StrayNull} {
+		var total standin.AttributionResult
+		for _, delay := range strayDelays {
+			strays := standin.Strays{Form: form, Every: strayEvery, Delay: delay}
+			result, err := e.runStrays("cache", strays, 1, func(fleet *standin.Fleet) {
+				for _, cache := range fleet.Caches {
+					cache.SetEndAfterSelect(true)
+				}
+			})
+			if err != nil {
+				return fmt.Errorf("fences that end connections, %s after %v: %w", form, delay, err)
+			}
+			total.Add(result)
+		}
+		name := fmt.Sprintf("caches that end connections with fences, %s: ", form)
+		report.AddValue(name+"served", float64(total.Served))
+		report.AddValue(name+"broke a rule", float64(total.Broken()))
+	}
+	return nil
+}
+
+// measureHealthyOrigin runs misses before a healthy origin: what is served, and the connections that it takes.
+func (e *Env) measureHealthyOrigin(report *Report) error {
+	fleet, addrs, closeAll, err := e.strayFleet(1, false)
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	duration := 4 * e.strayTime()
+	result, err := standin.NewAttributionChecker(fleet).RunClients(addrs, standin.AttributionClasses, strayClients, duration)
+	if err != nil {
+		return err
+	}
+	report.AddValue("healthy origin: served a second", float64(result.Served)/duration.Seconds())
+	report.AddValue("healthy origin: connections made for each request", float64(fleet.Origin.Accepted())/float64(max(1, result.Served)))
+	report.AtMost("healthy origin: connections at rest, for each client", float64(fleet.Origin.Open())/strayClients, 1.5)
+	report.Equal("healthy origin: refused or failed", float64(result.Refused+result.Failed), 0)
+	return nil
+}
+
+// measureEqualValues compares reads of equal values with reads of values that differ, from healthy caches.
+func (e *Env) measureEqualValues(report *Report) error {
+	const clients, caches = 32, 8
+	rates := map[string]float64{}
+	blank := standin.Value("blank", 2048)
+	for _, kind := range []struct {
+		name   string
+		source func(key string) []byte
+	}{{"equal", func(string) []byte { return blank }}, {"differing", func(key string) []byte { return standin.Value(key, 2048) }}} {
+		fleet, err := standin.NewFleet(caches, 2048)
+		if err != nil {
+			return err
+		}
+		for _, cache := range fleet.Caches {
+			cache.SetSource(kind.source)
+		}
+		addr, process, err := e.startProxy("values-"+kind.name, fleet, 96, 1024)
+		if err != nil {
+			fleet.Close()
+			return err
+		}
+		result, err := runClosedLoop(process, clients, 2*e.strayTime(), newAnyValueWorker(addr))
+		strays := len(process.LogLines("no request asked for"))
+		process.Kill()
+		fleet.Close()
+		if err != nil {
+			return fmt.Errorf("%s values: %w", kind.name, err)
+		}
+		rates[kind.name] = result.PerSecond()
+		report.AddValue(kind.name+" values: served a second", result.PerSecond())
+		report.AddValue(kind.name+" values: CPU us a read", 1e6/result.PerCPU())
+		report.Equal(kind.name+" values: refused", float64(result.Refused), 0)
+		report.Equal(kind.name+" values: members under suspicion", float64(strays), 0)
+	}
+	report.AtLeast("equal values: served, of differing ones", rates["equal"]/rates["differing"], 0.95)
+	return nil
+}
+
+// newAnyValueWorker returns workers that read keys of their own, and accept any value.
+func newAnyValueWorker(addr string) func(int) (func(int) error, func(), error) {
+	return func(w int) (func(int) error, func(), error) {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			return nil, nil, err
+		}
+		reader := &tileReader{conn: conn, in: bufio.NewReaderSize(conn, 4096)}
+		read := func(i int) error {
+			reader.command = appendTileRead(reader.command[:0], w*7919+i, "c=tile-read,t=acme,d=3000")
+			reader.conn.SetDeadline(time.Now().Add(waitTimeout))
+			if _, err := reader.conn.Write(reader.command); err != nil {
+				return err
+			}
+			return readTile(reader.in, []byte("value of "))
+		}
+		return read, func() { conn.Close() }, nil
+	}
+}
+
 // measureEarlyRejections runs writes that the origin refuses on their header.
 func (e *Env) measureEarlyRejections(report *Report) error {
 	result, err := e.runStrays("origin", standin.Strays{}, 1, func(fleet *standin.Fleet) { fleet.Origin.SetRejectEarly(true) })
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -125,6 +125,13 @@
 	return m.accepted
 }
 
+// Open returns how many connections are open.
+func (m *member) Open() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.conns)
+}
+
 // Received returns how many complete requests have been received.
 func (m *member) Received() int {
 	m.mu.Lock()
@@ -230,11 +237,12 @@
 	store     map[string][]byte
 	// onMiss reports the request id of a miss to the fleet, which stores the value here once the origin
 	// has answered.
-	onMiss func(id string, cache *Cache)
-	hits   int
-	misses int
-	onRead func(id string)         // called with the id of each read; may be nil
-	source func(key string) []byte // makes the values of keys that are not stored; may be nil
+	onMiss         func(id string, cache *Cache)
+	hits           int
+	misses         int
+	onRead         func(id string) // called with the id of each read; may be nil
+	endAfterSelect bool
+	source         func(key string) []byte // makes the values of keys that are not stored; may be nil
 }
 
 func newCache(id, zone string, onMiss func(string, *Cache)) (*Cache, error) {
@@ -337,10 +345,26 @@
 	if err != nil {
 		return err
 	}
-	_, err = conn.Write(out)
+	if _, err = conn.Write(out); err == nil && c.endsAfter(args) {
+		return errClosed
+	}
 	return err
 }
 
+// SetEndAfterSelect makes the cache end each connection once it has answered SELECT.
+func (c *Cache) SetEndAfterSelect(on bool) {
+	c.mu.Lock()
+	c.endAfterSelect = on
+	c.mu.Unlock()
+}
+
+// endsAfter reports whether the connection ends after a command.
+func (c *Cache) endsAfter(args [][]byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endAfterSelect && len(args) > 0 && string(args[0]) == "SELECT"
+}
+
 var errClosed = fmt.Errorf("standin: %w", net.ErrClosed)
 
 func (c *Cache) handleRead(in *bufio.Reader, key, id string) ([]byte, error) {
