Checker of second copies: time in the relay's own socket counts as time in transit

Trace: the kernel's record of the relay's socket (TCP_INFO, last data), printed with each attempt. Change: that wait counts toward MaxInTransit. TestOneAttemptAtATime had no bound and has the connect time-out, the proxy's own bound for the first request on a connection. TestDuplicatesThatTheRelayReadLate fails without the change. A trial that dated arrivals back by that wait gave false violations (the record has 4 ms steps, answers have none) and was left.

--- a/internal/cluster/copies_test.go
+++ b/internal/cluster/copies_test.go
@@ -11,12 +11,17 @@
 // crossZoneDelay is the network delay between zones.
 const crossZoneDelay = 15 * time.Millisecond
 
+// maxFirstTransit is the longest time for which a proxy assumes the first request on a connection to be in
+// transit: the connect timeout, beyond which the connection never opens.
+const maxFirstTransit = 250 * time.Millisecond
+
 // Proxies in three zones with network delays between them, and caches that stay silent, refuse requests,
 // drop connections or answer malformed bytes: no member receives an attempt of a request while another
 // attempt is outstanding.
 func TestOneAttemptAtATime(t *testing.T) {
 	t.Parallel()
 	duplicates := standin.NewDuplicateChecker()
+	duplicates.MaxInTransit = maxFirstTransit
 	h := newHarness(t, Options{Duplicates: duplicates})
 	for _, p := range h.Proxies {
 		for _, zone := range zoneNames {
--- a/internal/standin/copies.go
+++ b/internal/standin/copies.go
@@ -35,6 +35,8 @@
 	answeredAt  time.Duration
 	// whether the proxy has closed the connection, even if recordClose was not called yet; may be nil
 	peerClosed func() bool
+	// how long its last bytes had been in the relay's socket when the relay read them
+	readLate time.Duration
 }
 
 // NewDuplicateChecker returns an empty checker.
@@ -127,6 +129,13 @@
 	return a
 }
 
+// recordReadLate records how long an attempt had been in the relay's socket when the relay read it.
+func (c *DuplicateChecker) recordReadLate(a *trackedAttempt, readLate time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.readLate = readLate
+}
+
 // recordForwarding records that the last byte of an attempt is about to be written to its member.
 func (c *DuplicateChecker) recordForwarding(id string, a *trackedAttempt) {
 	c.mu.Lock()
@@ -177,9 +186,10 @@
 	}
 }
 
-// tooLongInTransit reports whether an attempt was in transit for too long to count.
+// tooLongInTransit reports whether an attempt was in transit for too long to count, with the time that it
+// waited for the relay to read it.
 func (c *DuplicateChecker) tooLongInTransit(a *trackedAttempt) bool {
-	return c.MaxInTransit > 0 && a.arrivedAt-a.writtenAt > c.MaxInTransit
+	return c.MaxInTransit > 0 && a.arrivedAt-a.writtenAt+a.readLate > c.MaxInTransit
 }
 
 // outstandingAt reports whether an attempt was neither answered nor abandoned at a time.
@@ -224,5 +234,8 @@
 			fmt.Fprintf(&text, ", %s at %.1f ms", step.name, float64(step.at)/float64(time.Millisecond))
 		}
 	}
+	if a.readLate > 0 {
+		fmt.Fprintf(&text, ", read by the relay %v late", a.readLate)
+	}
 	return strings.TrimPrefix(text.String(), ", ")
 }
--- a/internal/standin/copies_test.go
+++ b/internal/standin/copies_test.go
@@ -163,3 +163,45 @@
 	}
 	return false
 }
+
+// Guards against the rig's own delays counting as the proxy's: the time for which an attempt waited in the
+// relay's socket counts as time in transit, and one that waited for longer than a proxy has to expect is no
+// violation. One that was read in time remains a duplicate.
+func TestDuplicatesThatTheRelayReadLate(t *testing.T) {
+	const bound, late = 60 * time.Millisecond, 100 * time.Millisecond
+	for name, readLate := range map[string]bool{"read late": true, "read in time": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			near, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer near.Close()
+			far, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer far.Close()
+			checker := NewDuplicateChecker()
+			checker.MaxInTransit = bound
+			observer := checker.Observe("a", false, far)
+			command := []byte("*4\r\n$7\r\nOBJ.GET\r\n$1\r\nk\r\n$2\r\nid\r\n$5\r\nd=100\r\n")
+			checker.recordArrival("id", checker.recordWrite("b", "id", nil))
+			near.Write(command)
+			if readLate {
+				time.Sleep(late)
+			}
+			observer.ProxyWrote(command) // read only now
+			observer.Forwarding(command)
+			observer.MemberReceived(command)
+			if got := len(checker.Violations()); (got == 0) != readLate {
+				t.Errorf("%d second copies: %v", got, checker.Violations())
+			}
+		})
+	}
+}
--- a/internal/standin/watch.go
+++ b/internal/standin/watch.go
@@ -10,6 +10,9 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"linenloom/internal/sender"
 )
@@ -23,6 +26,7 @@
 	member     string
 	origin     bool // speaks HTTP/1.1, otherwise RESP
 	peerClosed func() bool
+	readLate   func() time.Duration // how long the bytes just read were in the socket
 
 	mu               sync.Mutex
 	requestBytes     []byte // the proxy's incomplete message
@@ -45,7 +49,8 @@
 // Observe returns an Observer for a connection from a proxy to a member. With a nil checker it reports
 // nothing.
 func (c *DuplicateChecker) Observe(member string, origin bool, conn net.Conn) *Observer {
-	return &Observer{duplicates: c, member: member, origin: origin, peerClosed: func() bool { return peerClosed(conn) }}
+	return &Observer{duplicates: c, member: member, origin: origin, peerClosed: func() bool { return peerClosed(conn) },
+		readLate: func() time.Duration { return sinceLastData(conn) }}
 }
 
 // ObserveRequests returns an Observer without a checker. It calls onRequest with the id and the attributes
@@ -70,6 +75,25 @@
 	return ended || err != nil
 }
 
+// sinceLastData returns how long ago the last data arrived on a connection, by the kernel's record; 0 if that
+// is unknown.
+func sinceLastData(conn net.Conn) (ago time.Duration) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return ago
+}
+
 // ProxyWrote processes bytes that the proxy has written.
 func (o *Observer) ProxyWrote(b []byte) {
 	if o.duplicates == nil && o.onRequest == nil {
@@ -100,6 +124,7 @@
 		a := &observedAttempt{id: id, endOffset: o.writtenOffset}
 		if id != "" {
 			a.trackedAttempt = o.duplicates.recordWrite(o.member, id, o.peerClosed)
+			o.duplicates.recordReadLate(a.trackedAttempt, o.readLate())
 		}
 		o.attempts = append(o.attempts, a)
 	}
