--- a/internal/lab/strays.go
+++ b/internal/lab/strays.go
@@ -27,21 +27,17 @@
 // may be served another's answer, nothing may run twice, be out twice or be refused although it ran.
 func Strays(ctx context.Context, env *Env) (*Report, error) {
 	report := &Report{Scenario: "strays"}
+	for _, measure := range []func(*Report) error{env.measureHealthyOrigin, env.measureEqualValues, env.measureEarlyRejections, env.measureCostlyFences} {
+		if err := measure(report); err != nil {
+			return report, err
+		}
+	}
 	for _, proxies := range []int{1, 6} {
 		if err := env.sweepStrays(ctx, report, proxies); err != nil {
 			return report, err
 		}
 	}
-	if err := env.measureEarlyRejections(report); err != nil {
-		return report, err
-	}
-	if err := env.measureCostlyFences(report); err != nil {
-		return report, err
-	}
-	if err := env.measureHealthyOrigin(report); err != nil {
-		return report, err
-	}
-	return report, env.measureEqualValues(report)
+	return report, nil
 }
 
 func (e *Env) sweepStrays(ctx context.Context, report *Report, proxies int) error {
@@ -151,6 +147,7 @@
 			}
 			total.Add(result)
 		}
+		e.Log("caches that end connections with fences, %s: %v", form, total)
 		name := fmt.Sprintf("caches that end connections with fences, %s: ", form)
 		report.AddValue(name+"served", float64(total.Served))
 		report.AddValue(name+"broke a rule", float64(total.Broken()))
@@ -170,6 +167,7 @@
 	if err != nil {
 		return err
 	}
+	e.Log("healthy origin: %v in %v; %d connections made, %d at rest", result, duration, fleet.Origin.Accepted(), fleet.Origin.Open())
 	report.AddValue("healthy origin: served a second", float64(result.Served)/duration.Seconds())
 	report.AddValue("healthy origin: connections made for each request", float64(fleet.Origin.Accepted())/float64(max(1, result.Served)))
 	report.AtMost("healthy origin: connections at rest, for each client", float64(fleet.Origin.Open())/strayClients, 1.5)
@@ -206,6 +204,7 @@
 			return fmt.Errorf("%s values: %w", kind.name, err)
 		}
 		rates[kind.name] = result.PerSecond()
+		e.Log("%s values: %.0f a second, %d refused", kind.name, result.PerSecond(), result.Refused)
 		report.AddValue(kind.name+" values: served a second", result.PerSecond())
 		report.AddValue(kind.name+" values: CPU us a read", 1e6/result.PerCPU())
 		report.Equal(kind.name+" values: refused", float64(result.Refused), 0)
