--- a/internal/cluster/attribution_test.go
+++ b/internal/cluster/attribution_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -118,6 +120,38 @@
 	}
 }
 
+// Pauses of a process, which may fall between an answer's arrival, its reading and the next use of its
+// connection, do not let late answers be attributed.
+func TestLateAnswersAreNotAttributedWithPauses(t *testing.T) {
+	t.Parallel()
+	for _, form := range []standin.StrayForm{standin.StrayCopy, standin.StrayBusy} {
+		t.Run(fmt.Sprint(form), func(t *testing.T) {
+			t.Parallel()
+			scene := newAttributionScene(t)
+			scene.start()
+			random := rand.New(rand.NewPCG(67, 0))
+			quit, paused := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(paused)
+				for {
+					select {
+					case <-quit:
+						return
+					case <-time.After(time.Duration(random.Int64N(int64(maxPause)))):
+					}
+					scene.process.Signal(syscall.SIGSTOP)
+					time.Sleep(time.Duration(1 + random.Int64N(int64(maxPause))))
+					scene.process.Signal(syscall.SIGCONT)
+				}
+			}()
+			result := scene.sweep(form, standin.AttributionClasses, scene.fleet.Origin.SetStrays)
+			close(quit)
+			<-paused
+			scene.requireUnbroken(result, minServed)
+		})
+	}
+}
+
 // An answer that comes up to 200 ms after another one on a connection to a cache, in any form, is not taken
 // for the answer to a later request.
 func TestLateAnswersOfCachesAreNotAttributed(t *testing.T) {
