Caches that accept one request at a time: reads use connections again as before

Need: found by reading; since fences came, such a cache was treated like an origin, with nearly a new connection for each read, and reads that found all of its connections at rest and full were turned away by the expected wait. A wait ends when a connection that fits the first in line has rested.

--- a/internal/cluster/attribution_test.go
+++ b/internal/cluster/attribution_test.go
@@ -196,6 +196,31 @@
 	}
 }
 
+// Caches that accept one request at a time on a connection are sent no fences: reads that must not run twice
+// get connections that have rested, or new ones.
+func TestUnsafeReadsAreAttributedWithoutFences(t *testing.T) {
+	t.Parallel()
+	limits := standin.Settings()["limits"].(map[string]any)
+	limits["multiplex"] = 1
+	for _, form := range []standin.StrayForm{standin.StrayCopy, standin.StrayBusy} {
+		t.Run(fmt.Sprint(form), func(t *testing.T) {
+			t.Parallel()
+			scene := newAttributionScene(t)
+			scene.fleet.Overrides["limits"] = limits
+			for _, cache := range scene.fleet.Caches {
+				cache.SetService(2*time.Millisecond, 0)
+				cache.SetSource(func(key string) []byte { return standin.Value(key, 64) })
+			}
+			scene.start()
+			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses[:1], func(strays standin.Strays) {
+				for _, cache := range scene.fleet.Caches {
+					cache.SetStrays(strays)
+				}
+			}), minServed)
+		})
+	}
+}
+
 // A connection on which a write was refused before its last byte was sent is not used again: the first byte
 // of the next request would become the last byte of the write.
 func TestWriteRefusedEarlyDoesNotTakeTheNextRequest(t *testing.T) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -403,7 +403,7 @@
 		p.actions.Reject(x, LocalShortage)
 		return
 	}
-	p.replaceResting(m)
+	p.replaceResting(m, x.PoolRequest())
 	m.enqueue(x)
 	p.scheduleCooldownWake(m)
 	p.actions.ScheduleConnectTimeout(x, p.now+p.cfg.ConnectTimeout)
@@ -469,7 +469,7 @@
 	for _, c := range m.Conns {
 		switch {
 		case c.Retired || c.PingPending || !c.Link.Writable():
-		case c.Current == none && p.now >= c.reusableAt,
+		case c.Current == none && (p.now >= c.reusableAt || p.mustRest(m)), // a resting one is replaced
 			pipelining && c.HasAnswered && c.Current != none && !c.carriesWrite &&
 				1+len(c.Pipelined) < p.cfg.Multiplex && p.now-c.currentSince <= p.maxPipelineAge:
 			return 0
@@ -593,6 +593,9 @@
 			return c
 		}
 	}
+	if p.needsRested(m, x.PoolRequest()) {
+		return nil
+	}
 	return unattributable
 }
 
@@ -842,7 +845,7 @@
 			return
 		}
 	}
-	if p.endsWithFence(c) || !p.CanFence(c.Member) && !p.keepsResting(c.Member) {
+	if p.endsWithFence(c) || p.mustRest(c.Member) && !p.keepsResting(c.Member) {
 		p.CloseFor(c, CloseSurplus)
 		p.Redial(c.Member)
 		return
@@ -859,11 +862,9 @@
 	if len(m.Waiting) == 0 || m.inCooldownQueue {
 		return
 	}
-	wake := p.now + p.restTime(m)
-	for _, c := range m.Conns {
-		if p.now < c.reusableAt {
-			wake = min(wake, c.reusableAt)
-		}
+	wake, resting := p.usableAt(m, m.Waiting[0])
+	if !resting {
+		wake = p.now + p.restTime(m)
 	}
 	wake = max(wake, p.now+CooldownTime/4)
 	m.inCooldownQueue = true
@@ -880,11 +881,11 @@
 	for i, m := range members {
 		members[i], m.inCooldownQueue = nil, false
 		p.serveWaiting(m)
-		for _, c := range m.Conns {
-			if p.now < c.reusableAt {
-				p.scheduleCooldownWake(m)
-				break
-			}
+		if len(m.Waiting) == 0 {
+			continue
+		}
+		if _, resting := p.usableAt(m, m.Waiting[0]); resting {
+			p.scheduleCooldownWake(m)
 		}
 	}
 	p.spareCooldownQueue = members[:0]
--- a/internal/pool/reuse.go
+++ b/internal/pool/reuse.go
@@ -16,8 +16,9 @@
 //     twice, behind pipelined ones, and behind all while a cache is suspected. Other reads then rely on the
 //     short cooldown and on the choice of a connection that has rested.
 //   - An origin has no fences. Its connections rest for QuarantineTime after each answer. Requests do not wait
-//     for that: another connection is opened, in place of a resting one if need be. The same holds for a
-//     cache that accepts one request at a time, or refuses fences.
+//     for that: another connection is opened, in place of a resting one if need be.
+//   - A cache that accepts one request at a time, or refuses fences, is treated like an origin while it is
+//     suspected, and always for requests that must not run twice.
 //   - A connection on which an answer came before all of its request was written is not used again; the host
 //     sees to that.
 const (
@@ -120,10 +121,35 @@
 	return QuarantineTime
 }
 
+// mustRest reports whether connections to a member rest for the quarantine after each answer.
+func (p *Pool[X]) mustRest(m *Member[X]) bool {
+	return m.Origin || !p.CanFence(m) && p.Suspect(m)
+}
+
+// needsRested reports whether a request may only be sent on a connection that has rested, or is new.
+func (p *Pool[X]) needsRested(m *Member[X], r *Request) bool {
+	return p.mustRest(m) || r.Once && !p.CanFence(m)
+}
+
+// usableAt returns when the first connection to a member that rests may carry a request, if any rests.
+func (p *Pool[X]) usableAt(m *Member[X], x X) (at time.Duration, resting bool) {
+	needsRested := p.needsRested(m, x.PoolRequest())
+	for _, c := range m.Conns {
+		usable := c.reusableAt
+		if needsRested {
+			usable = max(usable, c.attributableAt)
+		}
+		if p.now < usable && (!resting || usable < at) {
+			at, resting = usable, true
+		}
+	}
+	return at, resting
+}
+
 // restTime returns how long a connection stays unused after an answer.
 func (p *Pool[X]) restTime(m *Member[X]) time.Duration {
 	switch {
-	case !p.CanFence(m):
+	case p.mustRest(m):
 		return p.quarantineTime(m)
 	case m.cleanAnswers < m.cleanRequired:
 		return SuspectCooldownTime
@@ -154,15 +180,15 @@
 	return resting < max(minResting, (busy+m.pendingDials)/restingDivisor)
 }
 
-// replaceResting closes the connection that would rest the longest, if there are as many
-// connections as may be open: a request needs its place.
-func (p *Pool[X]) replaceResting(m *Member[X]) {
-	if p.CanFence(m) || len(m.Conns)+m.pendingDials < p.MaxConns(m) {
+// replaceResting closes the connection that would rest the longest, if a request needs its place: one that
+// needs a connection that has rested, with as many connections as may be open.
+func (p *Pool[X]) replaceResting(m *Member[X], r *Request) {
+	if !p.needsRested(m, r) || len(m.Conns)+m.pendingDials < p.MaxConns(m) {
 		return
 	}
 	var latest *Conn[X]
 	for _, c := range m.Conns {
-		if !c.Busy() && p.now < c.reusableAt && (latest == nil || c.reusableAt > latest.reusableAt) {
+		if !c.Busy() && p.now < c.attributableAt && (latest == nil || c.attributableAt > latest.attributableAt) {
 			latest = c
 		}
 	}
--- a/internal/pool/reuse_test.go
+++ b/internal/pool/reuse_test.go
@@ -226,3 +226,42 @@
 		t.Error("the rested connection is not used")
 	}
 }
+
+// A cache that accepts one request at a time has no fences. What must not run twice gets a connection of its
+// own, everything does while a cache is suspected, and other reads use connections again as before.
+func TestCachesWithoutFences(t *testing.T) {
+	cfg := defaultConfig
+	cfg.Multiplex = 1
+	for name, tc := range map[string]struct {
+		once, suspected, reused bool
+	}{
+		"a read":               {false, false, true},
+		"must not run twice":   {true, false, false},
+		"a read, suspected":    {false, true, false},
+		"not twice, suspected": {true, true, false},
+	} {
+		host, cache, link := fencedCache(t, cfg)
+		if tc.suspected {
+			host.pool.RecordStray(cache)
+		}
+		request := &testRequest{id: 3, key: "other", Request: Request{ExpiresAt: host.now + time.Second, Once: tc.once}}
+		host.pool.Submit(cache, request)
+		if got := len(link.sent) == 1; got != tc.reused || request.Fenced {
+			t.Errorf("%s: on the connection used before %v, fenced %v", name, got, request.Fenced)
+		}
+		if !tc.reused && len(host.dials) != 1 {
+			t.Errorf("%s: %d dials", name, len(host.dials))
+		}
+	}
+}
+
+// At the limit of connections, a request that must not run twice replaces a connection that has not rested.
+func TestUnsafeRequestReplacesConnectionAtTheLimit(t *testing.T) {
+	cfg := defaultConfig
+	cfg.Multiplex, cfg.Instances = 1, CacheConnCapacity // one connection
+	host, cache, link := fencedCache(t, cfg)
+	host.pool.Submit(cache, &testRequest{id: 2, key: "other", Request: Request{ExpiresAt: host.now + time.Second, Once: true}})
+	if len(host.dials) != 1 || !link.closed {
+		t.Errorf("%d dials, the connection closed %v", len(host.dials), link.closed)
+	}
+}
