Test: late answers reach no joined reads, and are not recorded as receipts

Need: related paths of the incident were read, not run: one stray value must not reach many reads, and another order's receipt must never be recorded. Tests and the stand-in's clients only.

--- a/internal/cluster/attribution_test.go
+++ b/internal/cluster/attribution_test.go
@@ -221,6 +221,37 @@
 	}
 }
 
+// With joined reads and recorded orders, no late answer of a cache or of the origin reaches the reads that share
+// an attempt, or is recorded as the receipt of an order, which its repetition is answered with.
+func TestLateAnswersAreNotSharedOrRecorded(t *testing.T) {
+	t.Parallel()
+	classes := []standin.AttributionClass{
+		{Name: "read", SharedKeys: 8}, {Name: "keyed-write", Write: true, Keyed: true, Repeats: true}, {Name: "read", SharedKeys: 8},
+	}
+	for _, form := range []standin.StrayForm{standin.StrayCopy, standin.StrayOther, standin.StrayBusy} {
+		t.Run(fmt.Sprint(form), func(t *testing.T) {
+			t.Parallel()
+			scene := newAttributionScene(t)
+			for _, cache := range scene.fleet.Caches {
+				cache.SetService(2*time.Millisecond, 0)
+				cache.SetSource(func(key string) []byte { return standin.Value(key, 64) })
+			}
+			operator := filepath.Join(t.TempDir(), "operator.toml")
+			config := fmt.Sprintf("[joining]\n[orders]\ndir = %q\nstrangers = \"run\"\nreceipts = [\"resp2\"]\n", t.TempDir())
+			if err := os.WriteFile(operator, []byte(config), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			scene.start("-operator", operator)
+			scene.requireUnbroken(scene.sweep(form, classes, func(strays standin.Strays) {
+				scene.fleet.Origin.SetStrays(strays)
+				for _, cache := range scene.fleet.Caches {
+					cache.SetStrays(strays)
+				}
+			}), minServed)
+		})
+	}
+}
+
 // A connection on which a write was refused before its last byte was sent is not used again: the first byte
 // of the next request would become the last byte of the write.
 func TestWriteRefusedEarlyDoesNotTakeTheNextRequest(t *testing.T) {
--- a/internal/standin/attribution.go
+++ b/internal/standin/attribution.go
@@ -129,6 +129,10 @@
 	Once  bool // its requests must not run twice
 	Write bool
 	Keyed bool
+	// SharedKeys is the number of keys that its clients share; 0: each request has a key of its own.
+	SharedKeys int
+	// Repeats: each request is sent a second time, with an id of its own and the same key.
+	Repeats bool
 }
 
 // AttributionClasses are the classes of AttributionSettings.
@@ -189,34 +193,52 @@
 	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for time.Now().Before(end) {
-		id := strconv.FormatUint(lastAttributionID.Add(1), 16)
-		key := "k-" + id
-		attrs := "c=" + class.Name + ",d=2900"
-		if class.Keyed {
-			attrs += ",k=" + id
+		number := lastAttributionID.Add(1)
+		name := strconv.FormatUint(number, 16)
+		key := "k-" + name
+		if class.SharedKeys > 0 {
+			key = "shared-" + strconv.FormatUint(number%uint64(class.SharedKeys), 16)
 		}
-		args := []string{"OBJ.GET", key, id, attrs}
-		want := "value of " + key + " "
-		if class.Write {
-			args, want = append([]string{"OBJ.SET"}, key, id, attrs, "written for "+id), "receipt of "+key
+		sendings := 1
+		if class.Repeats {
+			sendings = 2
 		}
-		command := resp.AppendArray(nil, len(args))
-		for _, arg := range args {
-			command = resp.AppendBulk(command, arg)
-		}
-		conn.SetDeadline(time.Now().Add(10 * time.Second))
-		if _, err := conn.Write(command); err != nil {
-			return err
-		}
-		answer, err := readAttributed(in)
-		if err != nil {
-			return fmt.Errorf("request %s: %w", id, err)
+		for i := range sendings {
+			if err := c.send(conn, in, class, key, name, name+strings.Repeat("-again", i)); err != nil {
+				return err
+			}
 		}
-		c.recordAnswer(class, id, want, answer)
 	}
 	return nil
 }
 
+// send sends a request and records its answer. name is the idempotency key of a keyed one.
+func (c *AttributionChecker) send(conn net.Conn, in *bufio.Reader, class AttributionClass, key, name, id string) error {
+	attrs := "c=" + class.Name + ",d=2900"
+	if class.Keyed {
+		attrs += ",k=" + name
+	}
+	args := []string{"OBJ.GET", key, id, attrs}
+	want := "value of " + key + " "
+	if class.Write {
+		args, want = []string{"OBJ.SET", key, id, attrs, "written for " + name}, "receipt of "+key
+	}
+	command := resp.AppendArray(nil, len(args))
+	for _, arg := range args {
+		command = resp.AppendBulk(command, arg)
+	}
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := conn.Write(command); err != nil {
+		return err
+	}
+	answer, err := readAttributed(in)
+	if err != nil {
+		return fmt.Errorf("request %s: %w", id, err)
+	}
+	c.recordAnswer(class, id, want, answer)
+	return nil
+}
+
 // readAttributed reads a client's answer: an error line, or a value.
 func readAttributed(in *bufio.Reader) (string, error) {
 	line, err := in.ReadString('\n')
