--- a/internal/cluster/attribution_test.go
+++ b/internal/cluster/attribution_test.go
@@ -120,6 +120,22 @@
 	}
 }
 
+// At an origin that refuses what exceeds its capacity, a late copy of a refusal is not taken for the refusal of
+// a request that is running, which would then be refused to its client.
+func TestLateRefusalsOfAnOriginAtItsCapacityAreNotAttributed(t *testing.T) {
+	t.Parallel()
+	const capacity = 12
+	for _, form := range []standin.StrayForm{standin.StrayBusy, standin.StrayTimeout} {
+		t.Run(fmt.Sprint(form), func(t *testing.T) {
+			t.Parallel()
+			scene := newAttributionScene(t)
+			scene.fleet.Origin.SetService(strayServiceTime, capacity)
+			scene.start()
+			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses, scene.fleet.Origin.SetStrays), minServed)
+		})
+	}
+}
+
 // Pauses of a process, which may fall between an answer's arrival, its reading and the next use of its
 // connection, do not let late answers be attributed.
 func TestLateAnswersAreNotAttributedWithPauses(t *testing.T) {
--- a/internal/lab/strays.go
+++ b/internal/lab/strays.go
@@ -27,7 +27,7 @@
 // may be served another's answer, nothing may run twice, be out twice or be refused although it ran.
 func Strays(ctx context.Context, env *Env) (*Report, error) {
 	report := &Report{Scenario: "strays"}
-	for _, measure := range []func(*Report) error{env.measureHealthyOrigin, env.measureEqualValues, env.measureEarlyRejections, env.measureCostlyFences} {
+	for _, measure := range []func(*Report) error{env.measureHealthyOrigin, env.measureEqualValues, env.measureEarlyRejections, env.measureCostlyFences, env.measureLateOnset} {
 		if err := measure(report); err != nil {
 			return report, err
 		}
@@ -155,6 +155,41 @@
 	return nil
 }
 
+// measureLateOnset runs clients for three times the scenario's duration before members begin to send strays, of
+// a delay at which most do harm.
+func (e *Env) measureLateOnset(report *Report) error {
+	const delay, strayPhase = 25 * time.Millisecond, 3 * time.Second
+	onset := 3 * time.Duration(e.Seconds) * time.Second
+	for _, member := range []string{"origin", "cache"} {
+		fleet, addrs, closeAll, err := e.strayFleet(1, member == "cache")
+		if err != nil {
+			return err
+		}
+		classes := standin.AttributionClasses
+		set := fleet.Origin.SetStrays
+		if member == "cache" {
+			classes = classes[:3]
+			set = func(strays standin.Strays) {
+				for _, cache := range fleet.Caches {
+					cache.SetStrays(strays)
+				}
+			}
+		}
+		for i, form := range []standin.StrayForm{standin.StrayCopy, standin.StrayBusy, standin.StrayOther} {
+			time.AfterFunc(onset+time.Duration(i)*strayPhase, func() { set(standin.Strays{Form: form, Every: strayEvery, Delay: delay}) })
+		}
+		result, err := standin.NewAttributionChecker(fleet).RunClients(addrs, classes, strayClients, onset+3*strayPhase)
+		closeAll()
+		if err != nil {
+			return fmt.Errorf("%s, late onset: %w", member, err)
+		}
+		e.Log("%s, strays after %v: %v", member, onset, result)
+		report.AddValue(member+", late onset: served", float64(result.Served))
+		report.Equal(member+", late onset: broke a rule", float64(result.Broken()), 0)
+	}
+	return nil
+}
+
 // measureHealthyOrigin runs misses before a healthy origin: what is served, and the connections that it takes.
 func (e *Env) measureHealthyOrigin(report *Report) error {
 	fleet, addrs, closeAll, err := e.strayFleet(1, false)
