--- a/internal/cluster/attribution_test.go
+++ b/internal/cluster/attribution_test.go
@@ -68,6 +68,21 @@
 	s.t.Cleanup(s.process.Kill)
 }
 
+// serveFromCaches makes every cache have every key, with a value that names it.
+func (s *attributionScene) serveFromCaches() {
+	for _, cache := range s.fleet.Caches {
+		cache.SetService(2*time.Millisecond, 0)
+		cache.SetSource(func(key string) []byte { return standin.Value(key, 64) })
+	}
+}
+
+// setCacheStrays sets the strays of every cache.
+func (s *attributionScene) setCacheStrays(strays standin.Strays) {
+	for _, cache := range s.fleet.Caches {
+		cache.SetStrays(strays)
+	}
+}
+
 // sweep runs clients while members send strays of a form after each delay in turn, and returns what they saw.
 func (s *attributionScene) sweep(form standin.StrayForm, classes []standin.AttributionClass, set func(standin.Strays)) standin.AttributionResult {
 	s.t.Helper()
@@ -176,16 +191,9 @@
 		t.Run(fmt.Sprint(form), func(t *testing.T) {
 			t.Parallel()
 			scene := newAttributionScene(t)
-			for _, cache := range scene.fleet.Caches {
-				cache.SetService(2*time.Millisecond, 0)
-				cache.SetSource(func(key string) []byte { return standin.Value(key, 64) })
-			}
+			scene.serveFromCaches()
 			scene.start()
-			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses[:3], func(strays standin.Strays) {
-				for _, cache := range scene.fleet.Caches {
-					cache.SetStrays(strays)
-				}
-			}), minServed)
+			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses[:3], scene.setCacheStrays), minServed)
 		})
 	}
 }
@@ -197,17 +205,12 @@
 		t.Run(fmt.Sprint(form), func(t *testing.T) {
 			t.Parallel()
 			scene := newAttributionScene(t)
+			scene.serveFromCaches()
 			for _, cache := range scene.fleet.Caches {
-				cache.SetService(2*time.Millisecond, 0)
-				cache.SetSource(func(key string) []byte { return standin.Value(key, 64) })
 				cache.SetEndAfterSelect(true)
 			}
 			scene.start()
-			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses[:1], func(strays standin.Strays) {
-				for _, cache := range scene.fleet.Caches {
-					cache.SetStrays(strays)
-				}
-			}), minServed)
+			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses[:1], scene.setCacheStrays), minServed)
 		})
 	}
 }
@@ -223,16 +226,9 @@
 			t.Parallel()
 			scene := newAttributionScene(t)
 			scene.fleet.Overrides["limits"] = limits
-			for _, cache := range scene.fleet.Caches {
-				cache.SetService(2*time.Millisecond, 0)
-				cache.SetSource(func(key string) []byte { return standin.Value(key, 64) })
-			}
+			scene.serveFromCaches()
 			scene.start()
-			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses[:1], func(strays standin.Strays) {
-				for _, cache := range scene.fleet.Caches {
-					cache.SetStrays(strays)
-				}
-			}), minServed)
+			scene.requireUnbroken(scene.sweep(form, standin.AttributionClasses[:1], scene.setCacheStrays), minServed)
 		})
 	}
 }
@@ -248,10 +244,7 @@
 		t.Run(fmt.Sprint(form), func(t *testing.T) {
 			t.Parallel()
 			scene := newAttributionScene(t)
-			for _, cache := range scene.fleet.Caches {
-				cache.SetService(2*time.Millisecond, 0)
-				cache.SetSource(func(key string) []byte { return standin.Value(key, 64) })
-			}
+			scene.serveFromCaches()
 			operator := filepath.Join(t.TempDir(), "operator.toml")
 			config := fmt.Sprintf("[joining]\n[orders]\ndir = %q\nstrangers = \"run\"\nreceipts = [\"resp2\"]\n", t.TempDir())
 			if err := os.WriteFile(operator, []byte(config), 0o600); err != nil {
