--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -53,7 +53,7 @@
 	}
 }
 
-var cases = map[string]func(*play) error{"keyed": keyed}
+var cases = map[string]func(*play) error{"keyed": keyed, "burst": burst}
 
 // longest is how long a case may take.
 const longest = 115 * time.Second
