Review, case 3: a second copy that comes late is served to other clients

Change: review/3 plays cache nodes that take one request at a time on a connection (multiplex 1), of whose answers one in a hundred comes again 2 to 10 ms late. Until a proxy suspects its caches, it uses a connection again a millisecond after an answer.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -53,7 +53,7 @@
 	}
 }
 
-var cases = map[string]func(*play) error{"keyed": keyed, "burst": burst}
+var cases = map[string]func(*play) error{"keyed": keyed, "burst": burst, "copies": copies}
 
 // longest is how long a case may take.
 const longest = 115 * time.Second
