--- a/review/standins/keyed.go
+++ b/review/standins/keyed.go
@@ -12,7 +12,7 @@
 const (
 	keyedWindow = 1000 * time.Millisecond // the class's window_ms
 	slack       = 50 * time.Millisecond   // PROTOCOL: each time limit is 50 ms longer
-	keyedBursts = 12
+	keyedBursts = 16
 	keyedBurst  = 40 // orders at once
 )
 
@@ -20,7 +20,8 @@
 // connections of two orders are reset under them, 0.9 to 0.96 s after they came and were carried out. The rule: an order
 // that may have run is sent again only while its repeats are dropped.
 func keyed(p *play) error {
-	random := rand.New(rand.NewPCG(p.seed, 1))
+	random, service := rand.New(rand.NewPCG(p.seed, 1)), rand.New(rand.NewPCG(p.seed, 2)) // service: guarded by mu
+	within60ms := func() time.Duration { return time.Duration(service.Int64N(int64(60 * time.Millisecond))) }
 	registry, err := rig.NewRegistry()
 	if err != nil {
 		return err
@@ -49,7 +50,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		k := rig.Attribute(put.List, "k")
-		verdict := rig.Verdict{After: 1080*time.Millisecond + rand.N(60*time.Millisecond), Body: rig.Value(put.Key, put.ID)}
+		verdict := rig.Verdict{After: 1080*time.Millisecond + within60ms(), Body: rig.Value(put.Key, put.ID)}
 		e := effects[k]
 		switch {
 		case e == nil:
@@ -57,7 +58,7 @@
 			p.Printf("origin: k=%s id=%s carried out", k, put.ID)
 			if resetsLeft > 0 {
 				resetsLeft--
-				verdict = rig.Verdict{After: 900*time.Millisecond + rand.N(60*time.Millisecond), Reset: true}
+				verdict = rig.Verdict{After: 900*time.Millisecond + within60ms(), Reset: true}
 				p.Printf("origin: k=%s will be reset after %v", k, verdict.After)
 			}
 		case put.Came.Before(e.until):
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -7,8 +7,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"linenloom/review/rig"
@@ -23,6 +25,7 @@
 	mu      sync.Mutex
 	broken  []string
 	proxies []*rig.Proxy
+	starts  sync.Mutex // held while a proxy starts, and for good once the case has ended
 }
 
 // breaks records that the rule was broken.
@@ -35,6 +38,8 @@
 
 // start starts a proxy, which ends with the case.
 func (p *play) start(c *rig.Config) (*rig.Proxy, error) {
+	p.starts.Lock()
+	defer p.starts.Unlock()
 	proxy, err := rig.StartProxy(c, p.folder)
 	if err == nil {
 		p.mu.Lock()
@@ -45,6 +50,7 @@
 	return proxy, err
 }
 
+// end ends the proxies.
 func (p *play) end() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -84,13 +90,18 @@
 	}
 	defer os.RemoveAll(p.folder)
 	p.Printf("case %s, seed %d, trouble %t", *name, *seed, p.trouble)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	ended := make(chan error, 1)
 	go func() { ended <- f(p) }()
 	select {
 	case err = <-ended:
 	case <-time.After(longest):
 		err = fmt.Errorf("not over after %v", longest)
+	case s := <-signals:
+		err = fmt.Errorf("ended by %v", s)
 	}
+	p.starts.Lock()
 	p.end()
 	p.keepLogs()
 	switch {
