Review: records of cases 2 and 3 have a line for each read and each answer

Need: a case's record has to show what was sent, answered and run; those of cases 2 and 3 had counts alone.

Change: a line for each read at a cache and each answer at a client; the record is written through a buffer.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -23,6 +23,7 @@
 type Record struct {
 	mu    sync.Mutex
 	file  *os.File
+	out   *bufio.Writer
 	start time.Time
 }
 
@@ -32,19 +33,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Record{file: file, start: time.Now()}, nil
+	return &Record{file: file, out: bufio.NewWriterSize(file, 1<<20), start: time.Now()}, nil
 }
 
 // Printf adds a line.
 func (r *Record) Printf(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%9.1f ", float64(time.Since(r.start).Microseconds())/1000)
-	fmt.Fprintf(r.file, format+"\n", args...)
+	fmt.Fprintf(r.out, "%9.1f ", float64(time.Since(r.start).Microseconds())/1000)
+	fmt.Fprintf(r.out, format+"\n", args...)
 }
 
-// Close closes the file.
-func (r *Record) Close() { r.file.Close() }
+// Close writes what is left and closes the file.
+func (r *Record) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out.Flush()
+	r.file.Close()
+}
 
 // FreeAddr returns a loopback address with a free port.
 func FreeAddr() (string, error) {
--- a/review/standins/burst.go
+++ b/review/standins/burst.go
@@ -43,6 +43,7 @@
 		}
 		defer cache.Close()
 		cache.Takes = func(rig.Read) time.Duration { return 3 * time.Millisecond }
+		cache.OnRead = func(r rig.Read) { p.Printf("%s: read %s %s %s", r.Cache, r.Key, r.ID, r.List) }
 		cache.Value = func(r rig.Read) string { return value(r.Key, r.ID) }
 		registry.Set(member(cache.ID, cache.Addr, "standard"))
 	}
@@ -97,11 +98,11 @@
 					if err == nil {
 						reply, err = client.Read(10 * time.Second)
 					}
+					p.Printf("client %d-%d: command %d answered %.12q, %d bytes, %v", round, i, j, reply.Text, len(reply.Text), err)
 					mu.Lock()
 					switch {
 					case err != nil:
 						counts["no answer"] += burstReads - j
-						p.Printf("client %d-%d: after %d answers: %v", round, i, j, err)
 					case reply.Served():
 						counts["served"]++
 					case reply.Refused():
--- a/review/standins/copies.go
+++ b/review/standins/copies.go
@@ -38,6 +38,7 @@
 			return err
 		}
 		defer cache.Close()
+		cache.OnRead = func(r rig.Read) { p.Printf("%s: read %s %s %s", r.Cache, r.Key, r.ID, r.List) }
 		cache.Takes = func(rig.Read) time.Duration { return 10*time.Millisecond + rand.N(10*time.Millisecond) }
 		if p.trouble {
 			random, mu := rand.New(rand.NewPCG(p.seed, uint64(i))), sync.Mutex{}
@@ -81,6 +82,7 @@
 						if reply, err = client.Do(4*time.Second, "OBJ.GET", key, id, "c=tile-read,d=3000"); err != nil {
 							break
 						}
+						p.Printf("client %s-%d: %s %s answered %q", name, i, key, id, reply.Text)
 						mu.Lock()
 						switch {
 						case !reply.Served():
