Repeats of keyed orders are not sent after their window while they wait for a connection

Cause: the Balancer compares the deduplication window with the time of its decision. With all connections to the member busy, the repeat then waited in the pool for up to the connect timeout, which knew only when the request expires.

Evidence: -debug on a scratch copy: an order that ran twice was decided on 913 ms after its first attempt and has waited_ms=174 before it was written, 1,088 ms after it.

Change: Actions.Send tells the time before which a repeat must start (logic/repeats.go). The pool waits until then at most, compares the clock again before it sends, and does not pipeline a repeat. Attempts that a caller makes itself are neither announced nor confirmed after it. Such an attempt never ran and says nothing of the member; the request is answered at once.

Why it works: the end of the window is the Balancer's own bound, and each place that can hold a request back before its first byte now knows it.

--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -404,7 +404,7 @@
 // host executes the module's actions and checks them against the rules.
 type host struct{ model *BalancerModel }
 
-func (h host) Send(id logic.RequestID, to logic.MemberID, _ time.Duration) {
+func (h host) Send(id logic.RequestID, to logic.MemberID, _, _ time.Duration) {
 	model := h.model
 	r := model.findRequest(id)
 	if r == nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -83,7 +83,10 @@
 // is kept small.
 type Request struct {
 	ExpiresAt time.Duration // the request is given up at this time
-	BeganAt   time.Duration // when it was written, or became the current request of its connection; 0: not yet
+	// StartBefore is the time from which nothing of the request may be sent any more, because it is a repeat
+	// that its member would no longer recognize; 0: there is none.
+	StartBefore time.Duration
+	BeganAt     time.Duration // when it was written, or became the current request of its connection; 0: not yet
 	// WrittenAt is when its last byte was written, set by the host; 0: not yet, or written together with
 	// others.
 	WrittenAt time.Duration
@@ -134,7 +137,7 @@
 	// request asked for.
 	Dial(m *Member[X], prewarm bool)
 	Reject(x X, v Verdict) // x gets no connection
-	// Expired reports whether x has expired by now: the event may have begun some time ago.
+	// Expired reports whether x must not be sent any more by now: the event may have begun some time ago.
 	Expired(x X) bool
 	// HasDescriptor reports whether a descriptor is available; evict: one may be freed for it.
 	HasDescriptor(evict bool) bool
@@ -406,10 +409,19 @@
 	p.replaceResting(m, x.PoolRequest())
 	m.enqueue(x)
 	p.scheduleCooldownWake(m)
-	p.actions.ScheduleConnectTimeout(x, p.now+p.cfg.ConnectTimeout)
+	p.actions.ScheduleConnectTimeout(x, p.connectDeadline(x.PoolRequest()))
 	p.Redial(m)
 }
 
+// connectDeadline returns the time until which a request waits for a connection.
+func (p *Pool[X]) connectDeadline(r *Request) time.Duration {
+	deadline := p.now + p.cfg.ConnectTimeout
+	if r.StartBefore > 0 {
+		return min(deadline, r.StartBefore)
+	}
+	return deadline
+}
+
 // mayDial reports whether another connection to a member may be opened.
 func (p *Pool[X]) mayDial(m *Member[X]) bool {
 	return len(m.Conns)+m.pendingDials < p.MaxConns(m) && (len(m.Conns) == 0 || p.now >= m.noDialUntil)
@@ -478,9 +490,10 @@
 	return p.queueDelay(m)
 }
 
-// mayPipeline reports whether the request may be pipelined behind others at a member.
+// mayPipeline reports whether the request may be pipelined behind others at a member. One that has to start
+// before some time may not: the member would start it only after those before it.
 func (p *Pool[X]) mayPipeline(m *Member[X], r *Request) bool {
-	return p.CanFence(m) && !r.Write && p.now >= p.noPipeliningUntil && !r.Once && m.cleanAnswers >= max(MinCleanAnswers, m.cleanRequired)
+	return p.CanFence(m) && !r.Write && r.StartBefore == 0 && p.now >= p.noPipeliningUntil && !r.Once && m.cleanAnswers >= max(MinCleanAnswers, m.cleanRequired)
 }
 
 // acceptsPipelined reports whether a read may be pipelined on a connection.
@@ -724,7 +737,7 @@
 		x := m.Waiting[0]
 		if !x.PoolRequest().Ended && (p.actions.Expired(x) || p.tooLateToAnswer(m, x)) {
 			m.Waiting = m.Waiting[1:]
-			p.actions.Reject(x, NoConnVerdict(m))
+			p.actions.Reject(x, p.timeoutVerdict(m, x))
 			continue
 		}
 		if !x.PoolRequest().Ended {
@@ -753,7 +766,16 @@
 	if m != nil {
 		m.RemoveWaiting(x)
 	}
-	p.actions.Reject(x, NoConnVerdict(m))
+	p.actions.Reject(x, p.timeoutVerdict(m, x))
+}
+
+// timeoutVerdict returns the verdict for a request that is no longer sent. Where only its own time to start
+// is over, that says nothing about the member.
+func (p *Pool[X]) timeoutVerdict(m *Member[X], x X) Verdict {
+	if r := x.PoolRequest(); r.StartBefore > 0 && p.now >= r.StartBefore {
+		return LocalShortage
+	}
+	return NoConnVerdict(m)
 }
 
 // NoConnVerdict returns the verdict for a request that has waited for a connection in vain. If
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -101,8 +101,10 @@
 	x.verdicts = append(x.verdicts, v)
 }
 
-func (h *testHost) Expired(x *testRequest) bool { return x.ExpiresAt > 0 && h.now >= x.ExpiresAt }
-func (h *testHost) HasDescriptor(bool) bool     { return !h.noDescriptors }
+func (h *testHost) Expired(x *testRequest) bool {
+	return x.ExpiresAt > 0 && h.now >= x.ExpiresAt || x.StartBefore > 0 && h.now >= x.StartBefore
+}
+func (h *testHost) HasDescriptor(bool) bool { return !h.noDescriptors }
 func (h *testHost) ScheduleConnectTimeout(x *testRequest, at time.Duration) {
 	h.connectTimeouts[x] = at
 }
@@ -288,7 +290,10 @@
 		"a write":        {func(_ *Member[*testRequest], _ *Conn[*testRequest], x *testRequest) { x.Write = true }, false},
 		"behind a write": {func(_ *Member[*testRequest], c *Conn[*testRequest], _ *testRequest) { c.carriesWrite = true }, false},
 		"an order":       {func(_ *Member[*testRequest], _ *Conn[*testRequest], x *testRequest) { x.Once = true }, false},
-		"an origin":      {func(m *Member[*testRequest], _ *Conn[*testRequest], _ *testRequest) { m.Origin = true }, false},
+		"a repeat with a window": {func(_ *Member[*testRequest], _ *Conn[*testRequest], x *testRequest) {
+			x.StartBefore = time.Hour
+		}, false},
+		"an origin": {func(m *Member[*testRequest], _ *Conn[*testRequest], _ *testRequest) { m.Origin = true }, false},
 		"an unknown cache": {func(m *Member[*testRequest], _ *Conn[*testRequest], _ *testRequest) {
 			m.cleanAnswers = MinCleanAnswers - 1
 		}, false},
@@ -537,3 +542,50 @@
 		}
 	}
 }
+
+// Guards against a keyed request that runs twice: neither a connection that becomes free nor one that opens
+// late carries a repeat whose member no longer drops repeats, even if the event began in time.
+func TestRepeatIsNotSentAfterItsWindow(t *testing.T) {
+	for name, opensLate := range map[string]bool{"a busy connection": false, "a late handshake": true} {
+		host := newTestHost(t, defaultConfig)
+		member := &Member[*testRequest]{Ready: true, Origin: true}
+		windowEnd := host.now + 100*time.Millisecond
+		repeat := &testRequest{Request: Request{ExpiresAt: host.now + time.Second, StartBefore: windowEnd, Write: true}, id: 1}
+		var link *testLink
+		if !opensLate {
+			for range host.pool.MaxConns(member) {
+				host.pool.Submit(member, &testRequest{Request: Request{ExpiresAt: host.now + time.Second, Write: true}, id: 2})
+				link = host.connect(0, true)
+			}
+		}
+		host.pool.Submit(member, repeat)
+		if got := host.connectTimeouts[repeat]; got != windowEnd {
+			t.Errorf("%s: the repeat waits until %v, and its window ends at %v", name, got, windowEnd)
+		}
+		host.now = windowEnd // the pool has not been advanced
+		if opensLate {
+			link = host.connect(0, true)
+		} else {
+			host.answer(link)
+			host.now = max(host.now, host.wake) // the connection has rested
+			host.pool.Wake()
+		}
+		if len(link.sent) > 0 || len(repeat.verdicts) != 1 {
+			t.Errorf("%s: sent %v, verdict %v", name, link.sent, repeat.verdicts)
+		}
+	}
+}
+
+// Guards against a member that counts as unreachable because a repeat was given up at the end of its window.
+func TestRepeatGivenUpAtItsWindowSaysNothingOfTheMember(t *testing.T) {
+	host := newTestHost(t, defaultConfig)
+	member := &Member[*testRequest]{Ready: true}
+	repeat := &testRequest{Request: Request{ExpiresAt: host.now + time.Second, StartBefore: host.now + 10*time.Millisecond}, id: 1}
+	host.pool.Submit(member, repeat)
+	host.now = repeat.StartBefore
+	host.pool.Advance(host.now)
+	host.pool.ConnectTimedOut(member, repeat)
+	if !slices.Equal(repeat.verdicts, []Verdict{LocalShortage}) || len(member.Waiting) != 0 {
+		t.Errorf("verdicts %v, %d wait", repeat.verdicts, len(member.Waiting))
+	}
+}
--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -15,14 +15,14 @@
 var _ logic.Actions = actions{}
 
 // Send starts an attempt at a member.
-func (x actions) Send(id logic.RequestID, to logic.MemberID, timeout time.Duration) {
+func (x actions) Send(id logic.RequestID, to logic.MemberID, timeout, startBefore time.Duration) {
 	p, r := x.p, x.p.requests[id]
 	if r == nil {
 		return // a fault of the Balancer: the request does not exist
 	}
 	p.refreshNow()
 	a := &attempt{request: r, index: int32(len(r.attempts)), memberID: to, startedAt: p.now}
-	a.ExpiresAt = r.currentDeadline()
+	a.ExpiresAt, a.StartBefore = r.currentDeadline(), startBefore
 	if timeout > 0 {
 		a.ExpiresAt = min(a.ExpiresAt, p.now+timeout)
 	}
@@ -35,6 +35,10 @@
 		p.endAttempt(a, logic.StatusMoot, 0)
 		return
 	}
+	if a.tooLateToStart(p.now) {
+		p.endAttempt(a, logic.StatusNoConn, 0)
+		return
+	}
 	if !p.checkProof(r) {
 		// Not sent, and not the member's fault; another attempt would end the same way.
 		p.endAttempt(a, logic.StatusRejected, 0)
@@ -59,7 +63,7 @@
 	}
 	if c, ok := r.Responder.(ExternalSender); ok {
 		a.byExternalSender = true
-		p.schedule(timerEntry{Timer: upstream.Timer{At: a.ExpiresAt}, attempt: a})
+		p.scheduleTimeout(a)
 		c.Assign(&Attempt{proxy: p, attempt: a, Addr: m.Addr, Origin: m.Origin})
 		return
 	}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -127,11 +127,14 @@
 // Announce records that the client is now being notified of the attempt: from here on it may have run. It
 // reports whether the attempt is still valid; an attempt that has ended, or whose member is no longer ready,
 // must not be sent to the client. Announce may be called again for an attempt that was announced and has
-// certainly not been sent yet: if its member has gone, the attempt never ran.
+// certainly not been sent yet: if its member has gone or it is too late for a repeat, the attempt never ran.
 func (x *Attempt) Announce() bool {
 	if m := x.proxy.members[x.attempt.memberID]; !x.attempt.Ended && (m == nil || m.state != logic.Ready || m.Addr != x.Addr) {
 		x.proxy.endAttempt(x.attempt, logic.StatusConnectFailed, 0)
 	}
+	if x.attempt.tooLateToStart(x.proxy.now) {
+		x.proxy.endAttempt(x.attempt, logic.StatusNoConn, 0)
+	}
 	if x.attempt.Ended {
 		return false
 	}
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -266,7 +266,29 @@
 	switch {
 	case entry.attempt == nil:
 		p.upstreams.HandleTimer(entry.Timer)
-	case !entry.attempt.Ended:
-		p.abandonAttempt(entry.attempt, logic.StatusTimeout)
+	default:
+		p.attemptTimedOut(entry.attempt)
+	}
+}
+
+// scheduleTimeout sets the timer of an attempt that the client of an ExternalSender makes. One that has not
+// begun by the time before which it has to start ends then.
+func (p *Proxy) scheduleTimeout(a *attempt) {
+	at := a.ExpiresAt
+	if a.StartBefore > 0 && !a.announced {
+		at = min(at, a.StartBefore)
+	}
+	p.schedule(timerEntry{Timer: upstream.Timer{At: at}, attempt: a})
+}
+
+func (p *Proxy) attemptTimedOut(a *attempt) {
+	switch {
+	case a.Ended:
+	case a.announced && p.now < a.ExpiresAt:
+		p.scheduleTimeout(a)
+	case !a.announced && a.tooLateToStart(p.now):
+		p.endAttempt(a, logic.StatusNoConn, 0)
+	default:
+		p.abandonAttempt(a, logic.StatusTimeout)
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -278,7 +278,10 @@
 
 func (a actions) Reject(x *Exchange, v pool.Verdict) { x.complete(verdictStatus(v), 0) }
 
-func (a actions) Expired(x *Exchange) bool { return x.ExpiresAt-a.set.host.Clock() < MinDeadline }
+func (a actions) Expired(x *Exchange) bool {
+	now := a.set.host.Clock()
+	return x.ExpiresAt-now < MinDeadline || x.StartBefore > 0 && now >= x.StartBefore
+}
 
 func (a actions) HasDescriptor(evict bool) bool { return a.set.host.HasDescriptor(evict) }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -373,8 +373,8 @@
 
 var _ logic.Actions = Actions{}
 
-// Send implements logic.Actions.
-func (a Actions) Send(id logic.RequestID, to logic.MemberID, timeout time.Duration) {
+// Send implements logic.Actions. The protocol can't limit when an attempt begins; it begins at once.
+func (a Actions) Send(id logic.RequestID, to logic.MemberID, timeout, _ time.Duration) {
 	a.Reply.record(acSend, a.Instance, 18)
 	a.Reply.u32(uint32(id))
 	a.Reply.node(to)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -115,7 +115,7 @@
 		do   func()
 		want string
 	}{
-		"HandOff": {func() { a.Send(0x5d3a91c4, node1, 80*time.Millisecond) },
+		"HandOff": {func() { a.Send(0x5d3a91c4, node1, 80*time.Millisecond, 0) },
 			"0a01 16000000 03000000 c4913a5d 0a124a07 5b1b 0000000000005440"},
 		"Remind": {func() { a.SetTimer(8770*time.Millisecond+250*time.Microsecond, 77) },
 			"0501 14000000 03000000 000000002021c140 4d00000000000000"},
--- a/logic/api.go
+++ b/logic/api.go
@@ -293,8 +293,11 @@
 // methods, in order.
 type Actions interface {
 	// Send starts the request's next attempt; attempts are numbered from 0. A timeout of 0 means no
-	// timeout: the attempt lasts until the client gives up.
-	Send(id RequestID, to MemberID, timeout time.Duration)
+	// timeout: the attempt lasts until the client gives up. startBefore, unless it is 0, is the time from
+	// which nothing of the attempt may be sent any more, as its member may no longer drop it as a repeat of
+	// an earlier one. If the attempt still waits in the host then, the host ends it at once with a status
+	// that says it never ran.
+	Send(id RequestID, to MemberID, timeout, startBefore time.Duration)
 	// Refuse gives the final answer that tells the client that a retry is harmless.
 	Refuse(id RequestID, retryAfter time.Duration, why Reason)
 	// Fail gives the final answer that guarantees nothing.
--- a/logic/bench_test.go
+++ b/logic/bench_test.go
@@ -10,19 +10,19 @@
 // discardHost is a host that records only the member of the last send.
 type discardHost struct{ lastTarget MemberID }
 
-func (q *discardHost) Send(_ RequestID, to MemberID, _ time.Duration) { q.lastTarget = to }
-func (*discardHost) Refuse(RequestID, time.Duration, Reason)          {}
-func (*discardHost) NotifyWaiting(RequestID, Reason)                  {}
-func (*discardHost) Fail(RequestID, Reason)                           {}
-func (*discardHost) Cancel(RequestID, int)                            {}
-func (*discardHost) Probe(MemberID)                                   {}
-func (*discardHost) ConnectionWait(RequestID, MemberID) time.Duration { return 0 }
-func (*discardHost) CloseIdle(MemberID)                               {}
-func (*discardHost) Watch(bool)                                       {}
-func (*discardHost) FetchList()                                       {}
-func (*discardHost) SendToPeer(int, []byte)                           {}
-func (*discardHost) Log(string)                                       {}
-func (*discardHost) SetTimer(time.Duration, uint64)                   {}
+func (q *discardHost) Send(_ RequestID, to MemberID, _, _ time.Duration) { q.lastTarget = to }
+func (*discardHost) Refuse(RequestID, time.Duration, Reason)             {}
+func (*discardHost) NotifyWaiting(RequestID, Reason)                     {}
+func (*discardHost) Fail(RequestID, Reason)                              {}
+func (*discardHost) Cancel(RequestID, int)                               {}
+func (*discardHost) Probe(MemberID)                                      {}
+func (*discardHost) ConnectionWait(RequestID, MemberID) time.Duration    { return 0 }
+func (*discardHost) CloseIdle(MemberID)                                  {}
+func (*discardHost) Watch(bool)                                          {}
+func (*discardHost) FetchList()                                          {}
+func (*discardHost) SendToPeer(int, []byte)                              {}
+func (*discardHost) Log(string)                                          {}
+func (*discardHost) SetTimer(time.Duration, uint64)                      {}
 
 // newWarmBalancer returns a Balancer whose fleet has served 20000 requests with Zipf-distributed keys.
 func newWarmBalancer(b *testing.B, members int) (*Balancer, *discardHost, func()) {
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -10,7 +10,7 @@
 // printingHost is a host that only prints the actions.
 type printingHost struct{}
 
-func (printingHost) Send(id logic.RequestID, to logic.MemberID, _ time.Duration) {
+func (printingHost) Send(id logic.RequestID, to logic.MemberID, _, _ time.Duration) {
 	fmt.Printf("send request %d to member %d\n", id, to)
 }
 func (printingHost) NotifyWaiting(logic.RequestID, logic.Reason) {}
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -221,7 +221,7 @@
 	p.balancer.Request(sim.now, r.Request)
 }
 
-func (p *fleetProxy) Send(id RequestID, to MemberID, timeout time.Duration) {
+func (p *fleetProxy) Send(id RequestID, to MemberID, timeout, _ time.Duration) {
 	sim, read, epoch := p.fleet, p.requests[id], p.epoch
 	attempt := read.attempts
 	read.attempts++
--- a/logic/host_test.go
+++ b/logic/host_test.go
@@ -70,7 +70,7 @@
 	h.log = append(h.log, fmt.Sprintf("%v ", h.now)+fmt.Sprintf(format, args...))
 }
 
-func (h *fakeHost) Send(id RequestID, to MemberID, timeout time.Duration) {
+func (h *fakeHost) Send(id RequestID, to MemberID, timeout, startBefore time.Duration) {
 	h.record("send %d to %d for %v", id, to, timeout)
 	r := h.requests[id]
 	if r == nil {
@@ -98,6 +98,9 @@
 		if a.mayHaveRun && c.Effect == DeduplicatedByKey && h.now >= a.sentAt+c.DedupWindow {
 			h.violate("request %d: sent again outside its window", id)
 		}
+		if a.mayHaveRun && c.Effect == DeduplicatedByKey && (startBefore <= h.now || startBefore > a.sentAt+c.DedupWindow) {
+			h.violate("request %d: sent again at %v, to start before %v, and its window ends at %v", id, h.now, startBefore, a.sentAt+c.DedupWindow)
+		}
 		if a.mayHaveRun && c.Effect == DeduplicatedByKey && c.Scope == ScopeZone && m.Zone != h.listed[a.member].Zone {
 			h.violate("request %d: sent again outside its zone", id)
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -637,12 +637,6 @@
 	return true
 }
 
-// dedupWindowEnd returns the time from which repeats of a keyed request that may have run are no longer
-// certain to be dropped.
-func (b *Balancer) dedupWindowEnd(req *pendingRequest) time.Duration {
-	return req.firstRunAt + req.class.DedupWindow - 2*b.settings.MaxEventDelay
-}
-
 // noFurtherAttempt returns the reason why no further attempt is allowed, regardless of the members, or
 // NoReason.
 func (b *Balancer) noFurtherAttempt(req *pendingRequest) Reason {
@@ -811,14 +805,7 @@
 		!member.receivesSlot(req.slot) && (!member.zone.trial || b.now < member.zone.nextProbeAt) {
 		return false
 	}
-	if req.mayHaveRun == 0 || req.class.Effect == Repeatable {
-		return true
-	}
-	if req.class.Effect == AtMostOnce || b.now+2*b.settings.MaxEventDelay >= req.firstRunAt+req.class.DedupWindow {
-		return false
-	}
-	return req.class.Scope == ScopeAll || req.class.Scope == ScopeZone && member.entry.Zone == req.firstRunMember.entry.Zone ||
-		req.class.Scope == ScopeCell && member.entry.Cell == req.firstRunMember.entry.Cell
+	return b.mayRepeatAt(req, member)
 }
 
 // mayRefuse reports whether the client may be told that a retry is harmless.
@@ -868,6 +855,7 @@
 	if b.warmth(member) < 1 {
 		member.coldTokens = max(-1, member.coldTokens-1)
 	}
+	startBefore := b.repeatBefore(req)
 	bit := uint64(1) << req.attempts
 	req.attempts, req.outstanding = req.attempts+1, req.outstanding|bit
 	if req.mayHaveRun == 0 {
@@ -888,7 +876,7 @@
 		req.triedCaches = append(req.triedCaches, member)
 		b.outstandingAtCaches, member.zone.nextProbeAt = b.outstandingAtCaches+1, b.now+silentZoneInterval
 	}
-	b.actions.Send(req.ID, member.entry.ID, timeout)
+	b.actions.Send(req.ID, member.entry.ID, timeout, startBefore)
 }
 
 // refuseOrFail gives the final answer of the Balancer to a request: a refusal if a retry is harmless,
