Refusals for overload are written before the reader of their connection waits

Callers saw: no answer and no end of the connection any more, on a proxy whose core is used up.

Cause: refusals for overload are collected for one write, which the reader makes before it reads again. A reader that is suspended, as too many commands are in progress, does not read again: the answers behind the refusals wait for their turn, and the reader for those. A long value that waits for memory kept them back as well, for up to 10 s.

Change: the reader writes the refusals before it waits, for its turn or for memory.

--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -150,7 +150,10 @@
 func (c *client) readLongValue(cmd *parsedCommand, length int) error {
 	p := c.proxy
 	gone := make(chan struct{})
-	p.Do(func() { c.valueWait = gone })
+	p.Do(func() {
+		c.valueWait = gone
+		c.writeRefusals()
+	})
 	reservation := p.reserveLongValue(length, cmp.Or(p.longValues.maxWait, maxLongValueWait), gone)
 	granted := reservation.Wait()
 	c.arrival.NoteUnreadPossible()
--- a/internal/proxy/redis_client.go
+++ b/internal/proxy/redis_client.go
@@ -247,6 +247,9 @@
 		}
 		faulty := c.faultyCommands >= maxFaultyCommands
 		var wait chan struct{}
+		if !faulty && c.backlogged() {
+			c.writeRefusals() // the answers behind them wait for it, and the reader for those
+		}
 		if !faulty && c.backlogged() {
 			wait = make(chan struct{})
 			c.resume = wait
--- a/internal/proxy/shed.go
+++ b/internal/proxy/shed.go
@@ -89,8 +89,15 @@
 
 // uncork writes the collected refusals once there is no further input for the moment.
 func (c *client) uncork() {
-	c.corked = false
 	c.proxy.mu.Lock()
-	c.flush()
+	c.writeRefusals()
 	c.proxy.mu.Unlock()
 }
+
+// writeRefusals writes the collected refusals, if there are any. It requires the lock.
+func (c *client) writeRefusals() {
+	if c.corked {
+		c.corked = false
+		c.flush()
+	}
+}
