Commands sent ahead are read only as far as their answers fit into the memory

Cause: answers are sent in the order of the commands, and those that arrive early are held. Only new commands were refused once much was held; what the accepted ones would be answered with, up to 4,096 times 64 KiB, counted nowhere.

Evidence: a heap profile at 75 MB (92% copies that sendAnswer keeps) and the state each 4 ms: 39 MB of answers held, 1,279 requests in progress, no unsent bytes of clients.

Change: internal/answerbudget sets memory aside for the answer to each command that is accepted before its turn, as much as answers have taken lately. Further commands of a client stay unread until its earlier ones are answered or the next answer fits; a client without pending answers is always read from. Answers larger than expected are replaced by refusals past three eighths of the memory, where a retry is harmless. Held answers count as allocated, 12% more than their length for 64 KiB. Waiting unread for memory is no wait for the core, for which reads are refused.

Why it works: memory is bounded where it is promised, not where it is used, and each client keeps moving.

The figures (the averages' 32 answers, two deviations, three eighths) were chosen.

--- a/internal/proxy/answers.go
+++ b/internal/proxy/answers.go
@@ -18,10 +18,34 @@
 	return append(b, "\r\n"...)
 }
 
+// isTurnOf reports whether an answer is written at once if it arrives now.
+func (c *client) isTurnOf(o *pendingAnswer) bool {
+	return len(c.pending) > 0 && c.pending[0] == o && !c.sender.Busy()
+}
+
+// mayKeep reports whether a value of a size may become the answer: it is sent at once, there is memory to hold
+// it, or the client could not safely retry the request if it were refused instead.
+func (o *pendingAnswer) mayKeep(size int) bool {
+	p := o.client.proxy
+	return o.client.isTurnOf(o) || !o.retryable || p.answerBudget.MayHold(size, p.bufferedBytes, p.maxHeldBytes)
+}
+
+// countExpected tells the budget of answers how many of the client's would have to be held if they arrived now.
+func (c *client) countExpected() {
+	expected := 0
+	for i, o := range c.pending {
+		if o.reply == nil && o.body == nil && !o.follows() && (i > 0 || c.sender.Busy()) {
+			expected++
+		}
+	}
+	c.proxy.answerBudget.AddExpected(expected - c.expectedAnswers)
+	c.expectedAnswers = expected
+}
+
 // sendAnswer gives a request its final answer. The answer is written now if it is its turn; the caller may
 // reuse the bytes afterwards.
 func (c *client) sendAnswer(o *pendingAnswer, reply []byte) {
-	if len(c.pending) > 0 && c.pending[0] == o && !c.sender.Busy() {
+	if c.isTurnOf(o) {
 		c.sender.Send(reply, false)
 		c.removeAnswered()
 		c.flush()
@@ -29,7 +53,8 @@
 	}
 	if slices.Contains(c.pending, o) {
 		o.reply = slices.Clone(reply)
-		c.proxy.bufferedBytes += len(o.reply)
+		c.proxy.bufferedBytes += cap(o.reply)
+		c.countExpected()
 	}
 }
 
@@ -37,7 +62,7 @@
 // no copy of its own, only a descriptor.
 func (c *client) sendSharedAnswer(o *pendingAnswer, b *Body) {
 	b.Retain()
-	if len(c.pending) > 0 && c.pending[0] == o && !c.sender.Busy() {
+	if c.isTurnOf(o) {
 		c.writeShared(b)
 		c.removeAnswered()
 		c.flush()
@@ -45,6 +70,7 @@
 	}
 	if slices.Contains(c.pending, o) {
 		o.body = b
+		c.countExpected()
 		return
 	}
 	b.Release()
@@ -70,6 +96,7 @@
 
 // flush writes the answers whose turn has come.
 func (c *client) flush() {
+	c.countExpected()
 	for len(c.pending) > 0 && !c.sender.Busy() {
 		o := c.pending[0]
 		if o.many != nil && o.many.stream {
@@ -95,7 +122,7 @@
 			return
 		}
 		if len(c.pending) == 1 || c.pending[1].reply == nil {
-			c.proxy.bufferedBytes -= len(o.reply)
+			c.proxy.bufferedBytes -= cap(o.reply)
 			c.sender.Send(o.reply, true)
 			o.reply = nil
 			c.removeAnswered()
@@ -105,7 +132,7 @@
 		for len(c.pending) > 0 && c.pending[0].reply != nil && len(b) < resp.MaxValue {
 			o := c.pending[0]
 			b = append(b, o.reply...)
-			c.proxy.bufferedBytes -= len(o.reply)
+			c.proxy.bufferedBytes -= cap(o.reply)
 			o.reply = nil
 			c.removeAnswered()
 		}
@@ -126,6 +153,7 @@
 // removeAnswered removes the request that has just been answered.
 func (c *client) removeAnswered() {
 	c.pending = slices.Delete(c.pending, 0, 1)
+	c.countExpected()
 	c.front.answered++
 	c.lastActive = c.proxy.now
 	c.wakeReader()
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -260,7 +260,7 @@
 	case p.stopping:
 		p.reasons.Add(reasons.Refused, logicRequest.Class, logicRequest.Tenant, reasons.Stopping)
 		return ErrStopping
-	case len(p.requests) >= p.maxRequests() || p.bufferedBytes > p.maxBufferedBytes:
+	case len(p.requests) >= p.maxRequests() || p.bufferedBytes > p.maxHeldBytes:
 		p.reasons.Add(reasons.Refused, logicRequest.Class, logicRequest.Tenant, reasons.HostFull)
 		return ErrBusy
 	}
--- a/internal/proxy/join.go
+++ b/internal/proxy/join.go
@@ -31,6 +31,9 @@
 	body            *Body // the shared answer, once there is one
 }
 
+// follows reports whether a read gets the answer of another one, which is held once for all.
+func (r *Request) follows() bool { return r.join != nil && !r.join.lead }
+
 // Body is the value of an answer that several clients get. It is stored once, and counts once as held
 // memory, until the last client has it.
 type Body struct {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"linenloom/internal/answerbudget"
 	"linenloom/internal/arrival"
 	"linenloom/internal/discovery"
 	"linenloom/internal/inherit"
@@ -28,6 +29,7 @@
 	"linenloom/internal/manykeys"
 	"linenloom/internal/pool"
 	"linenloom/internal/reasons"
+	"linenloom/internal/resp"
 	"linenloom/internal/upstream"
 	"linenloom/internal/zones"
 	"linenloom/logic"
@@ -73,9 +75,11 @@
 }
 
 const (
-	// bufferMemoryShare is the share of the memory that bodies and unsent answers may use together. The rest is
-	// for connections, tables and garbage that has not been collected yet.
+	// bufferMemoryShare is the share of the memory that bodies and unsent answers may use together, as far as
+	// requests are accepted for it. The rest is for connections, tables and garbage that has not been collected
+	// yet, and for answers beyond what was expected, up to answerMemoryShare.
 	bufferMemoryShare = 0.25
+	answerMemoryShare = 0.375
 	// reservedDescriptors are kept for the listener, discovery, the runtime and connections that are being opened
 	// or closed.
 	reservedDescriptors     = 24
@@ -133,8 +137,10 @@
 	startWatch         func(w *watch, fetchFirst bool) // nil while Run is not active
 	revision           int64                           // of the applied list
 	bufferedBytes      int                             // bodies and unsent answers, without long values
+	answerBudget       answerbudget.Budget             // which answers are held
 	longValues         longValueBudget                 // memory for long values
-	maxBufferedBytes   int
+	maxBufferedBytes   int                             // beyond it no body and no request ahead of its turn is accepted
+	maxHeldBytes       int                             // beyond it no request is accepted and no answer held
 	scratch            []byte
 	reasons            *reasons.Counts
 	reasonsLogged      *reasons.Counts // as last logged
@@ -143,7 +149,12 @@
 	strayLog           strayLog
 }
 
-func bufferLimit(memoryMB int) int { return int(float64(memoryMB) * (1 << 20) * bufferMemoryShare) }
+// setMemory sets the limits that follow from the memory.
+func (p *Proxy) setMemory(memoryMB int) {
+	bytes := float64(memoryMB) * (1 << 20)
+	p.cfg.MemoryMB = memoryMB
+	p.maxBufferedBytes, p.maxHeldBytes = int(bytes*bufferMemoryShare), int(bytes*answerMemoryShare)
+}
 
 // New creates a Proxy and binds its address; clients that connect from then on wait for Run. If another process
 // of this proxy already listens there, new clients keep going to that process until this one is ready.
@@ -151,9 +162,11 @@
 	p := &Proxy{
 		cfg: cfg, log: log, debugEnabled: log.Enabled(context.Background(), slog.LevelDebug), started: time.Now(),
 		members: map[logic.MemberID]*member{}, requests: map[logic.RequestID]*Request{},
-		recentIDs:        newIDHistory(),
-		maxBufferedBytes: bufferLimit(cfg.MemoryMB), outOfUse: cfg.OutOfUse, maxStopDeadline: maxKillDeadline,
+		recentIDs:    newIDHistory(),
+		answerBudget: answerbudget.New(resp.MaxValue),
+		outOfUse:     cfg.OutOfUse, maxStopDeadline: maxKillDeadline,
 	}
+	p.setMemory(cfg.MemoryMB)
 	// The Balancer's clock is monotonic and starts at the wall-clock time, so that all start times are positive.
 	p.clockOffset = time.Duration(p.started.UnixNano())
 	if cfg.Clock != nil {
@@ -393,7 +406,8 @@
 // SetLimits changes the limits of file descriptors and memory, which two processes share during a handover.
 func (p *Proxy) SetLimits(descriptors, memoryMB int) {
 	p.Do(func() {
-		p.cfg.Descriptors, p.cfg.MemoryMB, p.maxBufferedBytes = descriptors, memoryMB, bufferLimit(memoryMB)
+		p.cfg.Descriptors = descriptors
+		p.setMemory(memoryMB)
 		p.upstreams.SetDescriptors(descriptors)
 	})
 }
@@ -490,7 +504,8 @@
 func (p *Proxy) logShortage(wasShort, isShort bool, message string) bool {
 	switch {
 	case isShort && !wasShort:
-		p.log.Warn(message, "sockets", p.openDescriptors(), "held_bytes", p.bufferedBytes, "requests", len(p.requests))
+		p.log.Warn(message, "sockets", p.openDescriptors(), "held_bytes", p.bufferedBytes, "requests", len(p.requests),
+			"expected_answers", p.answerBudget.Expected())
 	case wasShort && !isShort:
 		p.log.Info("no longer " + message)
 	}
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -117,6 +117,12 @@
 			o.client.sendSharedAnswer(o, a.Body)
 			return
 		}
+		p.answerBudget.RecordSize(len(a.Value))
+		if !o.mayKeep(len(a.Value)) {
+			p.reasons.Add(reasons.Refused, o.class, o.tenant, reasons.HostFull)
+			b = appendBusy(b, 0)
+			break
+		}
 		b = resp.AppendBulk(b, a.Value)
 	case Refused:
 		b = appendBusy(b, a.RetryAfter)
--- a/internal/proxy/redis_client.go
+++ b/internal/proxy/redis_client.go
@@ -29,6 +29,7 @@
 	reader           *resp.Reader
 	sender           *sender.Sender
 	pending          []*pendingAnswer   // in the order of their commands
+	expectedAnswers  int                // pending answers that would have to be held if they arrived now
 	midCommand       bool               // a command has been read in part
 	mayBeStale       bool               // the next input may be old; used by the reader goroutine only
 	arrival          arrival.Connection // estimates when input arrived; used by the reader goroutine only
@@ -46,6 +47,10 @@
 	closed           bool               // the connection's descriptor is closed
 	deadlineSet      bool               // a read deadline is set for the rest of a command
 
+	// suspendedForMemory means that the reader is, or was last, suspended because memory for answers was short;
+	// used by the reader goroutine only.
+	suspendedForMemory bool
+
 	sendingBodies []*Body // shared values that are being written
 
 	readQueue        shed.ReadQueue // input that has arrived and was not read yet; used by the reader goroutine only
@@ -246,13 +251,9 @@
 			c.replyError("ERR unknown command")
 		}
 		faulty := c.faultyCommands >= maxFaultyCommands
-		var wait chan struct{}
-		if !faulty && c.backlogged() {
-			c.writeRefusals() // the answers behind them wait for it, and the reader for those
-		}
-		if !faulty && c.backlogged() {
-			wait = make(chan struct{})
-			c.resume = wait
+		var wait <-chan struct{}
+		if !faulty {
+			wait = c.suspendIfBacklogged()
 		}
 		p.endEvent()
 		if faulty {
@@ -262,17 +263,56 @@
 			c.deadlineSet = false
 			c.conn.SetReadDeadline(time.Time{})
 		}
-		if wait != nil {
-			<-wait
-			c.mayBeStale = true
-			c.arrival.NoteUnreadPossible()
+		for wait != nil {
+			c.awaitResumption(wait)
+			p.Do(func() { wait = c.suspendIfBacklogged() })
 		}
 	}
 }
 
-// backlogged reports whether the client has to read answers before further commands are read from it.
+// backlogged reports whether the client has to get answers before further commands are read from it. It always
+// gets one then, or the end of its connection: a client without pending answers is read from.
 func (c *client) backlogged() bool {
-	return len(c.pending) >= c.front.pipelineLimit || c.sender.Backlog() > maxUnsentBytes || c.sender.Busy() && c.proxy.bufferedBytes > c.proxy.maxBufferedBytes
+	switch {
+	case c.closed || c.ended || c.sender.Failed():
+		return false
+	case len(c.pending) >= c.front.pipelineLimit || c.sender.Backlog() > maxUnsentBytes:
+		return true
+	}
+	return c.lacksMemory()
+}
+
+// lacksMemory reports whether there is no memory to hold the answer to a further command of the client.
+func (c *client) lacksMemory() bool {
+	p := c.proxy
+	if c.sender.Busy() && p.bufferedBytes > p.maxBufferedBytes {
+		return true
+	}
+	return len(c.pending) > 0 && !p.stopping && !p.answerBudget.MayAccept(p.bufferedBytes, p.maxBufferedBytes)
+}
+
+// suspendIfBacklogged returns a channel that is closed when a client that is backlogged may no longer be, or nil.
+func (c *client) suspendIfBacklogged() <-chan struct{} {
+	if c.backlogged() {
+		c.writeRefusals() // the answers behind them wait for it, and the reader for those
+	}
+	if !c.backlogged() {
+		return nil
+	}
+	c.resume, c.suspendedForMemory = make(chan struct{}), c.lacksMemory()
+	return c.resume
+}
+
+// awaitResumption waits until the suspended reader is woken. Input that waits for memory does not wait for the
+// core, which is why it counts as not waiting at all there.
+func (c *client) awaitResumption(resume <-chan struct{}) {
+	forMemory, since := c.suspendedForMemory, c.proxy.elapsed()
+	<-resume
+	c.mayBeStale = true
+	c.arrival.NoteUnreadPossible()
+	if forMemory {
+		c.readQueue.Exclude(c.proxy.elapsed() - since)
+	}
 }
 
 // awaitAnswers waits until everything pending is answered, which the deadlines of the requests bound, or
@@ -324,6 +364,7 @@
 	if err == nil {
 		err = c.proxy.Submit(&o.Request)
 	}
+	c.countExpected()
 	if err == nil {
 		c.front.shedder.CountRequest(o.tenant)
 		return
@@ -400,8 +441,9 @@
 	c.sender.Fail()
 	pending := c.pending
 	c.pending = nil
+	c.countExpected()
 	for _, o := range pending {
-		c.proxy.bufferedBytes -= len(o.reply)
+		c.proxy.bufferedBytes -= cap(o.reply)
 		o.reply = nil
 		if o.body != nil {
 			o.body.Release()
--- a/internal/proxy/shed.go
+++ b/internal/proxy/shed.go
@@ -69,17 +69,17 @@
 	c.midCommand = false
 	c.noteCommand()
 	if n := len(c.pending); n == 0 || !c.pending[n-1].refusalBatch {
-		c.pending = append(c.pending, &pendingAnswer{client: c, refusalBatch: true, reply: make([]byte, 0, 256)})
+		c.pending = append(c.pending, &pendingAnswer{client: c, refusalBatch: true})
 	}
 	o := c.pending[len(c.pending)-1]
-	previousLen := len(o.reply)
+	previousSize := cap(o.reply)
 	after := time.Duration(0)
 	if s := &p.cfg.Settings; s.CanRetryAfter {
 		// Randomized, so that reads that are refused together are not retried together.
 		after = min(waited+rand.N(waited), s.MaxRetryAfter*2/3)
 	}
 	o.reply = appendBusy(o.reply, after)
-	p.bufferedBytes += len(o.reply) - previousLen
+	p.bufferedBytes += cap(o.reply) - previousSize
 	if c.corked = true; len(o.reply) >= maxCorkedBytes {
 		c.corked = false
 		c.flush()
--- a/internal/shed/shed.go
+++ b/internal/shed/shed.go
@@ -184,3 +184,13 @@
 	}
 	return waited
 }
+
+// Exclude takes time out of the waits in which the connection was not read for another reason than the core.
+func (q *ReadQueue) Exclude(d time.Duration) {
+	if q.readAt > 0 {
+		q.readAt += d
+	}
+	if q.unread > 0 {
+		q.unreadSince += d
+	}
+}
--- a/internal/shed/shed_test.go
+++ b/internal/shed/shed_test.go
@@ -148,3 +148,25 @@
 		}
 	}
 }
+
+// Guards against reads that are refused for overload although they waited for something else than the core: time
+// that is excluded does not count as their wait.
+func TestExcludedTimeIsNoWait(t *testing.T) {
+	const batch = 4096
+	for name, c := range map[string]struct{ excluded, want time.Duration }{
+		"all waits for the core": {0, time.Second},
+		"a part does":            {700 * ms, 300 * ms},
+		"none does":              {time.Second, 0},
+	} {
+		var inBuffer, unread ReadQueue
+		inBuffer.RecordRead(time.Minute, batch, false)
+		unread.RecordRead(time.Minute, batch, true)
+		unread.SetUnread(time.Minute, batch)
+		for _, q := range []*ReadQueue{&inBuffer, &unread} {
+			q.Exclude(c.excluded)
+			if got := q.Waited(time.Minute + time.Second); got != c.want {
+				t.Errorf("%s: waited %v, want %v", name, got, c.want)
+			}
+		}
+	}
+}
