One test for late repeats and one for a client's backlog; answers are counted once an event

Need: the comparison with the end of the window stood in three places, the backlog of a client was worked out up to three times for one look, and its expected answers were counted up to three times for one answer.

Change: pool.Request.TooLateToStart; client.currentBacklog tells why a client is not read from; client.flush is split into writeReady, writeUnsent, writeTogether and takeReply, and counts once. No behaviour is changed.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -413,6 +413,11 @@
 	p.Redial(m)
 }
 
+// TooLateToStart reports whether the request is a repeat that its member would no longer recognize.
+func (r *Request) TooLateToStart(now time.Duration) bool {
+	return r.StartBefore > 0 && now >= r.StartBefore
+}
+
 // connectDeadline returns the time until which a request waits for a connection.
 func (p *Pool[X]) connectDeadline(r *Request) time.Duration {
 	deadline := p.now + p.cfg.ConnectTimeout
@@ -772,7 +777,7 @@
 // timeoutVerdict returns the verdict for a request that is no longer sent. Where only its own time to start
 // is over, that says nothing about the member.
 func (p *Pool[X]) timeoutVerdict(m *Member[X], x X) Verdict {
-	if r := x.PoolRequest(); r.StartBefore > 0 && p.now >= r.StartBefore {
+	if x.PoolRequest().TooLateToStart(p.now) {
 		return LocalShortage
 	}
 	return NoConnVerdict(m)
--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -35,7 +35,7 @@
 		p.endAttempt(a, logic.StatusMoot, 0)
 		return
 	}
-	if a.tooLateToStart(p.now) {
+	if a.TooLateToStart(p.now) {
 		p.endAttempt(a, logic.StatusNoConn, 0)
 		return
 	}
--- a/internal/proxy/answers.go
+++ b/internal/proxy/answers.go
@@ -96,64 +96,83 @@
 
 // flush writes the answers whose turn has come.
 func (c *client) flush() {
+	waitsForAnswer := c.writeReady()
 	c.countExpected()
+	if waitsForAnswer {
+		return
+	}
+	if !c.sender.Busy() {
+		c.releaseBodies()
+		c.wakeReader()
+	}
+	if c.ended {
+		c.finishSending(false)
+	} else if !c.closed {
+		c.endAfterAnswer()
+	}
+}
+
+// writeReady writes answers until the next one has not arrived yet, which it reports, or the client does not read.
+func (c *client) writeReady() (waitsForAnswer bool) {
 	for len(c.pending) > 0 && !c.sender.Busy() {
 		o := c.pending[0]
-		if o.many != nil && o.many.stream {
-			b, last := o.many.takeUnsent()
-			if len(b) > 0 {
-				c.sender.Send(b, true)
+		switch {
+		case o.many != nil && o.many.stream:
+			if !c.writeUnsent(o) {
+				return true
 			}
-			if !last {
-				return
-			}
-			o.many = nil
-			c.removeAnswered()
-			continue
-		}
-		if o.body != nil {
+		case o.body != nil:
 			c.writeShared(o.body)
 			o.body = nil
 			c.removeAnswered()
-			continue
-		}
-		if o.reply == nil {
+		case o.reply == nil:
 			o.signalTurn()
-			return
-		}
-		if len(c.pending) == 1 || c.pending[1].reply == nil {
-			c.proxy.bufferedBytes -= cap(o.reply)
-			c.sender.Send(o.reply, true)
-			o.reply = nil
-			c.removeAnswered()
-			continue
+			return true
+		case len(c.pending) == 1 || c.pending[1].reply == nil:
+			c.sender.Send(c.takeReply(), true)
+		default:
+			c.writeTogether()
 		}
-		b := c.proxy.scratch[:0] // answers that are ready together are written together
-		for len(c.pending) > 0 && c.pending[0].reply != nil && len(b) < resp.MaxValue {
-			o := c.pending[0]
-			b = append(b, o.reply...)
-			c.proxy.bufferedBytes -= cap(o.reply)
-			o.reply = nil
-			c.removeAnswered()
-		}
-		c.sender.Send(b, false)
-		c.proxy.scratch = b[:0]
 	}
-	if !c.sender.Busy() {
-		c.releaseBodies()
-		c.wakeReader()
+	return false
+}
+
+// writeUnsent writes what has arrived of a streamed answer for many keys, and reports whether that was the last of it.
+func (c *client) writeUnsent(o *pendingAnswer) (last bool) {
+	b, last := o.many.takeUnsent()
+	if len(b) > 0 {
+		c.sender.Send(b, true)
 	}
-	if c.ended {
-		c.finishSending(false)
-	} else if !c.closed {
-		c.endAfterAnswer()
+	if last {
+		o.many = nil
+		c.removeAnswered()
 	}
+	return last
+}
+
+// writeTogether writes the answers that are ready in one write.
+func (c *client) writeTogether() {
+	b := c.proxy.scratch[:0]
+	for len(c.pending) > 0 && c.pending[0].reply != nil && len(b) < resp.MaxValue {
+		b = append(b, c.takeReply()...)
+	}
+	c.sender.Send(b, false)
+	c.proxy.scratch = b[:0]
+}
+
+// takeReply removes the first pending answer, which is held, and returns it.
+func (c *client) takeReply() []byte {
+	o := c.pending[0]
+	reply := o.reply
+	c.proxy.bufferedBytes -= cap(reply)
+	o.reply = nil
+	c.removeAnswered()
+	return reply
 }
 
 // removeAnswered removes the request that has just been answered.
 func (c *client) removeAnswered() {
 	c.pending = slices.Delete(c.pending, 0, 1)
-	c.countExpected()
 	c.front.answered++
 	c.lastActive = c.proxy.now
 	c.wakeReader()
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -132,7 +132,7 @@
 	if m := x.proxy.members[x.attempt.memberID]; !x.attempt.Ended && (m == nil || m.state != logic.Ready || m.Addr != x.Addr) {
 		x.proxy.endAttempt(x.attempt, logic.StatusConnectFailed, 0)
 	}
-	if x.attempt.tooLateToStart(x.proxy.now) {
+	if x.attempt.TooLateToStart(x.proxy.now) {
 		x.proxy.endAttempt(x.attempt, logic.StatusNoConn, 0)
 	}
 	if x.attempt.Ended {
--- a/internal/proxy/redis_client.go
+++ b/internal/proxy/redis_client.go
@@ -270,16 +270,27 @@
 	}
 }
 
-// backlogged reports whether the client has to get answers before further commands are read from it. It always
-// gets one then, or the end of its connection: a client without pending answers is read from.
-func (c *client) backlogged() bool {
+// backlog is why a client has to get answers before further commands are read from it.
+type backlog uint8
+
+const (
+	noBacklog backlog = iota
+	tooManyPending
+	outOfMemory // for the answer to a further command
+)
+
+// currentBacklog returns why no further command is read from the client. A client with a backlog always gets an
+// answer, or the end of its connection: one without pending answers is read from.
+func (c *client) currentBacklog() backlog {
 	switch {
 	case c.closed || c.ended || c.sender.Failed():
-		return false
+		return noBacklog
+	case c.lacksMemory():
+		return outOfMemory
 	case len(c.pending) >= c.front.pipelineLimit || c.sender.Backlog() > maxUnsentBytes:
-		return true
+		return tooManyPending
 	}
-	return c.lacksMemory()
+	return noBacklog
 }
 
 // lacksMemory reports whether there is no memory to hold the answer to a further command of the client.
@@ -291,15 +302,18 @@
 	return len(c.pending) > 0 && !p.stopping && !p.answerBudget.MayAccept(p.bufferedBytes, p.maxBufferedBytes)
 }
 
-// suspendIfBacklogged returns a channel that is closed when a client that is backlogged may no longer be, or nil.
+// suspendIfBacklogged returns a channel that is closed when the backlog of the client may be gone, or nil if there
+// is none.
 func (c *client) suspendIfBacklogged() <-chan struct{} {
-	if c.backlogged() {
+	why := c.currentBacklog()
+	if why != noBacklog && c.corked {
 		c.writeRefusals() // the answers behind them wait for it, and the reader for those
+		why = c.currentBacklog()
 	}
-	if !c.backlogged() {
+	if why == noBacklog {
 		return nil
 	}
-	c.resume, c.suspendedForMemory = make(chan struct{}), c.lacksMemory()
+	c.resume, c.suspendedForMemory = make(chan struct{}), why == outOfMemory
 	return c.resume
 }
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -97,11 +97,6 @@
 	return r.deadline
 }
 
-// tooLateToStart reports whether the attempt is a repeat that its member would no longer recognize.
-func (a *attempt) tooLateToStart(now time.Duration) bool {
-	return a.StartBefore > 0 && now >= a.StartBefore
-}
-
 // abandonAttempt ends an attempt without waiting for its answer.
 func (p *Proxy) abandonAttempt(a *attempt, s logic.Status) {
 	if a.awaitsRecord {
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -286,7 +286,7 @@
 	case a.Ended:
 	case a.announced && p.now < a.ExpiresAt:
 		p.scheduleTimeout(a)
-	case !a.announced && a.tooLateToStart(p.now):
+	case !a.announced && a.TooLateToStart(p.now):
 		p.endAttempt(a, logic.StatusNoConn, 0)
 	default:
 		p.abandonAttempt(a, logic.StatusTimeout)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -280,7 +280,7 @@
 
 func (a actions) Expired(x *Exchange) bool {
 	now := a.set.host.Clock()
-	return x.ExpiresAt-now < MinDeadline || x.StartBefore > 0 && now >= x.StartBefore
+	return x.ExpiresAt-now < MinDeadline || x.TooLateToStart(now)
 }
 
 func (a actions) HasDescriptor(evict bool) bool { return a.set.host.HasDescriptor(evict) }
