The values of OBJ.MGET stay within the memory for answers

A request for many keys counted as one expected answer, and its values, held until the last has arrived, were neither expected nor refused.

Change: each key without an outcome counts as an expected answer; a value that would have to be held and does not fit makes its key -BUSY; the capacity of buffers counts; the state of a key exists while its read is outstanding. manyReads share MayHold and RefuseForMemory with single reads.

Why it works: the bound of docs/memory.md now holds for every value that a RESP2 client waits for.

--- a/internal/extproc/server/many.go
+++ b/internal/extproc/server/many.go
@@ -67,6 +67,9 @@
 	m.keys[index] = result
 }
 
+// WritesValues reports that all values are held until the reply is complete.
+func (m *manyCall) WritesValues() bool { return false }
+
 // AllDone sends the call's single answer, with the keys in the order asked.
 func (m *manyCall) AllDone() {
 	var reply struct {
--- a/internal/manykeys/manykeys.go
+++ b/internal/manykeys/manykeys.go
@@ -138,6 +138,9 @@
 	return outcome
 }
 
+// Pending returns the number of keys without an outcome.
+func (g *Gather) Pending() int { return g.pending }
+
 // Finished reports whether every key has its outcome.
 func (g *Gather) Finished() bool { return g.pending == 0 }
 
--- a/internal/proxy/answers.go
+++ b/internal/proxy/answers.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"linenloom/internal/reasons"
 	"linenloom/internal/resp"
 )
 
@@ -23,25 +24,39 @@
 	return len(c.pending) > 0 && c.pending[0] == o && !c.sender.Busy()
 }
 
-// mayKeep reports whether a value of a size may become the answer: it is sent at once, there is memory to hold
-// it, or the client could not safely retry the request if it were refused instead.
-func (o *pendingAnswer) mayKeep(size int) bool {
-	p := o.client.proxy
-	return o.client.isTurnOf(o) || !o.retryable || p.answerBudget.MayHold(size, p.bufferedBytes, p.maxHeldBytes)
+// MayHold reports whether a value of a size may be held as the answer to the request: there is memory for it, or
+// the client could not safely retry the request if it were refused instead. It requires the lock.
+func (p *Proxy) MayHold(r *Request, size int) bool {
+	return !r.retryable || p.answerBudget.MayHold(size, p.bufferedBytes, p.maxHeldBytes)
+}
+
+// RefuseForMemory counts a request whose answer may not be held, and returns its refusal. It requires the lock.
+func (p *Proxy) RefuseForMemory(r *Request) Answer {
+	p.reasons.Add(reasons.Refused, r.class, r.tenant, reasons.HostFull)
+	return Answer{Kind: Refused, Reason: reasons.HostFull}
 }
 
 // countExpected tells the budget of answers how many of the client's would have to be held if they arrived now.
 func (c *client) countExpected() {
 	expected := 0
 	for i, o := range c.pending {
-		if o.reply == nil && o.body == nil && !o.follows() && (i > 0 || c.sender.Busy()) {
-			expected++
-		}
+		expected += o.heldOnArrival(i > 0 || c.sender.Busy())
 	}
 	c.proxy.answerBudget.AddExpected(expected - c.expectedAnswers)
 	c.expectedAnswers = expected
 }
 
+// heldOnArrival returns how many values have to be held if all that are outstanding for the answer arrive now.
+func (o *pendingAnswer) heldOnArrival(waitsForTurn bool) int {
+	switch {
+	case o.many != nil && (waitsForTurn || !o.many.stream):
+		return o.many.pendingKeys()
+	case o.many != nil, !waitsForTurn, o.reply != nil, o.body != nil, o.follows():
+		return 0
+	}
+	return 1
+}
+
 // sendAnswer gives a request its final answer. The answer is written now if it is its turn; the caller may
 // reuse the bytes afterwards.
 func (c *client) sendAnswer(o *pendingAnswer, reply []byte) {
--- a/internal/proxy/many.go
+++ b/internal/proxy/many.go
@@ -17,6 +17,8 @@
 	// KeyDone reports the outcome of the key with this index in the Gather: its value, which is valid
 	// during the call only, or why there is none. It may be called while the balancer is handling an event.
 	KeyDone(keyIndex int, outcome manykeys.Outcome, answer Answer, denied error)
+	// WritesValues reports whether the value of a key is written to the client on arrival, and not held.
+	WritesValues() bool
 	// AllDone is called once, after KeyDone for every key.
 	AllDone()
 }
@@ -29,10 +31,10 @@
 	command   Command // the reads replace the key and the ID
 	proof     *identity.Proof
 	front     string
-	reads     []manyRead // by key index
-	idBuffer  []byte     // holds the IDs of the reads
-	group     uint32     // of the reads, used by the connection pool
-	queued    bool       // in the host's list of requests to advance
+	reads     []*manyRead // by key index; nil unless outstanding
+	idBuffer  []byte      // holds the IDs of the reads
+	group     uint32      // of the reads, used by the connection pool
+	queued    bool        // in the host's list of requests to advance
 	finished  bool
 	cancelled bool
 }
@@ -85,7 +87,7 @@
 	p.recentIDs.add(c.ReqID, p.now)
 	c.ArrivedAt = p.earliestArrival(c.ArrivedAt) // also for reads that start later
 	p.lastGroup = max(1, p.lastGroup+1)
-	m := &Many{proxy: p, Gather: gather, responder: responder, command: c, proof: proof, front: front, group: p.lastGroup, reads: make([]manyRead, gather.Len()),
+	m := &Many{proxy: p, Gather: gather, responder: responder, command: c, proof: proof, front: front, group: p.lastGroup, reads: make([]*manyRead, gather.Len()),
 		idBuffer: make([]byte, 0, gather.Len()*(len(c.ReqID)+5))}
 	m.queue()
 	return m, nil
@@ -116,8 +118,8 @@
 }
 
 func (m *Many) submitKey(keyIndex int) {
-	read := &m.reads[keyIndex]
-	read.many, read.keyIndex = m, keyIndex
+	read := &manyRead{many: m, keyIndex: keyIndex}
+	m.reads[keyIndex] = read
 	from := len(m.idBuffer)
 	m.idBuffer = strconv.AppendInt(append(append(m.idBuffer, m.command.ReqID...), '/'), int64(keyIndex), 10)
 	read.Command = Command{AllowedAddrs: m.command.AllowedAddrs, ArrivedAt: m.command.ArrivedAt, Message: upstream.Message{Key: []byte(m.Gather.Key(keyIndex)), Attrs: m.command.Attrs,
@@ -156,6 +158,13 @@
 	if m.cancelled {
 		return
 	}
+	if outcome == manykeys.Served {
+		m.proxy.answerBudget.RecordSize(len(a.Value))
+		if read := &m.reads[keyIndex].Request; !m.responder.WritesValues() && !m.proxy.MayHold(read, len(a.Value)) {
+			outcome, a = manykeys.Refused, m.proxy.RefuseForMemory(read)
+		}
+	}
+	m.reads[keyIndex] = nil
 	m.responder.KeyDone(keyIndex, m.Gather.Complete(keyIndex, outcome, len(a.Value)), a, denied)
 	m.queue()
 }
@@ -166,9 +175,9 @@
 		return
 	}
 	m.cancelled = true
-	for k := range m.reads {
-		if m.reads[k].many != nil {
-			m.proxy.Cancel(&m.reads[k].Request)
+	for _, read := range m.reads {
+		if read != nil {
+			m.proxy.Cancel(&read.Request)
 		}
 	}
 }
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -8,6 +8,7 @@
 
 	"linenloom/internal/answerbudget"
 	"linenloom/internal/discovery"
+	"linenloom/internal/manykeys"
 	"linenloom/internal/reasons"
 	"linenloom/internal/resp"
 )
@@ -29,6 +30,7 @@
 	}
 	cfg := testConfig()
 	cfg.MemoryMB, cfg.Multiplex = 8, 1
+	cfg.ManyKeys = &manykeys.Limits{Keys: 64, Bytes: 64 * resp.MaxValue, Outstanding: 64, PartSize: 64}
 	cfg.Settings.Instances = 1
 	return startProxy(t, cfg, caches...)
 }
@@ -162,3 +164,66 @@
 		t.Errorf("%d reads were refused, %d counted", refused, counted)
 	}
 }
+
+// Guards against a proxy that is killed for its memory: the values of an OBJ.MGET are held until all of them have
+// arrived. Keys for which there is no memory are refused, and a further OBJ.MGET of the client is not read.
+func TestKeysOfManyStayWithinTheMemory(t *testing.T) {
+	const clients, keys = 4, 32 // whose values do not fit together
+	release := make(chan struct{})
+	p := startWithLittleMemory(t, func(key string) string {
+		if strings.HasPrefix(key, "first") {
+			<-release
+		}
+		return largeValue
+	})
+	var connections []*testClient
+	for i := range clients {
+		all := []string{fmt.Sprint("first", i)}
+		for j := 1; j < keys; j++ {
+			all = append(all, fmt.Sprint("k", i, "-", j))
+		}
+		c := p.dial()
+		connections = append(connections, c)
+		c.send(mget(fmt.Sprint("m", i), "c=tile-read,d=8000", all...) + mget(fmt.Sprint("n", i), "c=tile-read,d=8000", fmt.Sprint("last", i)))
+	}
+	p.eventually("only the first keys have no outcome, or too much is held", func() bool {
+		pendingKeys, suspended := 0, 0
+		for c := range p.redis.clients {
+			for _, o := range c.pending {
+				if o.many != nil {
+					pendingKeys += o.many.pendingKeys()
+				}
+			}
+			if c.resume != nil {
+				suspended++
+			}
+		}
+		return pendingKeys == clients && suspended == clients || p.bufferedBytes > p.maxHeldBytes
+	})
+	if held := p.Load().Held; held > p.maxHeldBytes {
+		t.Errorf("%d bytes are held, and the limit is %d", held, p.maxHeldBytes)
+	}
+	close(release)
+	refused := 0
+	for i, c := range connections {
+		for range 2 {
+			values, line := c.readArray()
+			if values == nil {
+				t.Errorf("client %d was answered %.20q", i, line)
+			}
+			for _, value := range values {
+				switch value {
+				case "-BUSY":
+					refused++
+				case largeValue:
+				default:
+					t.Errorf("client %d: a key was answered %.20q", i, value)
+				}
+			}
+		}
+	}
+	if counted := int(p.Reasons().Total(reasons.Refused, reasons.HostFull)); counted == 0 || counted > refused {
+		t.Errorf("%d keys were refused, %d counted", refused, counted)
+	}
+	p.eventually("nothing is held or expected", func() bool { return p.bufferedBytes == 0 && p.answerBudget.Expected() == 0 })
+}
--- a/internal/proxy/mget.go
+++ b/internal/proxy/mget.go
@@ -50,12 +50,19 @@
 	o.many = m
 	if m.stream {
 		m.unsent = resp.AppendArray(nil, len(m.many.Gather.KeyIndexes()))
-		m.addHeld(len(m.unsent))
+		m.addHeld(cap(m.unsent))
 	} else {
 		m.keyTexts = make([][]byte, m.many.Gather.Len())
 	}
+	c.countExpected()
 }
 
+// pendingKeys returns the number of keys without an outcome.
+func (m *manyReply) pendingKeys() int { return m.many.Gather.Pending() }
+
+// WritesValues reports whether a value that arrives now is written at once.
+func (m *manyReply) WritesValues() bool { return m.stream && m.answer.client.isTurnOf(m.answer) }
+
 func (c *client) newManyReply(o *pendingAnswer, cmd *parsedCommand) (*manyReply, error) {
 	if cmd.rejectedKeys > 0 {
 		return nil, fmt.Errorf("%w: %d, and %d are allowed", manykeys.ErrTooMany, cmd.rejectedKeys, c.proxy.cfg.ManyKeys.Keys)
@@ -98,11 +105,13 @@
 		p.scratch = b[:0]
 	}
 	if !m.stream { // separate buffers: growing a single one costs more
-		m.keyTexts[keyIndex] = slices.Clone(b)
-		m.addHeld(len(b))
+		text := slices.Clone(b)
+		m.keyTexts[keyIndex] = text
+		m.addHeld(cap(text))
+		m.answer.client.countExpected()
 		return
 	}
-	before := len(m.unsent)
+	before := cap(m.unsent)
 	for place, index := range m.many.Gather.KeyIndexes() {
 		if index == keyIndex {
 			m.unsent = append(m.unsent, "*2\r\n:"...)
@@ -111,7 +120,7 @@
 			m.placesWritten++
 		}
 	}
-	m.addHeld(len(m.unsent) - before)
+	m.addHeld(cap(m.unsent) - before)
 	m.answer.client.flush()
 }
 
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -118,9 +118,8 @@
 			return
 		}
 		p.answerBudget.RecordSize(len(a.Value))
-		if !o.mayKeep(len(a.Value)) {
-			p.reasons.Add(reasons.Refused, o.class, o.tenant, reasons.HostFull)
-			b = appendBusy(b, 0)
+		if !o.client.isTurnOf(o) && !p.MayHold(&o.Request, len(a.Value)) {
+			b = appendBusy(b, p.RefuseForMemory(&o.Request).RetryAfter)
 			break
 		}
 		b = resp.AppendBulk(b, a.Value)
