Answers to calls of the external processor stay within the memory for answers

Callers saw: nothing yet; with many streams a proxy over its memory limit, which the platform kills.

New calls were refused by what is held; what the calls in progress would be answered with counted nowhere.

Change: call.Answer asks Proxy.MayHold; a value that does not fit is replaced by a refusal for want of memory, where a retry is harmless.

Why it works: the bound is asked wherever a value becomes held, on both fronts.

Test seen to fail without it: TestAnswersToCallsStayWithinTheMemory, where the read was served.

--- a/internal/extproc/server/server.go
+++ b/internal/extproc/server/server.go
@@ -450,6 +450,8 @@
 	switch {
 	case a.Body != nil:
 		a.Body.Retain()
+	case a.Value != nil && !c.front.host.MayHold(&c.request, len(a.Value)):
+		a = c.front.host.RefuseForMemory(&c.request)
 	case a.Value != nil:
 		a.Value = append([]byte(nil), a.Value...)
 		c.front.host.AddBuffered(len(a.Value))
