Replies to OBJ.MGET: repeated keys count each time against the size limit

Callers saw: nothing wrong; a reply of 16 MiB for 256 times one key of 64 KiB, where 4 MiB are allowed.

Cause: Gather.Complete added the size of a value once, and it stands in the reply at each place.

Change: the size counts as often as the key occurs. TestAnyOrder's bookkeeping counted distinct values as well, so it accepted such replies; it now counts the bytes that are sent, which is stricter.

Test seen to fail without it: TestRepeatedKeysCountEachTime, "two more copies than fit are served".

--- a/internal/manykeys/manykeys.go
+++ b/internal/manykeys/manykeys.go
@@ -49,6 +49,7 @@
 	keys        []string               // each once, in order of first occurrence
 	keyIndexes  []int                  // by position in the request: index into keys
 	caches      []uint64               // cache of each of keys, when the request began
+	copies      []int                  // how often each of keys occurs in the request
 	outcomes    []Outcome              // outcome of each of keys
 	queues      map[uint64]*cacheQueue // by cache
 	queueOrder  []*cacheQueue          // queues in the order of their first keys
@@ -82,6 +83,7 @@
 			g.keys = append(g.keys, key)
 			cache := home(key)
 			g.caches = append(g.caches, cache)
+			g.copies = append(g.copies, 0)
 			queue := g.queues[cache]
 			if queue == nil {
 				queue = &cacheQueue{}
@@ -91,6 +93,7 @@
 			queue.pending = append(queue.pending, k)
 		}
 		g.keyIndexes[i] = k
+		g.copies[k]++
 	}
 	g.outcomes = make([]Outcome, len(g.keys))
 	g.pending = len(g.keys)
@@ -125,10 +128,10 @@
 		return g.outcomes[k]
 	}
 	if outcome == Served {
-		if g.replyBytes+size > g.limits.Bytes {
-			outcome = Large
+		if total := g.replyBytes + size*g.copies[k]; total <= g.limits.Bytes {
+			g.replyBytes = total
 		} else {
-			g.replyBytes += size
+			outcome = Large
 		}
 	}
 	g.outcomes[k] = outcome
--- a/internal/manykeys/manykeys_test.go
+++ b/internal/manykeys/manykeys_test.go
@@ -74,11 +74,16 @@
 			k := outstanding[i]
 			outstanding = append(outstanding[:i], outstanding[i+1:]...)
 			delete(parts[home(g.Key(k))], k)
-			m, size := Outcome(1+rng.IntN(5)), rng.IntN(60)
+			m, size, copies := Outcome(1+rng.IntN(5)), rng.IntN(60), 0
+			for _, key := range keys {
+				if key == g.Key(k) {
+					copies++
+				}
+			}
 			switch got := g.Complete(k, m, size); {
 			case got == Served:
-				bytes += size
-			case got == Large && m == Served && bytes+size > l.Bytes:
+				bytes += size * copies
+			case got == Large && m == Served && bytes+size*copies > l.Bytes:
 			case got != m:
 				t.Fatalf("seed %d: marked %v, not %v", seed, got, m)
 			}
@@ -97,6 +102,24 @@
 	}
 }
 
+// Guards against replies beyond their size limit, and a proxy killed for its memory: a value stands in the reply
+// as often as its key was asked for.
+func TestRepeatedKeysCountEachTime(t *testing.T) {
+	home := func(string) uint64 { return 1 }
+	size := testLimits.Bytes / 4
+	g, err := New(testLimits, []string{"a", "b", "a", "a", "b"}, home)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Next()
+	if got := g.Complete(0, Served, size); got != Served {
+		t.Errorf("three copies that fit are %v", got)
+	}
+	if got := g.Complete(1, Served, size); got != Large {
+		t.Errorf("two more copies than fit are %v", got)
+	}
+}
+
 // A cache with a long queue does not delay the others.
 func TestCachesHaveTurns(t *testing.T) {
 	keys := make([]string, 64)
