Test rig: a proxy's links and files are made by a function each

Change: linkMembers, linkInstances, writeConfig, writeOperatorFile; holdFirstKeys. Nothing else is changed.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -188,27 +188,16 @@
 
 // prepareProxy creates a proxy's links and files.
 func (c *Cluster) prepareProxy(i int) error {
-	name, zone := proxyName(i), c.Zones[i%len(c.Zones)]
-	proxy := &Proxy{Number: i, Name: name, Zone: zone, cluster: c}
-	listenHost, advertiseHost := fmt.Sprintf("%s%d", c.subnet, 1+i), fmt.Sprintf("%s%d", c.subnet, 101+i)
-	addrs := map[string]string{}
-	members := c.Fleet.Registry.List().Members
-	for _, m := range members {
-		relayAddr, err := c.addRelay(name, m.ID, "127.0.0.1:0", m.HostPort)
-		if err != nil {
-			return err
-		}
-		addrs[m.ID] = relayAddr
-		c.Link(name, m.ID).observeConns(func(source net.Conn) *standin.Observer {
-			observer := c.Duplicates.Observe(m.ID, m.ID == c.Fleet.Origin.ID, source)
-			if c.Deadlines == nil {
-				return observer
-			}
-			return observer.NotifyRequests(func(id, attrs string) { c.Deadlines.AttemptReceived(m.ID, id, attrs) })
-		})
+	name := proxyName(i)
+	listenHost := fmt.Sprintf("%s%d", c.subnet, 1+i)
+	proxy := &Proxy{Number: i, Name: name, Zone: c.Zones[i%len(c.Zones)], cluster: c, host: listenHost}
+	proxy.ManagementAddr = proxy.managementAddr(mgmtPort)
+	memberAddrs, err := c.linkMembers(name)
+	if err != nil {
+		return err
 	}
 	viewMember := func(m discovery.Member) discovery.Member {
-		if relayAddr := addrs[m.ID]; relayAddr != "" {
+		if relayAddr := memberAddrs[m.ID]; relayAddr != "" {
 			m.HostPort = relayAddr
 		}
 		return m
@@ -228,32 +217,82 @@
 	if c.Deadlines != nil {
 		c.Link("clients", name).notifyRequests(c.Deadlines.RequestSent)
 	}
-	proxy.host = listenHost
-	proxy.ManagementAddr = proxy.managementAddr(mgmtPort)
+	gossip, err := c.linkInstances(i, listenHost)
+	if err != nil {
+		return err
+	}
+	configPath, err := c.writeConfig(proxy, listen, discoveryAddr, viewMember)
+	if err != nil {
+		return err
+	}
+	operatorPath, err := c.writeOperatorFile(proxy, gossip)
+	if err != nil {
+		return err
+	}
+	tmp := filepath.Join(c.Dir, name)
+	if err := os.MkdirAll(tmp, 0o700); err != nil {
+		return err
+	}
+	proxy.env, proxy.args = append([]string{"LB_CONFIG=" + configPath, "TMPDIR=" + tmp}, c.Env...), []string{"-operator", operatorPath}
+	c.Proxies = append(c.Proxies, proxy)
+	return nil
+}
+
+// linkMembers adds the links of a proxy to all members. It returns the addresses of their relays by member.
+func (c *Cluster) linkMembers(name string) (relayAddrs map[string]string, err error) {
+	relayAddrs = map[string]string{}
+	for _, m := range c.Fleet.Registry.List().Members {
+		if relayAddrs[m.ID], err = c.addRelay(name, m.ID, "127.0.0.1:0", m.HostPort); err != nil {
+			return nil, err
+		}
+		c.Link(name, m.ID).observeConns(func(source net.Conn) *standin.Observer {
+			observer := c.Duplicates.Observe(m.ID, m.ID == c.Fleet.Origin.ID, source)
+			if c.Deadlines == nil {
+				return observer
+			}
+			return observer.NotifyRequests(func(id, attrs string) { c.Deadlines.AttemptReceived(m.ID, id, attrs) })
+		})
+	}
+	return relayAddrs, nil
+}
+
+// gossipAddrs are the addresses at which a proxy listens for the other proxies, and those that it tells them.
+type gossipAddrs struct{ listen, advertise []string }
+
+// linkInstances adds the links of the other proxies to a proxy.
+func (c *Cluster) linkInstances(i int, listenHost string) (addrs gossipAddrs, err error) {
+	name, advertiseHost := proxyName(i), fmt.Sprintf("%s%d", c.subnet, 101+i)
 	for j := range c.Options.Proxies {
 		if j != i {
 			c.addLink(proxyName(j), name)
 		}
 	}
-	var listenAddrs, advertised []string
+	linkOfSource := func(source net.IP) *Link {
+		n := int(source.To4()[3]) - 1
+		return c.link(proxyName(n), name)
+	}
 	for port := gossipPort; port < gossipPort+2; port++ {
-		listenAddrs, advertised = append(listenAddrs, fmt.Sprintf("%s:%d", listenHost, port)), append(advertised, fmt.Sprintf("%s:%d", advertiseHost, port))
-		gossip, err := newGossipRelay(advertised[len(advertised)-1], listenAddrs[len(listenAddrs)-1], func(source net.IP) *Link {
-			n := int(source.To4()[3]) - 1
-			return c.link(proxyName(n), name)
-		})
+		listen, advertise := fmt.Sprintf("%s:%d", listenHost, port), fmt.Sprintf("%s:%d", advertiseHost, port)
+		gossip, err := newGossipRelay(advertise, listen, linkOfSource)
 		if err != nil {
-			return err
+			return gossipAddrs{}, err
 		}
 		c.gossipRelays = append(c.gossipRelays, gossip)
+		addrs.listen, addrs.advertise = append(addrs.listen, listen), append(addrs.advertise, advertise)
 	}
-	text, err := c.Fleet.Config(name, listen, fmt.Sprintf("%x", c.Seed+uint64(i)*7919+1), 128, 1024)
+	return addrs, nil
+}
+
+// writeConfig writes a proxy's configuration and returns its path.
+func (c *Cluster) writeConfig(proxy *Proxy, listen, discoveryAddr string, viewMember func(discovery.Member) discovery.Member) (path string, err error) {
+	i := proxy.Number
+	text, err := c.Fleet.Config(proxy.Name, listen, fmt.Sprintf("%x", c.Seed+uint64(i)*7919+1), 128, 1024)
 	if err != nil {
-		return err
+		return "", err
 	}
 	var config map[string]any
 	if err := json.Unmarshal(text, &config); err != nil {
-		return err
+		return "", err
 	}
 	config["discovery"], config["mgmt"] = discoveryAddr, proxy.ManagementAddr
 	settings := config["settings"].(map[string]any)
@@ -265,15 +304,17 @@
 	}
 	config["known"] = known
 	if text, err = json.MarshalIndent(config, "", " "); err != nil {
-		return err
-	}
-	path, operatorPath := filepath.Join(c.Dir, name+".json"), filepath.Join(c.Dir, name+".toml")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return err
+		return "", err
 	}
-	proxy.Dir = filepath.Join(c.Dir, name+".d")
+	path = filepath.Join(c.Dir, proxy.Name+".json")
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+// writeOperatorFile writes a proxy's operator file, creates its directory, and returns the path of the file.
+func (c *Cluster) writeOperatorFile(proxy *Proxy, gossip gossipAddrs) (path string, err error) {
+	proxy.Dir = filepath.Join(c.Dir, proxy.Name+".d")
 	if err := os.MkdirAll(proxy.Dir, 0o700); err != nil {
-		return err
+		return "", err
 	}
 	operator := strings.ReplaceAll(c.OperatorConfig, "DIR", proxy.Dir)
 	if c.JoinInstances {
@@ -281,22 +322,14 @@
 		for j := range min(3, c.Options.Proxies) {
 			join = append(join, fmt.Sprintf("%s%d:%d", c.subnet, 101+j, gossipPort))
 		}
-		operator += fmt.Sprintf("[instances]\nlisten = %s\nadvertise = %s\njoin = %s\nkey_file = %q\n[zones]\n", tomlList(listenAddrs), tomlList(advertised), tomlList(join),
-			filepath.Join(c.Dir, "key"))
+		operator += fmt.Sprintf("[instances]\nlisten = %s\nadvertise = %s\njoin = %s\nkey_file = %q\n[zones]\n", tomlList(gossip.listen), tomlList(gossip.advertise),
+			tomlList(join), filepath.Join(c.Dir, "key"))
 		for name, zones := range c.Regions {
 			operator += fmt.Sprintf("[[zones.region]]\nname = %q\nzones = %s\n", name, tomlList(zones))
 		}
 	}
-	if err := os.WriteFile(operatorPath, []byte(operator), 0o600); err != nil {
-		return err
-	}
-	tmp := filepath.Join(c.Dir, name)
-	if err := os.MkdirAll(tmp, 0o700); err != nil {
-		return err
-	}
-	proxy.env, proxy.args = append([]string{"LB_CONFIG=" + path, "TMPDIR=" + tmp}, c.Env...), []string{"-operator", operatorPath}
-	c.Proxies = append(c.Proxies, proxy)
-	return nil
+	path = filepath.Join(c.Dir, proxy.Name+".toml")
+	return path, os.WriteFile(path, []byte(operator), 0o600)
 }
 
 // tomlList formats strings as a TOML list.
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -35,6 +35,17 @@
 	return startProxy(t, cfg, caches...)
 }
 
+// holdFirstKeys returns what caches answer that hold the answer for a first key back until the release, and have a large
+// value for every key.
+func holdFirstKeys(release <-chan struct{}) (valueOf func(key string) string) {
+	return func(key string) string {
+		if strings.HasPrefix(key, "first") {
+			<-release
+		}
+		return largeValue
+	}
+}
+
 // reads returns n reads; the first has a key of its own, which the caches hold back.
 func reads(client, n int) string {
 	var all strings.Builder
@@ -50,12 +61,7 @@
 func TestPipelinedReadsStayWithinTheMemory(t *testing.T) {
 	const clients = 6
 	release := make(chan struct{})
-	p := startWithLittleMemory(t, func(key string) string {
-		if strings.HasPrefix(key, "first") {
-			<-release
-		}
-		return largeValue
-	})
+	p := startWithLittleMemory(t, holdFirstKeys(release))
 	var connections []*testClient
 	for i := range clients {
 		c := p.dial()
@@ -170,12 +176,7 @@
 func TestKeysOfManyStayWithinTheMemory(t *testing.T) {
 	const clients, keys = 4, 32 // whose values do not fit together
 	release := make(chan struct{})
-	p := startWithLittleMemory(t, func(key string) string {
-		if strings.HasPrefix(key, "first") {
-			<-release
-		}
-		return largeValue
-	})
+	p := startWithLittleMemory(t, holdFirstKeys(release))
 	var connections []*testClient
 	for i := range clients {
 		all := []string{fmt.Sprint("first", i)}
