Answers that joined reads share stay within the memory for answers

Callers saw: nothing yet; with [joining] a proxy over its memory limit, which the platform kills.

The bound was asked for the answer of the read that was sent, and not for the copy that its followers share.

Change: shareAnswer asks Proxy.MayHold before it makes the copy; without memory the followers are refused, in the same batches. The capacity of the copy counts, in place of its length.

Why it works: the copy is the only thing that is held for followers.

Test seen to fail without it: TestSharedAnswersStayWithinTheMemory, where the follower was served.

--- a/internal/proxy/join.go
+++ b/internal/proxy/join.go
@@ -29,6 +29,7 @@
 	balancerRequest logic.Request // passed to the balancer if it becomes the lead
 	lead            bool
 	body            *Body // the shared answer, once there is one
+	refused         bool  // there was no memory for the shared answer
 }
 
 // follows reports whether a read gets the answer of another one, which is held once for all.
@@ -48,7 +49,7 @@
 	b := resp.AppendBulkHead(make([]byte, 0, len(value)+16), len(value))
 	head := len(b)
 	b = append(append(b, value...), "\r\n"...)
-	p.AddBuffered(len(b))
+	p.AddBuffered(cap(b))
 	return &Body{proxy: p, bulk: b, headLength: head, references: 1}
 }
 
@@ -61,7 +62,7 @@
 // Release drops a reference, and the body with the last one. The caller holds the host's lock.
 func (b *Body) Release() {
 	if b.references--; b.references == 0 {
-		b.proxy.AddBuffered(-len(b.bulk))
+		b.proxy.AddBuffered(-cap(b.bulk))
 		b.bulk = b.bulk[:0:0]
 	}
 }
@@ -125,19 +126,37 @@
 	if len(ids) == 0 {
 		return
 	}
+	if p.MayHold(r, len(value)) {
+		p.giveBody(ids, value)
+	} else {
+		p.refuseFollowers(ids)
+	}
+	p.followersToAnswer = append(p.followersToAnswer, ids...)
+	p.answerFollowerBatch()
+	if len(p.followersToAnswer) > 0 && !p.answeringFollowers {
+		p.answeringFollowers = true
+		go p.answerRemainingFollowers()
+	}
+}
+
+// giveBody stores a value as the answer of followers.
+func (p *Proxy) giveBody(followers []logic.RequestID, value []byte) {
 	body := p.newBody(value)
-	for _, id := range ids {
+	for _, id := range followers {
 		if follower := p.requests[id]; follower != nil && !follower.done {
 			follower.join.body = body
 			body.Retain()
 		}
 	}
 	body.Release()
-	p.followersToAnswer = append(p.followersToAnswer, ids...)
-	p.answerFollowerBatch()
-	if len(p.followersToAnswer) > 0 && !p.answeringFollowers {
-		p.answeringFollowers = true
-		go p.answerRemainingFollowers()
+}
+
+// refuseFollowers marks followers as refused for want of memory.
+func (p *Proxy) refuseFollowers(followers []logic.RequestID) {
+	for _, id := range followers {
+		if follower := p.requests[id]; follower != nil && !follower.done {
+			follower.join.refused = true
+		}
 	}
 }
 
@@ -164,33 +183,42 @@
 	}
 }
 
-// answerFollower answers a follower with the value stored for it. If its proof has been revoked
-// meanwhile, it is rejected instead.
+// answerFollower answers a follower once there is an answer for it.
 func (p *Proxy) answerFollower(follower *Request) {
 	body := follower.join.body
-	if body == nil {
+	if body == nil && !follower.join.refused {
 		return
 	}
 	follower.join.body = nil
 	if !follower.done {
 		follower.done = true
 		p.joinStats.Shared++
-		if p.checkProof(follower) {
-			follower.Responder.Answer(Answer{Kind: Served, Value: body.Value(), Body: body})
-		} else {
-			follower.Responder.Answer(Answer{Kind: Failed, Reason: logic.Rejected})
-		}
+		follower.Responder.Answer(p.sharedAnswer(follower, body))
+	}
+	if body != nil {
+		body.Release()
 	}
-	body.Release()
 	p.releaseIfOver(follower)
 }
 
+// sharedAnswer returns the answer of a follower: the value stored for it, or a refusal if there is none. If its proof
+// has been revoked meanwhile, it is rejected instead.
+func (p *Proxy) sharedAnswer(follower *Request, body *Body) Answer {
+	switch {
+	case !p.checkProof(follower):
+		return Answer{Kind: Failed, Reason: logic.Rejected}
+	case body == nil:
+		return p.RefuseForMemory(follower)
+	}
+	return Answer{Kind: Served, Value: body.Value(), Body: body}
+}
+
 // followerTimedOut ends a follower whose deadline has passed. It gets the shared answer if there is one.
 func (p *Proxy) followerTimedOut(id logic.RequestID) {
 	follower := p.requests[id]
 	switch {
 	case follower == nil || follower.join == nil || follower.join.lead || follower.done:
-	case follower.join.body != nil:
+	case follower.join.body != nil || follower.join.refused:
 		p.answerFollower(follower)
 	default:
 		p.removeFollower(id)
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -228,3 +228,32 @@
 	}
 	p.eventually("nothing is held or expected", func() bool { return p.bufferedBytes == 0 && p.answerBudget.Expected() == 0 })
 }
+
+// Guards against a proxy that is killed for its memory: a value that several reads share is held for those whose turn
+// has not come. Where it does not fit, they are refused, and the read that was sent is served.
+func TestSharedAnswersStayWithinTheMemory(t *testing.T) {
+	gated := newGatedCache()
+	p := startJoining(t, joinLimits, gated.answer)
+	lead, follower := p.dial(), p.dial()
+	lead.send(getCommand("a", "lead"))
+	<-gated.requests
+	follower.send(getCommand("a", "follower"))
+	p.awaitFollowers(1)
+	full := 0
+	p.Do(func() {
+		full = p.maxHeldBytes - len(largeValue)
+		p.AddBuffered(full)
+	})
+	gated.answers <- hitReply(largeValue)
+	if got := lead.answer(); got != largeValue {
+		t.Errorf("the read that was sent was answered %.20q", got)
+	}
+	if got := follower.answer(); got != "-BUSY" {
+		t.Errorf("the read that shares its answer was answered %.20q", got)
+	}
+	if n := p.Reasons().Total(reasons.Refused, reasons.HostFull); n != 1 {
+		t.Errorf("%v reads were refused for want of memory", n)
+	}
+	p.Do(func() { p.AddBuffered(-full) })
+	p.eventually("nothing is held", func() bool { return p.bufferedBytes == 0 && len(p.requests) == 0 })
+}
