Tests: one loop over a connection's requests, one look at when a proxy may lose some

Need: found when the whole change was read again. The loop that reads a simulated cache's requests stood once more (repeat_test.go) beside those of effect_test.go, pool_test.go and proxy_test.go; whether a proxy may be paused or killed at a time was worked out in two places; a test set a constant in a closure.

Change: commandsOf yields the requests, used in these five places; Clients.mayLose serves Violations and the zone scenarios. Test code and the rig only; assertions and bounds are as they were.

--- a/internal/cluster/clients.go
+++ b/internal/cluster/clients.go
@@ -88,6 +88,13 @@
 	cl.mu.Unlock()
 }
 
+// mayLose reports whether a proxy's process may be killed or cut off at any time of a period. It requires mu.
+func (cl *Clients) mayLose(proxy string, from, to time.Time) bool {
+	return slices.ContainsFunc(cl.lossPeriods[proxy], func(period span) bool {
+		return to.After(period.from) && from.Before(period.to)
+	})
+}
+
 // run sends requests at a fixed rate, however long the answers take. Each request takes an idle connection
 // or a new one.
 func (cl *Clients) run(p *Proxy, rate float64, isOrder bool, stream uint64) {
@@ -254,9 +261,7 @@
 	defer cl.mu.Unlock()
 	executions := cl.cluster.Fleet.Origin.Executions()
 	for _, request := range cl.requests {
-		mayLose := slices.ContainsFunc(cl.lossPeriods[request.Proxy], func(period span) bool {
-			return request.SentAt.Add(request.Elapsed).After(period.from) && request.SentAt.Before(period.to)
-		})
+		mayLose := cl.mayLose(request.Proxy, request.SentAt, request.SentAt.Add(request.Elapsed))
 		violation := ""
 		switch {
 		case request.Outcome == WrongAnswer:
--- a/internal/cluster/disturbance_test.go
+++ b/internal/cluster/disturbance_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
@@ -72,7 +71,7 @@
 func (h *harness) expectsLoss(proxy string, at time.Time) bool {
 	h.Clients.mu.Lock()
 	defer h.Clients.mu.Unlock()
-	return slices.ContainsFunc(h.lossPeriods[proxy], func(period span) bool { return at.After(period.from) && at.Before(period.to) })
+	return h.mayLose(proxy, at, at)
 }
 
 // loggedAt returns the time of a log line.
--- a/internal/extproc/server/memory_test.go
+++ b/internal/extproc/server/memory_test.go
@@ -14,6 +14,7 @@
 func TestAnswersToCallsStayWithinTheMemory(t *testing.T) {
 	const memoryMB = 8
 	const maxHeld = memoryMB << 20 * 3 / 8 // as docs/memory.md promises
+	const otherHeld = maxHeld - 8
 	fleet := newFleet(t, 1)
 	fleet.Fill("warm")
 	env := newHarness(t, fleet, operatorFile("answer", ""), func(c *proxy.Config) { c.MemoryMB = memoryMB })
@@ -29,13 +30,9 @@
 		result := make(chan caller.Result)
 		go func() { result <- env.do(c.request) }()
 		env.eventually("the call is accepted", func() bool { return env.host.Load().Requests == 1 })
-		fill := 0
-		env.host.Do(func() {
-			fill = maxHeld - 8
-			env.host.AddBuffered(fill)
-		})
+		env.host.Do(func() { env.host.AddBuffered(otherHeld) })
 		env.expect(<-result, c.code, "")
-		env.host.Do(func() { env.host.AddBuffered(-fill) })
+		env.host.Do(func() { env.host.AddBuffered(-otherHeld) })
 		env.waitIdle()
 	}
 	if n := env.host.Reasons().Total(reasons.Refused, reasons.HostFull); n != 1 {
--- a/internal/proxy/effect_test.go
+++ b/internal/proxy/effect_test.go
@@ -34,12 +34,7 @@
 			l := newRequestLog()
 			// The first request is read completely, then its connection is closed.
 			node := serveConns(t, func(conn net.Conn) {
-				in := newMemberInput(conn)
-				for {
-					words, err := readCommand(in)
-					if err != nil {
-						return
-					}
+				for words := range commandsOf(conn) {
 					if l.add(words[2]); len(l.all()) == 1 {
 						return
 					}
--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -19,12 +19,7 @@
 	keys, release := make(chan string, 10), make(chan struct{})
 	serve := func(conn net.Conn) {
 		defer conn.Close()
-		in := newMemberInput(conn)
-		for {
-			words, err := readCommand(in)
-			if err != nil {
-				return
-			}
+		for words := range commandsOf(conn) {
 			keys <- words[1]
 			if words[1] == "a1" {
 				<-release
@@ -109,12 +104,7 @@
 	}()
 	t.Cleanup(func() { close(ids) })
 	node := serveConns(t, func(conn net.Conn) {
-		in := newMemberInput(conn)
-		for {
-			words, err := readCommand(in)
-			if err != nil {
-				return
-			}
+		for words := range commandsOf(conn) {
 			if ids <- words[2]; !<-seen { // the first attempt of every read
 				return
 			}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"iter"
 	"log/slog"
 	"net"
 	"net/http"
@@ -52,12 +53,7 @@
 // startCache starts a simulated cache, which replies to each command with the text that answer returns.
 func startCache(t *testing.T, answer func(memberCommand) string) string {
 	return serveConns(t, func(conn net.Conn) {
-		in := newMemberInput(conn)
-		for {
-			words, err := readCommand(in)
-			if err != nil {
-				return
-			}
+		for words := range commandsOf(conn) {
 			a := memberCommand{name: words[0], key: words[1], id: words[2], attrs: words[3]}
 			if _, err := io.WriteString(conn, answer(a)); err != nil {
 				return
@@ -89,6 +85,18 @@
 	}
 }
 
+// commandsOf yields the requests on a connection until it ends, and answers fences before them.
+func commandsOf(conn net.Conn) iter.Seq[[]string] {
+	return func(yield func([]string) bool) {
+		for in := newMemberInput(conn); ; {
+			words, err := readCommand(in)
+			if err != nil || !yield(words) {
+				return
+			}
+		}
+	}
+}
+
 // readBatch reads n requests before any of them is answered. It returns their keys and the answers to the
 // fences behind them, as far as those were sent before the last request.
 func (in *memberInput) readBatch(n int) (keys, fences []string, err error) {
--- a/internal/proxy/repeat_test.go
+++ b/internal/proxy/repeat_test.go
@@ -55,12 +55,7 @@
 	scene := &repeatScene{arrived: newRequestLog(), release: make(chan struct{})}
 	breakFirst := make(chan struct{})
 	cache := serveConns(t, func(conn net.Conn) {
-		in := newMemberInput(conn)
-		for {
-			words, err := readCommand(in)
-			if err != nil {
-				return
-			}
+		for words := range commandsOf(conn) {
 			scene.arrived.add(words[2])
 			switch {
 			case words[2] == "order" && scene.arrived.count("order") == 1:
