--- a/review/second/standins.go
+++ b/review/second/standins.go
@@ -76,8 +76,11 @@
 // read reads an answer of a proxy.
 func (c *respConn) read() (a reply, err error) {
 	s, err := line(c.in)
-	if err != nil || s == "" {
-		return a, errors.Join(err, errors.New("no answer"))
+	switch {
+	case err != nil:
+		return a, err
+	case s == "":
+		return a, errors.New("an empty line")
 	}
 	switch s[0] {
 	case '+':
