A reader looks at its connection's unread input under the lock

What callers saw: a client with a command on the way could be closed as idle, as its reader and the search for an idle client shared the result of one look at the socket without a lock.

Cause: sender.Peek requires the host's lock; client.Read called it without.

Change: the reader takes the lock for the look, which it makes only where input may have waited.

--- a/internal/proxy/redis_client.go
+++ b/internal/proxy/redis_client.go
@@ -73,7 +73,7 @@
 		c.uncork()
 	}
 	c.commandsThisTurn = 0
-	if c.arrival.MayHaveUnread() && !c.hasUnread() {
+	if c.arrival.MayHaveUnread() && !c.hasUnreadUnlocked() {
 		c.arrival.NoteDrained()
 	}
 	n, err := c.stream.Read(b)
@@ -196,6 +196,13 @@
 	return c.sender.Peek() == sender.HasData || c.tls != nil && c.tls.mayHaveBuffered.Load()
 }
 
+// hasUnreadUnlocked is hasUnread for the reader goroutine, which does not hold the lock.
+func (c *client) hasUnreadUnlocked() bool {
+	c.proxy.mu.Lock()
+	defer c.proxy.mu.Unlock()
+	return c.hasUnread()
+}
+
 // readCommands reads commands and submits them.
 func (c *client) readCommands() error {
 	p := c.proxy
