Clients and members each have a share of the file descriptors

Cause: a connection to a member was opened at the cost of any client that was idle for a moment, new clients were shut out while members held the rest, all connections at rest to a member were closed for one, and members that waited for a descriptor were not woken when one came to rest.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -366,7 +366,7 @@
 	}
 	p.Close(c)
 	p.Redial(c.Member)
-	p.dialNext()
+	p.ResumeDials()
 }
 
 // RecordBreak records that a connection ended with a request in flight.
@@ -661,7 +661,7 @@
 		}
 	}
 	p.Redial(m)
-	p.dialNext()
+	p.ResumeDials()
 }
 
 // releaseDialSlot removes a dial from the pending ones.
@@ -690,7 +690,7 @@
 		p.actions.Reject(x, LocalShortage)
 	}
 	p.Redial(m)
-	p.dialNext()
+	p.ResumeDials()
 }
 
 // dialFailed rejects the first waiting request, unless open connections will take it: a cache that is up
@@ -723,8 +723,8 @@
 	}
 }
 
-// dialNext lets the next members in the queue dial.
-func (p *Pool[X]) dialNext() {
+// ResumeDials lets members dial that had to wait for a dial slot or a descriptor, in turn.
+func (p *Pool[X]) ResumeDials() {
 	for len(p.dialQueue) > 0 && p.pendingDials < maxConcurrentDials {
 		m := p.dialQueue[0]
 		p.dialQueue = p.dialQueue[1:]
@@ -881,6 +881,9 @@
 	// the member has no capacity.
 	c.reusableAt = p.now + p.restTime(c.Member)
 	p.scheduleCooldownWake(c.Member)
+	if len(c.Member.Waiting) == 0 {
+		p.ResumeDials() // for another member the connection may be closed
+	}
 }
 
 // scheduleCooldownWake schedules a wake-up that serves the requests waiting at a member when a
@@ -968,6 +971,16 @@
 	}
 }
 
+// LongestAtRest returns the member's connection that has carried nothing for longest; nil if all are busy.
+func (m *Member[X]) LongestAtRest() *Conn[X] {
+	for _, c := range m.Conns { // in order of last use
+		if !c.Busy() {
+			return c
+		}
+	}
+	return nil
+}
+
 // CloseIdle closes the connections to a member that have been idle for at least age, before the member
 // closes them: a command that crosses the member's close would count as one that may have run.
 func (p *Pool[X]) CloseIdle(m *Member[X], age time.Duration) (closed int) {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -589,3 +589,22 @@
 		t.Errorf("verdicts %v, %d wait", repeat.verdicts, len(member.Waiting))
 	}
 }
+
+// Guards against a member that waits for a descriptor until its requests time out although a connection to
+// another member is at rest again.
+func TestConnectionAtRestGivesWayToWaitingMember(t *testing.T) {
+	host := newTestHost(t, defaultConfig)
+	busy, short := &Member[*testRequest]{Ready: true}, &Member[*testRequest]{Ready: true}
+	host.pool.Submit(busy, &testRequest{Request: Request{ExpiresAt: host.now + time.Second}})
+	link := host.connect(0, true)
+	host.noDescriptors = true
+	host.pool.Submit(short, &testRequest{Request: Request{ExpiresAt: host.now + time.Second}})
+	if len(host.dials) != 0 {
+		t.Fatal("dialed without a descriptor")
+	}
+	host.noDescriptors = false // the connection that is at rest now may be closed
+	host.answer(link)
+	if len(host.dials) != 1 {
+		t.Errorf("%d dials once a connection is at rest, want 1", len(host.dials))
+	}
+}
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -46,6 +46,11 @@
 	// acceptImmediateRetries is how many consecutive connections may be lost before accept waits a moment:
 	// a permanent error must not occupy the core.
 	acceptImmediateRetries = 16
+	// descriptorWait is how long an accepted client waits for a descriptor that is due to it, and
+	// descriptorPollInterval how often it is looked for one. The wait should exceed the time of an attempt,
+	// after which its connection is at rest.
+	descriptorWait         = 500 * time.Millisecond
+	descriptorPollInterval = 2 * time.Millisecond
 	acceptBackoffMin       = time.Millisecond
 	acceptBackoffMax       = 50 * time.Millisecond
 )
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -7,8 +7,10 @@
 	"slices"
 	"time"
 
+	"linenloom/internal/descriptors"
 	"linenloom/internal/identity"
 	"linenloom/internal/orders"
+	"linenloom/internal/pool"
 	"linenloom/internal/reasons"
 	"linenloom/internal/upstream"
 	"linenloom/logic"
@@ -33,8 +35,8 @@
 	EndAll()
 	// Sweep is called every 50 ms.
 	Sweep()
-	// FreeDescriptor closes an idle descriptor whose loss harms no request, and reports whether there was
-	// one.
+	// FreeDescriptor closes the connection of a client that has no request in progress, and reports whether
+	// there was one. The client's next request may be on its way, and then has to be sent again.
 	FreeDescriptor() bool
 	// Close closes all connections that are still open; no answer is pending on them any more.
 	Close()
@@ -416,27 +418,54 @@
 // EnsureDescriptor reports whether a front may open one more descriptor, and closes idle connections if
 // need be. It requires the lock.
 func (p *Proxy) EnsureDescriptor() bool {
-	for p.openDescriptors() >= p.cfg.Descriptors-reservedDescriptors {
-		if !p.freeDescriptor() {
+	for {
+		action := p.descriptorBudget().ForClient(p.descriptorUse())
+		if action == descriptors.Open {
+			return true
+		}
+		if !p.freeDescriptor(action) {
 			return false
 		}
 	}
-	return true
 }
 
-// freeDescriptor closes a connection whose loss harms no request, and reports whether there was one.
-func (p *Proxy) freeDescriptor() bool {
-	for _, f := range p.fronts {
-		if f.FreeDescriptor() {
-			return true
+// descriptorBudget returns the limits of file descriptors.
+func (p *Proxy) descriptorBudget() descriptors.Budget {
+	return descriptors.Budget{Limit: p.cfg.Descriptors, Reserve: reservedDescriptors}
+}
+
+// descriptorUse counts the file descriptors in use.
+func (p *Proxy) descriptorUse() descriptors.Use {
+	return descriptors.Use{Clients: p.frontDescriptors, Members: p.upstreams.OpenConns()}
+}
+
+// freeDescriptor carries out a decision of the descriptor budget other than Open, and reports whether a
+// connection was closed.
+func (p *Proxy) freeDescriptor(action descriptors.Action) bool {
+	if action == descriptors.CloseClient {
+		for _, f := range p.fronts {
+			if f.FreeDescriptor() {
+				return true
+			}
 		}
 	}
+	return p.closeRestingConn()
+}
+
+// closeRestingConn closes the connection to a member that has been at rest for longest, and reports whether
+// there was one.
+func (p *Proxy) closeRestingConn() bool {
+	var longest *pool.Conn[*upstream.Exchange]
 	for _, m := range p.members {
-		if p.upstreams.CloseIdle(&m.Member, 0) > 0 {
-			return true
+		if c := m.LongestAtRest(); c != nil && (longest == nil || c.UnusedSince() < longest.UnusedSince()) {
+			longest = c
 		}
 	}
-	return false
+	if longest == nil {
+		return false
+	}
+	p.upstreams.CloseFor(longest, pool.CloseIdle)
+	return true
 }
 
 // Tick runs the timers that are due, for hosts with a Clock of their own.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,6 +22,7 @@
 
 	"linenloom/internal/answerbudget"
 	"linenloom/internal/arrival"
+	"linenloom/internal/descriptors"
 	"linenloom/internal/discovery"
 	"linenloom/internal/inherit"
 	"linenloom/internal/joining"
@@ -461,7 +462,7 @@
 			}
 		}
 		p.shortOfDescriptors = p.logShortage(p.shortOfDescriptors,
-			p.openDescriptors() >= p.cfg.Descriptors-reservedDescriptors, "short of file descriptors")
+			!p.descriptorBudget().HasSpare(p.descriptorUse()), "short of file descriptors")
 		p.shortOfMemory = p.logShortage(p.shortOfMemory,
 			p.bufferedBytes >= p.maxBufferedBytes, "short of memory for buffered bodies")
 		var strays []any
@@ -596,8 +597,10 @@
 // HasDescriptor reports whether a connection to a member may be opened. With evict, half of the reserved descriptors
 // may be used, and an idle connection is closed if those are not enough.
 func (h host) HasDescriptor(evict bool) bool {
+	budget, use := h.descriptorBudget(), h.descriptorUse()
 	if !evict {
-		return h.openDescriptors() < h.cfg.Descriptors-reservedDescriptors
+		return budget.HasSpare(use)
 	}
-	return h.openDescriptors() < h.cfg.Descriptors-reservedDescriptors/2 || h.freeDescriptor()
+	action := budget.ForMember(use)
+	return action == descriptors.Open || h.freeDescriptor(action)
 }
--- a/internal/proxy/redis_client.go
+++ b/internal/proxy/redis_client.go
@@ -476,4 +476,5 @@
 		c.proxy.Cancel(&o.Request)
 	}
 	c.releaseBodies()
+	c.proxy.upstreams.ResumeDials()
 }
--- a/internal/proxy/redis_front.go
+++ b/internal/proxy/redis_front.go
@@ -175,11 +175,8 @@
 			continue
 		}
 		failures = 0
-		p.beginEvent()
-		c, err := f.newClient(conn)
-		f.checkAcceptQueue()
-		p.endEvent()
-		if err != nil || c == nil {
+		c := f.admit(conn)
+		if c == nil {
 			conn.Close()
 			continue
 		}
@@ -187,6 +184,29 @@
 	}
 }
 
+// admit sets up an accepted connection; it returns nil if there is no capacity for it. A client within the
+// clients' share of the descriptors waits while connections to members, all of them busy, have more than
+// theirs; the clients behind it wait in the accept queue.
+func (f *redisFront) admit(conn *net.TCPConn) *client {
+	p := f.proxy
+	giveUpAt := p.Clock() + descriptorWait
+	for {
+		p.beginEvent()
+		c, err := f.newClient(conn)
+		waits := c == nil && err == nil && !f.draining && p.now < giveUpAt && p.descriptorBudget().WithinClientShare(p.descriptorUse())
+		if waits {
+			f.queuedSince = f.earliestQueueTime() // nobody reads what arrives meanwhile
+		} else {
+			f.checkAcceptQueue()
+		}
+		p.endEvent()
+		if !waits {
+			return c
+		}
+		time.Sleep(descriptorPollInterval)
+	}
+}
+
 // backOffAccept waits before the next accept, after the given number of consecutive failures. Connections
 // that queue up meanwhile get the earliest possible arrival time.
 func (f *redisFront) backOffAccept(fault acceptAction, failures int) {
@@ -199,7 +219,8 @@
 		f.queuedSince = p.now
 	}
 	if fault == acceptNoDescriptors {
-		p.freeDescriptor() // a connection that the kernel has accepted must be answered
+		// A connection that the kernel has accepted must be answered.
+		p.freeDescriptor(p.descriptorBudget().FreeForClient(p.descriptorUse()))
 	}
 	p.endEvent()
 	time.Sleep(acceptBackoff(failures))
