The end of a repeated write is held back until it surely arrives within its window

Cause: StartBefore was compared before the first byte only, while a member runs a write on its last one; the rest waited in the proxy's queue or the kernel's send buffer.

Change: a repeat's last bytes are sent once nothing before them is unsent here or in the kernel; if the window ends first its connection is closed, so that the attempt surely never ran.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -226,6 +226,23 @@
 	}
 }
 
+// HasUntransmitted reports whether bytes that were given to Send have certainly not all left this machine: they
+// wait here or, because the peer's window is full, in the kernel.
+func (w *Sender) HasUntransmitted() bool {
+	return w.writingBacklog || len(w.corkBuffer) > 0 || w.untransmitted() > 0
+}
+
+// untransmitted returns the number of bytes that the kernel has accepted and not yet transmitted for the first
+// time; 0 if that can't be determined.
+func (w *Sender) untransmitted() (bytes int) {
+	w.raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD); err == nil {
+			bytes = n
+		}
+	})
+	return bytes
+}
+
 // Raw gives access to the connection's descriptor.
 func (w *Sender) Raw() syscall.RawConn { return w.raw }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -24,7 +24,7 @@
 	// of what is sent, that shows once something is written to it; until its last byte has been sent a
 	// request has certainly not run, and can be sent again. It should exceed a round trip; a longer delay
 	// only makes such writes late, and would do harm with a member that has few workers and assigns one on
-	// receipt of the header.
+	// receipt of the header. The end of a repeat is held back for at least as long, see sendHeldEnd.
 	lastByteDelay = 2 * time.Millisecond
 	// longValueRecheck is the interval at which a timed-out read that is pipelined behind a long value is
 	// checked again.
@@ -121,12 +121,8 @@
 	c.sender.Send(b, false)
 	if x.Write {
 		c.sendValue(x)
-		x.endOffset = c.sender.Accepted() + x.heldBytes
-		if x.Fenced {
-			c.sender.Send(c.codec.Fence(), true)
-		}
 	}
-	if !corked && !c.sender.Busy() && x.heldBytes == 0 {
+	if !corked && !c.sender.Busy() && x.held == nil {
 		x.WrittenAt = s.host.Clock()
 	}
 }
@@ -142,17 +138,37 @@
 	x.ExpiresAt = max(x.ExpiresAt, min(now+transit, x.Client.AnswerBy()))
 }
 
-// sendValue writes the value of an exchange, except for a last byte that is held back.
+// sendValue writes the value of an exchange and what follows it, except for last bytes that are held back.
 func (c *Conn) sendValue(x *Exchange) {
-	s := c.set
-	if c.codec.RunsOnLastByte() && x.Once && len(x.Message.Value) > 0 {
-		x.heldBytes = 1
-		s.host.ScheduleTimer(Timer{At: s.host.Now() + s.lastByteDelay, kind: timerHeldByte, exchange: x})
+	value, end := x.Message.Value, c.codec.Trailer()
+	if len(end) == 0 && len(value) > 0 { // the value's last byte ends the exchange
+		value, end = value[:len(value)-1], value[len(value)-1:]
+	}
+	c.sender.SendCounted(value)
+	x.endOffset = c.sender.Accepted() + int64(len(end))
+	if len(end) > 0 && c.holdsEnd(x) {
+		x.held = end
+		c.set.scheduleHeldEnd(x)
+		return
 	}
-	c.sender.SendCounted(x.Message.Value[:len(x.Message.Value)-int(x.heldBytes)])
-	if end := c.codec.Trailer(); len(end) > 0 {
+	c.sendEnd(x, end)
+}
+
+// holdsEnd reports whether the last bytes of a write are held back: those of a write that must not run twice,
+// where that shows whether the connection is alive, and those of a repeat that has to arrive before its
+// member forgets the first attempt. A long value may be under way for much longer than that.
+func (c *Conn) holdsEnd(x *Exchange) bool {
+	return x.Once && c.codec.RunsOnLastByte() || x.StartBefore > 0
+}
+
+// sendEnd writes the last bytes of a write, and the fence behind it.
+func (c *Conn) sendEnd(x *Exchange, end []byte) {
+	if len(end) > 0 {
 		c.sender.Send(end, true)
 	}
+	if x.Fenced {
+		c.sender.Send(c.codec.Fence(), true)
+	}
 }
 
 // announcedDeadline returns the deadline that is announced to a member for an exchange. For a cache it is
@@ -165,13 +181,37 @@
 	return min(x.ExpiresAt, x.Client.AnswerBy())
 }
 
-// sendHeldByte writes the byte that Send has held back, if the connection is still alive; otherwise its
-// reader reports that the attempt never ran.
-func (s *Set) sendHeldByte(x *Exchange) {
-	if c := x.conn; !x.Ended && !c.Closed && !c.sender.Failed() && c.Silent() {
-		c.sender.Send(x.Message.Value[len(x.Message.Value)-1:], true)
-		c.lastWriteAt = s.host.Clock()
+// scheduleHeldEnd schedules sendHeldEnd.
+func (s *Set) scheduleHeldEnd(x *Exchange) {
+	at := s.host.Now() + s.lastByteDelay
+	if x.StartBefore > 0 {
+		at = min(at, x.StartBefore)
+	}
+	s.host.ScheduleTimer(Timer{At: at, kind: timerHeldEnd, exchange: x})
+}
+
+// sendHeldEnd writes the bytes that Send has held back, if the connection is still alive; otherwise its
+// reader reports that the attempt never ran. The end of a repeat waits until all before it has left this
+// machine, and is never sent if that takes too long.
+func (s *Set) sendHeldEnd(x *Exchange) {
+	c := x.conn
+	if x.Ended || c.Closed || c.sender.Failed() || !c.Silent() {
+		return
+	}
+	if x.StartBefore > 0 {
+		if x.TooLateToStart(s.host.Clock()) {
+			s.withdraw(x)
+			return
+		}
+		if c.sender.HasUntransmitted() {
+			s.scheduleHeldEnd(x)
+			return
+		}
 	}
+	end := x.held
+	x.held = nil
+	c.sendEnd(x, end)
+	c.lastWriteAt = s.host.Clock()
 }
 
 // unsent reports whether an exchange's last byte has not been handed to the kernel and won't be once the
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -31,7 +31,7 @@
 	member         *Member
 	conn           *Conn         // nil while it waits for a connection
 	endOffset      int64         // offset of its end in the bytes that the connection sends
-	heldBytes      int64         // number of its bytes that are held back at first
+	held           []byte        // its last bytes, while they are held back; see holdsEnd
 	transitUntil   time.Duration // it may be in transit until then although it was abandoned; 0: it is not
 	streamingSince time.Duration // when streaming of its value began; 0: it has not
 }
@@ -111,11 +111,11 @@
 }
 
 const (
-	timerExpiry   = iota // the exchange's time is over
-	timerConnect         // its wait for a connection is over
-	timerHeldByte        // its held byte is due
-	timerPing            // the answer to a ping is overdue
-	timerRedial          // the backoff after a failed dial is over
+	timerExpiry  = iota // the exchange's time is over
+	timerConnect        // its wait for a connection is over
+	timerHeldEnd        // its last bytes, which are held back, may be due
+	timerPing           // the answer to a ping is overdue
+	timerRedial         // the backoff after a failed dial is over
 )
 
 // Member holds the connections to a member; the host embeds it in its own record of the member.
@@ -190,11 +190,16 @@
 		x.complete(logic.StatusNoConn, 0)
 	// A long value of another exchange on the connection is not cut off.
 	case c.unsent(x) && (c.Current == x || c.Current.streamingSince == 0):
-		x.complete(logic.StatusNoConn, 0)
-		s.closeAndCancel(c)
+		s.withdraw(x)
 	}
 }
 
+// withdraw ends an exchange whose last byte has not been sent by closing its connection: it never runs.
+func (s *Set) withdraw(x *Exchange) {
+	x.complete(logic.StatusNoConn, 0)
+	s.closeAndCancel(x.conn)
+}
+
 // CloseMember closes all connections to a member, in whatever state.
 func (s *Set) CloseMember(m *Member) {
 	for len(m.Conns) > 0 {
@@ -209,8 +214,8 @@
 		s.PingTimedOut(&timer.conn.Conn, timer.pingSentAt)
 	case timerRedial:
 		s.Redial(timer.member)
-	case timerHeldByte:
-		s.sendHeldByte(timer.exchange)
+	case timerHeldEnd:
+		s.sendHeldEnd(timer.exchange)
 	case timerConnect:
 		if timer.exchange.conn == nil && !timer.exchange.Ended {
 			s.ConnectTimedOut(timer.exchange.member, timer.exchange)
