A peer that accepts what the kernel holds is not taken for one that has gone

Cause: a write had 3 s to be accepted, and the kernel accepts one only once a third of a send buffer of megabytes is free; that the client accepted bytes meanwhile was not looked at.

Change: while a write waits, the kernel is asked for its unacknowledged bytes, and a change gives the write its full time again.

TestSteadyReaderIsNotCutOff: cut off after 6.2 of 16 MiB before.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -15,6 +15,9 @@
 // StallTimeout is how long the peer may accept nothing that is written to it before it counts as gone.
 const StallTimeout = 3 * time.Second
 
+// progressChecks is how often within StallTimeout the kernel is asked whether the peer accepts anything.
+const progressChecks = 4
+
 // maxWriteSize is the maximum number of bytes per write of what could not be written immediately.
 const maxWriteSize = 64 << 10
 
@@ -47,6 +50,10 @@
 	backlog             int // bytes that are queued or being written by the goroutine
 	countedByCaller     int // part of the backlog that the caller has counted as buffered
 
+	stallTimeout   time.Duration // StallTimeout; shorter in tests
+	progressTimer  *time.Timer   // calls checkProgress; nil until the first backlog
+	unacknowledged int           // bytes in the kernel's send queue at the latest check
+
 	// The arguments and results of tryWrite, which is kept because a closure for each write would
 	// allocate.
 	writeBuffer []byte
@@ -64,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Sender{host: host, conn: conn, raw: raw}
+	w := &Sender{host: host, conn: conn, raw: raw, stallTimeout: StallTimeout}
 	w.peek = func(fd uintptr) { w.peekResult = Peek(fd) }
 	w.tryWrite = func(fd uintptr) bool {
 		for {
@@ -137,6 +144,7 @@
 			}
 		}
 		w.writingBacklog = true
+		w.startProgressChecks()
 		defer func() { go w.writeBacklog() }()
 	}
 	if !immutable {
@@ -195,12 +203,42 @@
 	return piece, size
 }
 
+// limitWriteTime gives the goroutine's write its full time limit from now on.
+func (w *Sender) limitWriteTime() { w.writer().SetWriteDeadline(time.Now().Add(w.stallTimeout)) }
+
+// startProgressChecks starts the calls of checkProgress for a backlog.
+func (w *Sender) startProgressChecks() {
+	w.unacknowledged = w.kernelQueue(unix.SIOCOUTQ)
+	if w.progressTimer == nil {
+		w.progressTimer = time.AfterFunc(w.stallTimeout/progressChecks, w.checkProgress)
+		return
+	}
+	w.progressTimer.Reset(w.stallTimeout / progressChecks)
+}
+
+// checkProgress extends the time limit of a write that the kernel has not accepted, if the peer has accepted
+// something of what the kernel holds. The kernel accepts a write only once a third of its buffer is free, and
+// that buffer grows to some megabytes: a peer that reads steadily may take much longer than the limit for it.
+func (w *Sender) checkProgress() {
+	w.host.Enter()
+	defer w.host.Leave()
+	if !w.writingBacklog || w.failed {
+		return
+	}
+	if unacknowledged := w.kernelQueue(unix.SIOCOUTQ); unacknowledged != w.unacknowledged {
+		w.unacknowledged = unacknowledged
+		w.limitWriteTime()
+	}
+	w.progressTimer.Reset(w.stallTimeout / progressChecks)
+}
+
 // writeBacklog writes the backlog.
 func (w *Sender) writeBacklog() {
 	for {
 		w.host.Enter()
 		if len(w.queue) == 0 {
 			w.writingBacklog = false
+			w.progressTimer.Stop()
 			w.writer().SetWriteDeadline(time.Time{})
 			if w.OnBacklogWritten != nil {
 				w.OnBacklogWritten()
@@ -211,7 +249,7 @@
 		piece, size := w.nextPiece()
 		w.handedOff += int64(size)
 		w.host.Leave()
-		w.writer().SetWriteDeadline(time.Now().Add(StallTimeout))
+		w.limitWriteTime()
 		_, err := piece.WriteTo(w.writer())
 		w.host.Enter()
 		w.release(size)
@@ -229,14 +267,14 @@
 // HasUntransmitted reports whether bytes that were given to Send have certainly not all left this machine: they
 // wait here or, because the peer's window is full, in the kernel.
 func (w *Sender) HasUntransmitted() bool {
-	return w.writingBacklog || len(w.corkBuffer) > 0 || w.untransmitted() > 0
+	return w.writingBacklog || len(w.corkBuffer) > 0 || w.kernelQueue(unix.SIOCOUTQNSD) > 0
 }
 
-// untransmitted returns the number of bytes that the kernel has accepted and not yet transmitted for the first
-// time; 0 if that can't be determined.
-func (w *Sender) untransmitted() (bytes int) {
+// kernelQueue returns the number of bytes that the kernel has accepted and the peer has not: with SIOCOUTQ
+// those not acknowledged, with SIOCOUTQNSD those not transmitted yet. It returns 0 if that can't be determined.
+func (w *Sender) kernelQueue(request uint) (bytes int) {
 	w.raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD); err == nil {
+		if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
 			bytes = n
 		}
 	})
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 )
 
 // The write that the sender's goroutine has begun may reach the kernel at any moment.
@@ -72,3 +73,63 @@
 		t.Errorf("%q came", got)
 	}
 }
+
+// newBacklogged returns a sender whose peer has not read anything yet, with a backlog beyond what the kernel
+// accepts, and the peer.
+func newBacklogged(t *testing.T, host *lockHost, size int, stallTimeout time.Duration) (sender *Sender, far net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close() })
+	if far, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { far.Close() })
+	if sender, err = New(host, near.(*net.TCPConn)); err != nil {
+		t.Fatal(err)
+	}
+	sender.stallTimeout = stallTimeout
+	host.Enter()
+	defer host.Leave()
+	sender.Send(make([]byte, size), true)
+	return sender, far
+}
+
+// Guards against a peer that reads steadily and is cut off, because the kernel accepts a further write only once
+// a third of its large buffer is free.
+func TestSteadyReaderIsNotCutOff(t *testing.T) {
+	const size, pieceSize, pause = 16 << 20, 128 << 10, 50 * time.Millisecond
+	host := &lockHost{}
+	_, far := newBacklogged(t, host, size, 300*time.Millisecond)
+	received, piece := 0, make([]byte, pieceSize)
+	for received < size {
+		n, err := io.ReadFull(far, piece)
+		received += n
+		if err != nil {
+			t.Fatalf("cut off after %d of %d bytes: %v", received, size, err)
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Guards against a peer that accepts nothing and is never given up.
+func TestPeerThatAcceptsNothingIsLost(t *testing.T) {
+	host := &lockHost{}
+	lost := make(chan struct{})
+	sender, _ := newBacklogged(t, host, 64<<20, 100*time.Millisecond)
+	host.Enter()
+	sender.OnLost = func() { close(lost) }
+	host.Leave()
+	select {
+	case <-lost:
+	case <-time.After(20 * time.Second):
+		t.Error("the peer was not given up")
+	}
+}
