Orders' ids are known to both processes of an upgrade and not displaced by reads' ids

Cause: each process knew its own ids only; and a history limited in number let reads displace orders.

Change: internal/requestids, a table of atomic words in a file that both processes map, for requests that must not run twice.

--- a/internal/app/share.go
+++ b/internal/app/share.go
@@ -72,6 +72,9 @@
 	if takeover.dir.Persistent() {
 		settings.LoadSnapshot = takeover.readState
 	}
+	if ids := openSharedIDs(takeover.dir, log); ids != nil {
+		settings.RequestIDs = ids
+	}
 	return takeover
 }
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -199,3 +199,25 @@
 		t.Errorf("the third, left alone: %v, %v", alone, err)
 	}
 }
+
+// Guards against two processes of a proxy that do not see each other's ids, and against a file that is emptied when
+// the next process opens it.
+func TestIDsAreSharedByProcesses(t *testing.T) {
+	path := t.TempDir()
+	old, err := openDir(t, path, true).MapIDs(1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old[7] = 42
+	next, err := openDir(t, path, false).MapIDs(1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if next[1023] = 43; next[7] != 42 || old[1023] != 43 {
+		t.Errorf("got %d and %d, want 42 and 43", next[7], old[1023])
+	}
+	none, err := (&Dir{}).MapIDs(1024)
+	if none != nil || err != nil {
+		t.Errorf("without a path: %v, %v", none, err)
+	}
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -266,6 +266,16 @@
 		p.reasons.Add(reasons.Refused, logicRequest.Class, logicRequest.Tenant, reasons.HostFull)
 		return ErrBusy
 	}
+	class := &p.cfg.Settings.Classes[logicRequest.Class]
+	effect := class.EffectOf(logicRequest.NoDedupKey)
+	if effect == logic.AtMostOnce {
+		if err := p.claimID(r.ReqID); err != nil {
+			if errors.Is(err, ErrBusy) {
+				p.reasons.Add(reasons.Refused, logicRequest.Class, logicRequest.Tenant, reasons.HostFull)
+			}
+			return err
+		}
+	}
 	p.recentIDs.add(r.ReqID, p.now)
 	p.nextID++ // wraps around after 2^32, long after the request with the same number has ended
 	r.id, r.proxy = p.nextID, p
@@ -273,8 +283,7 @@
 	if r.AllowedAddrs != nil {
 		logicRequest.AllowedMembers = p.membersByAddr(r.AllowedAddrs)
 	}
-	class := &p.cfg.Settings.Classes[logicRequest.Class]
-	r.class, r.tenant, r.effect = logicRequest.Class, logicRequest.Tenant, class.EffectOf(logicRequest.NoDedupKey)
+	r.class, r.tenant, r.effect = logicRequest.Class, logicRequest.Tenant, effect
 	r.retryable = class.SafeToRetry(r.effect)
 	logicRequest.Deadline += p.earliestArrival(r.ArrivedAt)
 	r.deadline = logicRequest.Deadline
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -30,6 +30,7 @@
 	"linenloom/internal/manykeys"
 	"linenloom/internal/pool"
 	"linenloom/internal/reasons"
+	"linenloom/internal/requestids"
 	"linenloom/internal/resp"
 	"linenloom/internal/upstream"
 	"linenloom/internal/zones"
@@ -57,6 +58,7 @@
 	ManyKeys        *manykeys.Limits // limits of OBJ.MGET; nil: the command is unknown
 	Record          Record           // record of orders; nil: none. The Proxy closes it when it stops
 	ReceiptFronts   []string         // front ends that answer a repeated order with the recorded receipt
+	RequestIDs      RequestIDs       // ids of requests that must not run twice; nil: those of this process only
 	ZoneMeter       *zones.Meter     // gets attempts by zone, called under the lock; may be nil
 	// LoadSnapshot, if set, returns the state that the predecessor process has learned, or a nil snapshot if
 	// there is none. It is called once, before clients are accepted, and may block for a moment.
@@ -168,6 +170,9 @@
 		outOfUse:     cfg.OutOfUse, maxStopDeadline: maxKillDeadline,
 	}
 	p.setMemory(cfg.MemoryMB)
+	if cfg.RequestIDs == nil {
+		p.cfg.RequestIDs = ownIDs{p, requestids.New(make([]uint64, requestids.Slots))}
+	}
 	// The Balancer's clock is monotonic and starts at the wall-clock time, so that all start times are positive.
 	p.clockOffset = time.Duration(p.started.UnixNano())
 	if cfg.Clock != nil {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"linenloom/internal/requestids"
 	"linenloom/internal/upstream"
 	"linenloom/logic"
 )
@@ -264,6 +265,33 @@
 	maxIDsPerGeneration = 8192
 )
 
+// RequestIDs knows the ids of the requests that must not run twice, of all processes of the proxy.
+type RequestIDs interface {
+	// Claim is called once for each request that is accepted, under the lock, and must not block.
+	Claim(id []byte) requestids.Result
+}
+
+// ownIDs are the RequestIDs of a process that shares none.
+type ownIDs struct {
+	proxy *Proxy
+	table *requestids.Table
+}
+
+// Claim implements RequestIDs.
+func (o ownIDs) Claim(id []byte) requestids.Result { return o.table.Claim(id, o.proxy.now) }
+
+// claimID keeps the id of a request that must not run twice; an error means that it is not accepted.
+func (p *Proxy) claimID(id []byte) error {
+	switch p.cfg.RequestIDs.Claim(id) {
+	case requestids.Taken:
+		return ErrIDInUse
+	case requestids.Full:
+		return ErrBusy
+	default:
+		return nil
+	}
+}
+
 // idHistory is the set of recently accepted ids, stored as hashes with a random seed, which clients cannot predict.
 type idHistory struct {
 	seed              maphash.Seed
