Repeats of keyed requests are not sent to a process that has started since

Cause: a repeat's member was compared by zone and cell only, and by those of the first member's present entry; repeats that waited for a connection were dialed for at the new process.

Change: no repeat to a member that has started since the first attempt; the group is that of the first attempt; when a member has become another process its waiting repeats end as never sent. The checker of the module's tests knows the rule.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -309,12 +309,27 @@
 		// it is another process
 		m.backoff, m.noDialUntil, m.roundTrip, m.smoothedTime, m.timeDeviation, m.suspectUntil = 0, 0, 0, 0, 0, 0
 		m.answersFences, m.refusesFences = false, false
+		p.rejectRepeats(m)
 	}
 	if moved || !ready {
 		p.retireAll(m)
 	}
 }
 
+// rejectRepeats rejects the repeats that wait for a connection to a member, which is now another process and
+// would not recognize them.
+func (p *Pool[X]) rejectRepeats(m *Member[X]) {
+	waiting := m.Waiting
+	m.Waiting = nil
+	for _, x := range waiting {
+		if r := x.PoolRequest(); r.StartBefore > 0 && !r.Ended {
+			p.actions.Reject(x, LocalShortage)
+			continue
+		}
+		m.Waiting = append(m.Waiting, x)
+	}
+}
+
 // retireAll lets the requests in flight on a member's connections finish. Requests that still wait for a
 // connection have not been sent, and must not be sent once the member drains.
 func (p *Pool[X]) retireAll(m *Member[X]) {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -608,3 +608,21 @@
 		t.Errorf("%d dials once a connection is at rest, want 1", len(host.dials))
 	}
 }
+
+// Guards against a keyed request that runs twice: its repeat waits for a connection while its member is started
+// anew, and is sent to the new process. Other requests go on waiting.
+func TestRepeatIsNotSentToANewProcess(t *testing.T) {
+	host := newTestHost(t, defaultConfig)
+	member := &Member[*testRequest]{Ready: true}
+	repeat := &testRequest{Request: Request{ExpiresAt: host.now + time.Second, StartBefore: host.now + time.Second}}
+	first := &testRequest{Request: Request{ExpiresAt: host.now + 2*time.Second}}
+	host.pool.Submit(member, repeat)
+	host.pool.Submit(member, first)
+	host.pool.UpdateMember(member, true, true)
+	if !slices.Equal(repeat.verdicts, []Verdict{LocalShortage}) {
+		t.Errorf("the repeat's verdicts: %v", repeat.verdicts)
+	}
+	if !slices.Equal(member.Waiting, []*testRequest{first}) {
+		t.Errorf("%d requests wait, want the other one", len(member.Waiting))
+	}
+}
--- a/logic/digest.go
+++ b/logic/digest.go
@@ -35,7 +35,7 @@
 		req := b.requests[k]
 		fmt.Fprintln(h, req.Request, req.arrivedAt, req.softDeadline, req.priority, req.slot, req.attempts, req.maxAttempts, req.uncountedAttempts,
 			req.outstanding,
-			req.originAttempts, req.mayHaveRun, req.firstRunAt, id(req.firstRunMember),
+			req.originAttempts, req.mayHaveRun, req.firstRunAt, req.firstRunMember.ID,
 			id(req.missedCache), req.waiting, req.queued, req.waitedForFetch, req.waitedAfterMiss, req.ownsFetch,
 			req.retriedAfterReset, req.streaming, req.answered)
 		for _, n := range req.triedCaches {
--- a/logic/host_test.go
+++ b/logic/host_test.go
@@ -101,6 +101,9 @@
 		if a.mayHaveRun && c.Effect == DeduplicatedByKey && (startBefore <= h.now || startBefore > a.sentAt+c.DedupWindow) {
 			h.violate("request %d: sent again at %v, to start before %v, and its window ends at %v", id, h.now, startBefore, a.sentAt+c.DedupWindow)
 		}
+		if a.mayHaveRun && c.Effect == DeduplicatedByKey && m.StartedAt > a.sentAt {
+			h.violate("request %d: sent again to member %d, which has started since", id, to)
+		}
 		if a.mayHaveRun && c.Effect == DeduplicatedByKey && c.Scope == ScopeZone && m.Zone != h.listed[a.member].Zone {
 			h.violate("request %d: sent again outside its zone", id)
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -859,7 +859,7 @@
 	bit := uint64(1) << req.attempts
 	req.attempts, req.outstanding = req.attempts+1, req.outstanding|bit
 	if req.mayHaveRun == 0 {
-		req.firstRunMember, req.firstRunAt = member, b.now
+		req.firstRunMember, req.firstRunAt = member.entry, b.now
 	}
 	req.mayHaveRun |= bit
 	req.waiting, req.queued = false, false
--- a/logic/repeats.go
+++ b/logic/repeats.go
@@ -25,6 +25,9 @@
 	if req.class.Effect == AtMostOnce || b.now >= b.dedupWindowEnd(req) {
 		return false
 	}
-	return req.class.Scope == ScopeAll || req.class.Scope == ScopeZone && member.entry.Zone == req.firstRunMember.entry.Zone ||
-		req.class.Scope == ScopeCell && member.entry.Cell == req.firstRunMember.entry.Cell
+	if member.entry.StartedAt > req.firstRunAt { // a process that has started since remembers nothing of it
+		return false
+	}
+	return req.class.Scope == ScopeAll || req.class.Scope == ScopeZone && member.entry.Zone == req.firstRunMember.Zone ||
+		req.class.Scope == ScopeCell && member.entry.Cell == req.firstRunMember.Cell
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -69,7 +69,7 @@
 	originAttempts    uint64 // attempts sent to the origin, one bit each
 	mayHaveRun        uint64 // attempts that may have run or may still run, one bit each
 	firstRunAt        time.Duration
-	firstRunMember    *memberState  // member of the first attempt in mayHaveRun
+	firstRunMember    Member        // list entry, at that time, of the member of the first attempt in mayHaveRun
 	notBefore         time.Duration // earliest time of the next attempt: an earlier one may still arrive
 	toOrigin          bool          // the next attempt goes to the origin
 	missedCache       *memberState  // cache that will store the value
