The end of a client is seen behind up to 1 MiB of unread commands

Cause: the end shows once it has arrived, and the kernel takes in 64 KiB of unread input at first; the rest stays at the client.

TestDisconnectBehindMoreThanTheKernelHolds fails without the change; proxy, app, cmd/linenloom, shed pass with the race detector.

--- a/internal/proxy/intake.go
+++ b/internal/proxy/intake.go
@@ -18,6 +18,13 @@
 	// has arrived.
 	mayHoldData atomic.Bool
 
+	// ahead is input that was read ahead of the reader goroutine. It belongs to that goroutine, or, while that is
+	// suspended, to whoever has the host's lock. aheadBytes is its length.
+	ahead      []byte
+	aheadBytes atomic.Int64
+	fromAhead  bool // the latest read was from ahead; used by the reader goroutine only
+	freedBytes int  // memory of ahead that the reader goroutine has used up
+
 	// The arguments and results of readStep; a closure for each read would be garbage to collect.
 	buf      []byte
 	n        int
@@ -56,6 +63,9 @@
 	if len(b) == 0 {
 		return 0, nil
 	}
+	if t.fromAhead = len(t.ahead) > 0; t.fromAhead {
+		return t.takeAhead(b), nil
+	}
 	t.buf = b
 	err := t.rawConn.Read(t.readStep)
 	t.buf = nil
@@ -70,6 +80,46 @@
 	return t.n, nil
 }
 
+// takeAhead moves input that was read ahead to b.
+func (t *inputConn) takeAhead(b []byte) int {
+	n := copy(b, t.ahead)
+	t.mayHoldData.Store(true) // before aheadBytes shows less input
+	t.ahead = t.ahead[n:]
+	t.aheadBytes.Store(int64(len(t.ahead)))
+	t.freedBytes += n
+	if len(t.ahead) == 0 {
+		t.ahead = nil
+	}
+	return n
+}
+
+// readAhead reads input that has arrived, up to a number of bytes, while the reader goroutine is suspended. It
+// requires the host's lock, does not wait, and returns the number of bytes read.
+func (t *inputConn) readAhead(maxBytes int) (read int) {
+	piece := make([]byte, readAheadPiece)
+	t.rawConn.Control(func(fd uintptr) {
+		for read < maxBytes {
+			n, err := syscall.Read(int(fd), piece[:min(len(piece), maxBytes-read)])
+			if err == syscall.EINTR {
+				continue
+			}
+			if n <= 0 || err != nil {
+				return // nothing more has arrived; an end or error stays for the reader
+			}
+			t.ahead = append(t.ahead, piece[:n]...)
+			read += n
+		}
+	})
+	t.aheadBytes.Store(int64(len(t.ahead)))
+	return read
+}
+
+// takeFreed returns how much memory of what was read ahead is no longer used.
+func (t *inputConn) takeFreed() (bytes int) {
+	bytes, t.freedBytes = t.freedBytes, 0
+	return bytes
+}
+
 // noteConsumed records, under the host's lock, that the reader has processed its input; more reports
 // that there is further input after it.
 func (t *inputConn) noteConsumed(more bool) { t.mayHoldData.Store(more) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -140,6 +140,7 @@
 	startWatch         func(w *watch, fetchFirst bool) // nil while Run is not active
 	revision           int64                           // of the applied list
 	bufferedBytes      int                             // bodies and unsent answers, without long values
+	readAheadBytes     int                             // the part of bufferedBytes that was read ahead from clients
 	answerBudget       answerbudget.Budget             // which answers are held
 	longValues         longValueBudget                 // memory for long values
 	maxBufferedBytes   int                             // beyond it no body and no request ahead of its turn is accepted
--- a/internal/proxy/redis.go
+++ b/internal/proxy/redis.go
@@ -71,6 +71,14 @@
 	// megabytes more to send.
 	lingerBytes   = 256 << 10
 	lingerTimeout = 500 * time.Millisecond
+	// The end of a client's input can be seen behind what the kernel holds, but not behind what it has no room
+	// for. readAheadFrom is the unread input from which that may be so; the kernel holds 64 KiB at first. Up to
+	// maxReadAhead bytes are then read ahead from a client that waits for answers, readAheadPiece at a time, and
+	// from all of them up to readAheadPercent of the memory for bodies.
+	readAheadFrom    = 24 << 10
+	maxReadAhead     = 1 << 20
+	readAheadPiece   = 32 << 10
+	readAheadPercent = 25
 	// discardChunk is how much input is discarded every discardInterval while earlier answers are still
 	// outstanding. It limits the cost of a client that sends garbage forever, and the delay until the end
 	// of a client that has sent megabytes is seen.
--- a/internal/proxy/redis_client.go
+++ b/internal/proxy/redis_client.go
@@ -77,14 +77,19 @@
 		c.arrival.NoteDrained()
 	}
 	n, err := c.stream.Read(b)
-	c.arrival.NoteRead(c.proxy.Clock(), n == len(b))
+	c.arrival.NoteRead(c.proxy.Clock(), n == len(b) || c.input.fromAhead)
+	if freed := c.input.takeFreed(); freed > 0 {
+		c.proxy.mu.Lock()
+		c.proxy.addReadAhead(-freed)
+		c.proxy.mu.Unlock()
+	}
 	if n >= shed.MinBatchBytes || c.readQueue.Active() {
 		c.measureUnread(n, n == len(b))
 	}
 	// Input that has been waiting for long, in the kernel until the connection was accepted or because the
 	// core is overloaded, may come from a client that has disconnected since. Otherwise input is read as it
 	// arrives, and so is the end of the stream.
-	if stale := c.mayBeStale || c.readQueue.Active(); stale && n > 0 {
+	if stale := c.mayBeStale || c.readQueue.Active() || c.input.fromAhead; stale && n > 0 {
 		if c.mayBeStale = false; c.sender.PeerClosed() {
 			return 0, io.EOF
 		}
@@ -193,7 +198,7 @@
 
 // hasUnread reports whether input has arrived that was not read yet.
 func (c *client) hasUnread() bool {
-	return c.sender.Peek() == sender.HasData || c.tls != nil && c.tls.mayHaveBuffered.Load()
+	return c.input.aheadBytes.Load() > 0 || c.sender.Peek() == sender.HasData || c.tls != nil && c.tls.mayHaveBuffered.Load()
 }
 
 // hasUnreadUnlocked is hasUnread for the reader goroutine, which does not hold the lock.
@@ -475,6 +480,8 @@
 		}
 		c.proxy.Cancel(&o.Request)
 	}
+	c.proxy.addReadAhead(-c.input.takeFreed() - len(c.input.ahead))
+	c.input.ahead = nil
 	c.releaseBodies()
 	c.proxy.upstreams.ResumeDials()
 }
--- a/internal/proxy/redis_front.go
+++ b/internal/proxy/redis_front.go
@@ -325,12 +325,32 @@
 // has not read. Their pending requests are cancelled, and the unread input is dropped.
 func (f *redisFront) closeDisconnected() {
 	for c := range f.clients {
-		if (c.valueWait != nil || len(c.pending) > 0 && c.resume != nil) && c.sender.PeerClosed() {
+		suspended := len(c.pending) > 0 && c.resume != nil
+		if suspended {
+			f.readAhead(c)
+		}
+		if (c.valueWait != nil || suspended) && c.sender.PeerClosed() {
 			c.close()
 		}
 	}
 }
 
+// readAhead reads input of a client whose reader is suspended, if there is so much of it that the end of the
+// client's input may be behind what the kernel has room for.
+func (f *redisFront) readAhead(c *client) {
+	p := f.proxy
+	room := min(maxReadAhead-int(c.input.aheadBytes.Load()), p.maxBufferedBytes*readAheadPercent/100-p.readAheadBytes)
+	if room > 0 && c.unreadInKernel() >= readAheadFrom {
+		p.addReadAhead(c.input.readAhead(room))
+	}
+}
+
+// addReadAhead changes the count of bytes that were read ahead. It requires the lock.
+func (p *Proxy) addReadAhead(bytes int) {
+	p.readAheadBytes += bytes
+	p.bufferedBytes += bytes
+}
+
 // idleTimeout returns how long a connection may stay idle while the given number of clients have sent a
 // command.
 func (f *redisFront) idleTimeout(asked int) time.Duration {
--- a/internal/proxy/unread_test.go
+++ b/internal/proxy/unread_test.go
@@ -165,3 +165,70 @@
 	open()
 	p.expectOnlyNext(requests)
 }
+
+// longBacklog returns a client that has sent more commands at once than the kernel holds for its connection, the
+// first of which wait at a member. Its reader is suspended, and input was read ahead.
+func longBacklog(t *testing.T, p *testProxy) (client *testClient, commands int) {
+	t.Helper()
+	const size = 320 << 10
+	client = p.dial()
+	client.conn.(*net.TCPConn).SetWriteBuffer(size) // so that the client need not wait
+	var all strings.Builder
+	for ; all.Len() < size; commands++ {
+		all.WriteString(getLongDeadline(fmt.Sprintf("b%d", commands), fmt.Sprintf("left%d", commands)))
+	}
+	client.send(all.String())
+	return client, commands
+}
+
+// Guards against requests that are sent for a client that has left: its end stands behind more unread commands than
+// the kernel holds.
+func TestDisconnectBehindMoreThanTheKernelHolds(t *testing.T) {
+	requests := newRequestLog()
+	blockedAddr, open := blockedMember(t, requests, "large")
+	p := startProxy(t, noTimeoutConfig(false), listEntry("s-1", blockedAddr, "large"))
+	client, _ := longBacklog(t, p)
+	client.conn.Close()
+	p.awaitNoClients()
+	p.eventually("nothing is held", func() bool { return p.readAheadBytes == 0 && p.bufferedBytes == 0 })
+	open()
+	p.expectOnlyNext(requests)
+}
+
+// Guards against commands that are lost, mixed up or counted as held when they were read ahead.
+func TestCommandsReadAheadAreAnswered(t *testing.T) {
+	release := make(chan struct{})
+	node := startCache(t, func(a memberCommand) string {
+		<-release
+		return hitReply("value of " + a.key)
+	})
+	p := startProxy(t, noTimeoutConfig(false), listEntry("s-1", node, "large"))
+	client, commands := longBacklog(t, p)
+	p.eventually("commands were read ahead", func() bool { return p.readAheadBytes > 2*readAheadFrom })
+	close(release)
+	for i := range commands {
+		if got, want := client.answer(), fmt.Sprintf("value of b%d", i); got != want && !strings.HasPrefix(got, "-BUSY") {
+			t.Fatalf("command %d of %d was answered %q", i, commands, got)
+		}
+	}
+	p.eventually("nothing is held", func() bool { return p.readAheadBytes == 0 && p.bufferedBytes == 0 })
+}
+
+// Guards against memory without bound for what is read ahead.
+func TestReadAheadIsBounded(t *testing.T) {
+	requests := newRequestLog()
+	blockedAddr, open := blockedMember(t, requests, "large")
+	cfg := noTimeoutConfig(false)
+	cfg.MemoryMB = 4
+	p := startProxy(t, cfg, listEntry("s-1", blockedAddr, "large"))
+	limit := p.maxBufferedBytes * readAheadPercent / 100
+	longBacklog(t, p) // which is longer than the limit
+	p.eventually("the memory for it is used", func() bool { return p.readAheadBytes == limit })
+	time.Sleep(3 * frontSweepInterval)
+	p.Do(func() {
+		if p.readAheadBytes > limit {
+			t.Errorf("%d bytes are read ahead, limit %d", p.readAheadBytes, limit)
+		}
+	})
+	open()
+}
