Discovery that pauses within its lines is heard

Cause: a line that pauses for 150 ms ends the watch, and so did every line after it.

Change: from the second line in a row on the limit doubles, up to 1.2 s; a line that is heard sets it back.

TestLinesWithPausesAreHeard fails without the change; internal/discovery passes twice with the race detector.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -38,10 +38,13 @@
 	agentCallTimeout = 750 * time.Millisecond
 	dialTimeout      = time.Second
 	// lineStallTimeout is how long a line may pause once it has begun. The line may say that a member
-	// drains, so the rest of it is not waited for. Discovery writes a line in one piece; a line that
-	// pauses is truncated.
-	lineStallTimeout = 150 * time.Millisecond
-	maxListBytes     = 1 << 20 // holds some thousands of members
+	// drains, so the rest of it is not waited for: a line that pauses is truncated as a rule. A discovery
+	// service that pauses in each line would never be heard, so from the second line in a row that has paused
+	// for longer the time doubles, up to maxLineStallTimeout. All of them together are well below the 6 s after
+	// which a change counts as announced.
+	lineStallTimeout    = 150 * time.Millisecond
+	maxLineStallTimeout = 1200 * time.Millisecond
+	maxListBytes        = 1 << 20 // holds some thousands of members
 	// catchUpTimeout is how long the list of another discovery service may be older than the known one.
 	catchUpTimeout = 1500 * time.Millisecond
 )
@@ -98,6 +101,7 @@
 	stallTimer     atomic.Pointer[stallTimer] // of the open watch
 	silenceTimeout time.Duration              // the constant; tests set a shorter one
 	callTimeout    time.Duration              // callTimeout or agentCallTimeout; tests set a shorter one
+	stalledLines   int                        // lines in a row that have paused for too long
 	behindSince    time.Time                  // when a whole list was first older than the known one; zero: not older
 	loggedEmpty    bool                       // the empty whole list has been logged
 }
@@ -124,10 +128,13 @@
 			return
 		}
 		wait := w.Backoff.RetryDelay
-		// Neither of these errors is a sign of load, so a short delay is enough.
-		if errors.Is(err, errSilent) || errors.Is(err, errStaleList) {
+		// None of these errors is a sign of load, so a short delay is enough.
+		if errors.Is(err, errSilent) || errors.Is(err, errStaleList) || errors.Is(err, errLineStalled) {
 			wait = w.Backoff.ReconnectDelay
 		}
+		if errors.Is(err, errLineStalled) {
+			w.stalledLines++
+		}
 		if n > 0 {
 			wait, down = w.Backoff.ReconnectDelay, false
 		}
@@ -166,6 +173,18 @@
 // errSilent: no data has arrived for too long.
 var errSilent = errors.New("no data for too long")
 
+// errLineStalled: a line has paused for too long.
+var errLineStalled = errors.New("a line stalled")
+
+// lineStallLimit returns how long a line of the next watch may pause.
+func (w *Watcher) lineStallLimit() time.Duration {
+	limit := lineStallTimeout
+	for i := 1; i < w.stalledLines && limit < maxLineStallTimeout; i++ {
+		limit *= 2
+	}
+	return limit
+}
+
 // errEmptyList: the whole list has no members.
 var errEmptyList = errors.New("discovery list has no members")
 
@@ -228,7 +247,7 @@
 		w.noteOlderList()
 		return false
 	}
-	w.Revision, w.behindSince, w.loggedEmpty = list.Revision, time.Time{}, false
+	w.Revision, w.behindSince, w.loggedEmpty, w.stalledLines = list.Revision, time.Time{}, false, 0
 	w.HasMembers = w.HasMembers || len(list.Members) > 0
 	return true
 }
@@ -240,8 +259,9 @@
 	defer cancel(nil)
 	silenceTimer := time.AfterFunc(w.callTimeout, func() { cancel(errSilent) })
 	defer silenceTimer.Stop()
-	lineTimer := &stallTimer{timer: time.AfterFunc(time.Hour, func() {
-		cancel(fmt.Errorf("a line stalled for %v", lineStallTimeout))
+	limit := w.lineStallLimit()
+	lineTimer := &stallTimer{limit: limit, timer: time.AfterFunc(time.Hour, func() {
+		cancel(fmt.Errorf("%w for %v", errLineStalled, limit))
 	})}
 	defer lineTimer.timer.Stop()
 	w.stallTimer.Store(lineTimer)
@@ -340,7 +360,8 @@
 type stallTimer struct {
 	mu               sync.Mutex
 	timer            *time.Timer
-	received, parsed int // number of objects that have begun on the connection and in the parser
+	limit            time.Duration // how long a line may pause
+	received, parsed int           // number of objects that have begun on the connection and in the parser
 }
 
 // update adds objects that have begun, and starts, restarts or stops the timer.
@@ -352,7 +373,7 @@
 	case t.received == t.parsed:
 		t.timer.Stop()
 	case received > 0:
-		t.timer.Reset(lineStallTimeout)
+		t.timer.Reset(t.limit)
 	}
 }
 
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -85,6 +85,43 @@
 	}
 }
 
+// Guards against a discovery service that is never heard because it pauses within each line: the changes are taken
+// well within the time after which they count as announced.
+func TestLinesWithPausesAreHeard(t *testing.T) {
+	for _, pause := range []time.Duration{200 * time.Millisecond, time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				io.WriteString(w, `{"revision":5,"complete":true,"members":[{"id":"s-a",`)
+				w.(http.Flusher).Flush()
+				select {
+				case <-q.Context().Done():
+					return
+				case <-time.After(pause):
+				}
+				io.WriteString(w, `"phase":"in_service"}]}`+"\n")
+				w.(http.Flusher).Flush()
+				<-q.Context().Done()
+			}))
+			ctx, stop := context.WithCancel(context.Background())
+			taken := make(chan List, 10)
+			w := Watcher{Addr: s.Listener.Addr().String(), Backoff: NewBackoff(false, 7, 80, 0, 1), Log: slog.New(slog.DiscardHandler),
+				OnList: func(l List) (int64, bool) { taken <- l; return 0, true }, OnBreak: func() {}}
+			done := make(chan struct{})
+			go func() { w.Run(ctx); close(done) }()
+			t.Cleanup(func() { stop(); <-done; s.Close() })
+			select {
+			case list := <-taken:
+				if list.Revision != 5 || len(list.Members) != 1 {
+					t.Errorf("taken: %+v", list)
+				}
+			case <-time.After(testTimeout):
+				t.Error("the list was not taken")
+			}
+		})
+	}
+}
+
 // A whole list that is empty or older than the known one leaves the known list in force, however often it
 // is sent, and a change after it is applied. A list of a discovery service that has been behind for long
 // enough is valid: its revision numbers have restarted.
