Requests keep the class that was in force when they were accepted

Cause: the class was kept as a place in the list of classes and looked up when the record had accepted the order. A failure to record a further attempt refused the order without a look at earlier ones.

Change: logic.Request carries the class; such an order is refused only if no attempt may have run.

TestRequestKeepsTheClassOfItsAcceptance fails without the class, TestOrderThatWaitsForTheRecordKeepsItsClass without both; logic, explore, wire, proxy, discovery pass with the race detector.

--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -285,6 +285,7 @@
 	}
 	r.class, r.tenant, r.effect = logicRequest.Class, logicRequest.Tenant, effect
 	r.retryable = class.SafeToRetry(r.effect)
+	logicRequest.AcceptedClass = class // the Balancer may get the request after the classes have changed
 	logicRequest.Deadline += p.earliestArrival(r.ArrivedAt)
 	r.deadline = logicRequest.Deadline
 	p.requests[r.id] = r
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -224,7 +224,11 @@
 		p.log.Warn("an attempt could not be recorded; the order is refused", "err", err)
 		p.endAttempt(a, logic.StatusMoot, 0)
 		if !r.done {
-			p.finishRequest(r.id, Answer{Kind: Refused, RetryAfter: p.recordRetryAfter(), Reason: refusalReason(err)})
+			answer := Answer{Kind: Refused, RetryAfter: p.recordRetryAfter(), Reason: refusalReason(err)}
+			if r.MayHaveRun() { // by an earlier attempt
+				answer = Answer{Kind: Failed, Reason: refusalReason(err)}
+			}
+			p.finishRequest(r.id, answer)
 			p.balancer.RequestCancelled(p.now, r.id)
 		}
 	case r.done || a.ExpiresAt-p.now < upstream.MinDeadline:
--- a/internal/proxy/record_test.go
+++ b/internal/proxy/record_test.go
@@ -17,6 +17,7 @@
 	"linenloom/internal/orders/ledger"
 	"linenloom/internal/reasons"
 	"linenloom/internal/store/crash"
+	"linenloom/logic"
 )
 
 var recordOptions = keeper.Options{Options: ledger.Options{
@@ -421,3 +422,47 @@
 		p.stopAndWait()
 	}
 }
+
+// gatedRecord tells nobody of the orders that it has taken until it is opened.
+type gatedRecord struct {
+	Record
+	taken  chan struct{}
+	opened chan struct{}
+}
+
+func (g gatedRecord) Take(o orders.Order, done func(orders.Verdict, []byte, error)) {
+	g.Record.Take(o, func(v orders.Verdict, receipt []byte, err error) {
+		g.taken <- struct{}{}
+		go func() {
+			<-g.opened
+			done(v, receipt, err)
+		}()
+	})
+}
+
+// Guards against an order that is refused although it may have run, and so runs again: it waits for the record while
+// classes are added, and its class, kept as a place in their list, becomes one that may be repeated.
+func TestOrderThatWaitsForTheRecordKeepsItsClass(t *testing.T) {
+	counter, disk := newCountingOrigin(t), crash.New()
+	counter.answer = func(*http.Request, int) string { return "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n" }
+	record := gatedRecord{openRecord(t, disk, recordOptions), make(chan struct{}, 10), make(chan struct{})}
+	cfg := testConfig()
+	cfg.Record = record
+	p := startProxy(t, cfg, listEntry("s-o", counter.origin(), "origin"))
+	client := p.dial()
+	client.send(order("p", "1", "a pass", ""))
+	<-record.taken
+	read, pass := cfg.Settings.Classes[0], cfg.Settings.Classes[1]
+	added := read
+	added.Name = "added"
+	if err := p.UpdateClasses([]logic.Class{added, read, pass}, cfg.Settings.MaxAttempts); err != nil {
+		t.Fatal(err)
+	}
+	close(record.opened)
+	if got := client.answer(); got != "-ERR failed" {
+		t.Errorf("an order that may have run was answered %q", got)
+	}
+	if runs := counter.runs("p"); runs != 1 {
+		t.Errorf("it ran %d times", runs)
+	}
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -211,17 +211,20 @@
 
 // Request describes a client request.
 type Request struct {
-	ID         RequestID
-	Key        uint64 // 0: none
-	Class      int
-	Tenant     int
-	Cost       time.Duration // expected work, valid if CostKnown
-	CostKnown  bool          // Cost is valid
-	Retry      bool          // the client marked the request as a repeat
-	Write      bool
-	NoDedupKey bool // it has no key by which its repeats could be dropped
-	Size       float64
-	Deadline   time.Duration // time at which the client gives up
+	ID    RequestID
+	Key   uint64 // 0: none
+	Class int
+	// AcceptedClass, if not nil, is the class in force when the host accepted the request; it replaces Class, whose
+	// meaning may have changed since.
+	AcceptedClass *Class
+	Tenant        int
+	Cost          time.Duration // expected work, valid if CostKnown
+	CostKnown     bool          // Cost is valid
+	Retry         bool          // the client marked the request as a repeat
+	Write         bool
+	NoDedupKey    bool // it has no key by which its repeats could be dropped
+	Size          float64
+	Deadline      time.Duration // time at which the client gives up
 	// AllowedMembers, if not nil, restricts the members that the request may be sent to; RestrictMembers
 	// changes it.
 	AllowedMembers []MemberID
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -552,12 +552,17 @@
 // treated as AtMostOnce, so that the request is never lost or run twice.
 func (b *Balancer) classOf(r *Request) *Class {
 	i := max(0, min(r.Class, len(b.settings.Classes)-1))
-	if c := &b.settings.Classes[i]; i == r.Class && c.EffectOf(r.NoDedupKey) == c.Effect {
+	c := &b.settings.Classes[i]
+	known := i == r.Class
+	if r.AcceptedClass != nil {
+		c, known = r.AcceptedClass, true
+	}
+	if known && c.EffectOf(r.NoDedupKey) == c.Effect {
 		return c
 	}
-	c := b.settings.Classes[i]
-	c.Effect = AtMostOnce
-	return &c
+	strict := *c
+	strict.Effect = AtMostOnce
+	return &strict
 }
 
 // exceedsTenantShare decides at random whether a request counts as the part of its tenant's traffic that
--- a/logic/repeats_test.go
+++ b/logic/repeats_test.go
@@ -59,3 +59,19 @@
 	}
 	host.checkViolations()
 }
+
+// Guards against an order that is repeated because the classes have changed since it was accepted.
+func TestRequestKeepsTheClassOfItsAcceptance(t *testing.T) {
+	host := newHost(t, testSettings(), 1)
+	host.setMembers(ListCached, withOrigin(3)...)
+	accepted := host.settings.Classes[1]
+	if accepted.Effect != AtMostOnce || host.settings.Classes[0].Effect != Repeatable {
+		t.Fatalf("the classes are %+v", host.settings.Classes)
+	}
+	req := host.request(Request{ID: 1, Key: 5, Class: 0, AcceptedClass: &accepted, Write: true})
+	host.endAttempt(1, 0, StatusReset)
+	host.advance(10 * time.Second)
+	if len(req.attempts) != 1 || req.finalAnswers != 1 {
+		t.Errorf("sent %d times, answered %d times; want 1 and 1", len(req.attempts), req.finalAnswers)
+	}
+}
