--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -133,3 +133,23 @@
 		t.Error("the peer was not given up")
 	}
 }
+
+// Guards against a peer that reads steadily but so slowly that its kernel tells of free room less often than the limit
+// for a write: 100 KB/s with a limit of 0.3 s is 10 KB/s with StallTimeout. Known to fail, see KNOWN-RED.txt.
+func TestSlowReaderIsNotCutOff(t *testing.T) {
+	const size, pieceSize, pause, watched = 16 << 20, 4 << 10, 40 * time.Millisecond, 10 * time.Second
+	host := &lockHost{}
+	sender, far := newBacklogged(t, host, size, 300*time.Millisecond)
+	piece := make([]byte, pieceSize)
+	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(pause) {
+		if _, err := io.ReadFull(far, piece); err != nil {
+			t.Fatalf("cut off: %v", err)
+		}
+		host.Enter()
+		failed := sender.Failed()
+		host.Leave()
+		if failed {
+			t.Fatal("the sender has given the peer up")
+		}
+	}
+}
