--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -18,6 +18,20 @@
 
 const testTimeout = 20 * time.Second // a test that has waited this long fails
 
+// runWatcher runs a watcher of a server, and closes the server after it. taken gets the lists; stop ends the
+// watcher and waits until it has ended.
+func runWatcher(t *testing.T, s *httptest.Server, log *slog.Logger) (taken chan List, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	taken = make(chan List, 10)
+	w := Watcher{Addr: s.Listener.Addr().String(), Backoff: NewBackoff(false, 7, 80, 0, 1), Log: log,
+		OnList: func(l List) (int64, bool) { taken <- l; return 0, true }, OnBreak: func() {}}
+	done := make(chan struct{})
+	go func() { w.Run(ctx); close(done) }()
+	stop = func() { cancel(); <-done }
+	t.Cleanup(func() { stop(); s.Close() })
+	return taken, stop
+}
+
 // A truncated or unreadable line changes nothing: the known list stays, and the difference to it is
 // requested soon, also if the connection stays open after a part of a line.
 func TestBadLines(t *testing.T) {
@@ -54,14 +68,8 @@
 				}
 				<-q.Context().Done()
 			}))
-			ctx, stop := context.WithCancel(context.Background())
-			taken := make(chan List, 10)
 			var log strings.Builder // used by the watcher only until it has ended
-			w := Watcher{Addr: s.Listener.Addr().String(), Backoff: NewBackoff(false, 7, 80, 0, 1), Log: slog.New(slog.NewTextHandler(&log, nil)),
-				OnList: func(l List) (int64, bool) { taken <- l; return 0, true }, OnBreak: func() {}}
-			done := make(chan struct{})
-			go func() { w.Run(ctx); close(done) }()
-			t.Cleanup(func() { stop(); <-done; s.Close() })
+			taken, stop := runWatcher(t, s, slog.New(slog.NewTextHandler(&log, nil)))
 			select {
 			case <-secondCall:
 			case <-time.After(testTimeout):
@@ -72,7 +80,6 @@
 				t.Errorf("taken: %+v, %+v", first, second)
 			}
 			stop()
-			<-done
 			if lines := strings.Count(log.String(), "\n"); lines != 1 || !strings.Contains(log.String(), bad.why) {
 				t.Errorf("logged %q, want one line that tells %q", log.String(), bad.why)
 			}
@@ -103,13 +110,7 @@
 				w.(http.Flusher).Flush()
 				<-q.Context().Done()
 			}))
-			ctx, stop := context.WithCancel(context.Background())
-			taken := make(chan List, 10)
-			w := Watcher{Addr: s.Listener.Addr().String(), Backoff: NewBackoff(false, 7, 80, 0, 1), Log: slog.New(slog.DiscardHandler),
-				OnList: func(l List) (int64, bool) { taken <- l; return 0, true }, OnBreak: func() {}}
-			done := make(chan struct{})
-			go func() { w.Run(ctx); close(done) }()
-			t.Cleanup(func() { stop(); <-done; s.Close() })
+			taken, _ := runWatcher(t, s, slog.New(slog.DiscardHandler))
 			select {
 			case list := <-taken:
 				if list.Revision != 5 || len(list.Members) != 1 {
--- a/internal/proxy/redis_front.go
+++ b/internal/proxy/redis_front.go
@@ -340,7 +340,7 @@
 func (f *redisFront) readAhead(c *client) {
 	p := f.proxy
 	room := min(maxReadAhead-int(c.input.aheadBytes.Load()), p.maxBufferedBytes*readAheadPercent/100-p.readAheadBytes)
-	if room > 0 && c.unreadInKernel() >= readAheadFrom {
+	if room > 0 && c.sender.Unread() >= readAheadFrom {
 		p.addReadAhead(c.input.readAhead(room))
 	}
 }
--- a/internal/proxy/shed.go
+++ b/internal/proxy/shed.go
@@ -41,13 +41,7 @@
 	if !c.readQueue.RecordRead(now, n, full) {
 		return
 	}
-	c.readQueue.SetUnread(now, c.unreadInKernel()+int(c.input.aheadBytes.Load()))
-}
-
-// unreadInKernel returns the number of bytes that have arrived and were not read.
-func (c *client) unreadInKernel() (bytes int) {
-	c.sender.Raw().Control(func(fd uintptr) { bytes, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-	return bytes
+	c.readQueue.SetUnread(now, c.sender.Unread()+int(c.input.aheadBytes.Load()))
 }
 
 // shed refuses a read that has waited too long before it was read, if the shedder decides so. Its refusal
--- a/internal/requestids/requestids.go
+++ b/internal/requestids/requestids.go
@@ -6,7 +6,8 @@
 package requestids
 
 import (
-	"hash/fnv"
+	"crypto/sha256"
+	"encoding/binary"
 	"sync/atomic"
 	"time"
 )
@@ -50,9 +51,8 @@
 // Claim keeps an id unless it was claimed within Retention. now is the time by a clock that all processes that
 // share the memory have in common.
 func (t *Table) Claim(id []byte, now time.Duration) Result {
-	hash := fnv.New64a()
-	hash.Write(id)
-	sum := mix(hash.Sum64())
+	digest := sha256.Sum256(id)
+	sum := binary.LittleEndian.Uint64(digest[:])
 	entry := sum<<timeBits | uint64(now/timeUnit)&timeMask
 	for {
 		free := (*uint64)(nil)
@@ -84,12 +84,3 @@
 	// An age of more than half of the range is that of a clock slightly ahead.
 	return value == 0 || age > uint64(Retention/timeUnit) && age < timeMask/2
 }
-
-// mix spreads a hash over all bits (the finalizer of MurmurHash3), as similar ids differ in few of them.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -270,8 +270,12 @@
 	return w.writingBacklog || len(w.corkBuffer) > 0 || w.kernelQueue(unix.SIOCOUTQNSD) > 0
 }
 
-// kernelQueue returns the number of bytes that the kernel has accepted and the peer has not: with SIOCOUTQ
-// those not acknowledged, with SIOCOUTQNSD those not transmitted yet. It returns 0 if that can't be determined.
+// Unread returns the number of bytes that have arrived on the connection and were not read.
+func (w *Sender) Unread() int { return w.kernelQueue(unix.SIOCINQ) }
+
+// kernelQueue returns the number of bytes that the kernel holds for the connection: with SIOCOUTQ those that the
+// peer has not acknowledged, with SIOCOUTQNSD those not transmitted yet, with SIOCINQ those not read. It returns 0
+// if that can't be determined.
 func (w *Sender) kernelQueue(request uint) (bytes int) {
 	w.raw.Control(func(fd uintptr) {
 		if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -27,9 +27,9 @@
 func (l *lockHost) Leave()               { l.Unlock() }
 func (l *lockHost) AddBuffered(int) bool { return false }
 
-// Corked messages wait and count as unsent; uncorked, they are written in order, before later ones. On a
-// connection that has failed meanwhile they are never written.
-func TestCork(t *testing.T) {
+// newConnected returns a sender on a new connection, and the connection's other end.
+func newConnected(t *testing.T, host *lockHost) (sender *Sender, far net.Conn) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -39,16 +39,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	far, err := l.Accept()
-	if err != nil {
+	t.Cleanup(func() { near.Close() })
+	if far, err = l.Accept(); err != nil {
 		t.Fatal(err)
 	}
-	defer far.Close()
-	host := &lockHost{}
-	sender, err := New(host, near.(*net.TCPConn))
-	if err != nil {
+	t.Cleanup(func() { far.Close() })
+	if sender, err = New(host, near.(*net.TCPConn)); err != nil {
 		t.Fatal(err)
 	}
+	return sender, far
+}
+
+// Corked messages wait and count as unsent; uncorked, they are written in order, before later ones. On a
+// connection that has failed meanwhile they are never written.
+func TestCork(t *testing.T) {
+	host := &lockHost{}
+	sender, far := newConnected(t, host)
 	host.Enter()
 	sender.Cork()
 	sender.Send([]byte("a"), false)
@@ -78,23 +84,7 @@
 // accepts, and the peer.
 func newBacklogged(t *testing.T, host *lockHost, size int, stallTimeout time.Duration) (sender *Sender, far net.Conn) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	near, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { near.Close() })
-	if far, err = l.Accept(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { far.Close() })
-	if sender, err = New(host, near.(*net.TCPConn)); err != nil {
-		t.Fatal(err)
-	}
+	sender, far = newConnected(t, host)
 	sender.stallTimeout = stallTimeout
 	host.Enter()
 	defer host.Leave()
